--- /dev/null
+++ b/crates/core/src/api.rs
@@ -0,0 +1,427 @@
+//! Requests from users, workers and probes.
+
+use crate::ctx::{Creation, Ctx, Lookup, Pending, Reply, Token};
+use crate::node::Node;
+use crate::records::{abort_key, job_key, live_key, BlockRec, HeadRec, JobRec, ShareId};
+use crate::share::Phase;
+use crate::store::Urgency;
+use crate::Ms;
+use forkshift_sched::{Quota, Resources};
+use forkshift_wire::state::{Cond, Item, Txn, TxnReply, Write};
+use forkshift_wire::users::{JobKind, JobSpec, JobStage, JobStatus};
+use forkshift_wire::workers::{Redirect, Report, ReportReply};
+use forkshift_wire::JobId;
+use serde_json::{from_value, to_value};
+
+/// A submission or a cancellation is answered within this, whatever happens:
+/// users give up after 5 s.
+const ANSWER_MS: Ms = 4_000;
+/// Pause between two looks at whether a cancellation was carried out.
+const POLL_MS: Ms = 250;
+
+fn status(id: &JobId, stage: JobStage) -> JobStatus {
+    JobStatus {
+        id: id.clone(),
+        stage,
+        done: None,
+        running: None,
+    }
+}
+
+impl Node {
+    pub(crate) fn on_request(
+        &mut self,
+        token: Token,
+        method: &str,
+        path: &str,
+        body: Option<Vec<u8>>,
+    ) {
+        let path = path.split('?').next().unwrap_or_default();
+        let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+        let reply = match (method, parts.as_slice()) {
+            ("GET", ["up"]) => Some(self.up()),
+            ("POST", ["v1", "report"]) => Some(self.report(body)),
+            ("POST", ["submissions"]) => self.submit(token, body),
+            ("GET", ["submissions", id]) => self.question(token, id),
+            ("POST", ["submissions", id, "abort"]) => self.abort(token, id),
+            (
+                _,
+                ["up"]
+                | ["v1", "report"]
+                | ["submissions"]
+                | ["submissions", _]
+                | ["submissions", _, "abort"],
+            ) => Some(Reply::error(405, "wrong method")),
+            _ => Some(Reply::error(404, "no such path")),
+        };
+        if let Some(reply) = reply {
+            self.ctx.respond(token, reply);
+        }
+    }
+
+    fn up(&self) -> Reply {
+        if self.is_up() {
+            Reply::json(200, &serde_json::json!({}))
+        } else {
+            Reply::later("not ready")
+        }
+    }
+
+    // Submissions.
+
+    fn submit(&mut self, token: Token, body: Option<Vec<u8>>) -> Option<Reply> {
+        let Some(body) = body else {
+            return Some(Reply::error(413, "too large"));
+        };
+        let spec = match JobSpec::parse(&body) {
+            Ok(spec) => spec,
+            Err(e) => {
+                // A repetition of a job that is known gets its state, even if
+                // it would not be accepted today.
+                let refusal = Reply::error(400, &e.to_string());
+                return match id_of(&body) {
+                    Some(id) => self.look_up(token, id, Lookup::Submission(refusal)),
+                    None => Some(refusal),
+                };
+            }
+        };
+        let id = spec.id.clone();
+        if let Some(stage) = self.finals.get(&id) {
+            return Some(Reply::json(200, &status(&id, stage)));
+        }
+        if self.member.has_right(&self.ctx) {
+            if let Some(share) = self.share_of(&id) {
+                return share.jobs.get(&id).map(|j| Reply::json(200, &j.status()));
+            }
+        }
+        match self.judge(&spec) {
+            Ok(share) => {
+                let until = self.ctx.now + ANSWER_MS;
+                let creation = Creation {
+                    token,
+                    spec,
+                    share,
+                    until,
+                };
+                self.create(creation);
+                None
+            }
+            Err(refusal) => self.look_up(token, id, Lookup::Submission(refusal)),
+        }
+    }
+
+    /// Whether a job can ever run, and in which share.
+    fn judge(&self, spec: &JobSpec) -> Result<ShareId, Reply> {
+        let Some(team) = self.ctx.cfg.teams.get(&spec.team) else {
+            return Err(Reply::error(422, "unknown team"));
+        };
+        if self.view.types.is_empty() {
+            return Err(Reply::later("the machine types are not known yet"));
+        }
+        let task = Resources::new(spec.cpus, spec.gpus, spec.memory_gb);
+        let fits = self.view.types.values().map(|t| &t.rec).any(|t| {
+            let allowed = spec
+                .types
+                .as_ref()
+                .is_none_or(|names| names.contains(&t.name));
+            let there = spec.zone.as_ref().is_none_or(|z| t.zones.contains(z));
+            allowed && there && task.fits(&Resources::new(t.cpus, t.gpus, t.memory_gb))
+        });
+        if !fits {
+            return Err(Reply::error(422, "a task fits no allowed machine type"));
+        }
+        let at_once = match spec.kind {
+            JobKind::Array => 1,
+            JobKind::Gang | JobKind::Service => i64::from(spec.tasks),
+        };
+        let quota = Quota {
+            limit: team.limit,
+            ..Quota::default()
+        };
+        if !quota.could_allow(&task, at_once) {
+            return Err(Reply::error(422, "more than the team's limit"));
+        }
+        Ok(team.share)
+    }
+
+    fn create(&mut self, creation: Creation) {
+        let Creation { spec, share, .. } = &creation;
+        let record = JobRec {
+            spec: spec.clone(),
+            share: *share,
+            stage: JobStage::Queued,
+        };
+        let head = HeadRec {
+            spec: spec.clone(),
+            cancelled: false,
+            block: BlockRec::default(),
+        };
+        let key = job_key(&spec.id);
+        let txn = Txn {
+            conds: vec![Cond {
+                key: key.clone(),
+                version: 0,
+            }],
+            writes: vec![
+                Write::put(key, to_value(record).unwrap_or_default()),
+                Write::put(
+                    live_key(*share, &spec.id, 0),
+                    to_value(head).unwrap_or_default(),
+                ),
+            ],
+        };
+        let pending = Pending::Create(Box::new(creation));
+        self.ctx.txn(Urgency::User, &txn, pending);
+    }
+
+    pub(crate) fn on_created(&mut self, creation: Creation, code: u16, body: &[u8]) {
+        let Creation {
+            token,
+            spec,
+            share,
+            until,
+        } = creation;
+        let id = spec.id.clone();
+        match code {
+            200 => {
+                let reply: TxnReply = serde_json::from_slice(body).unwrap_or_default();
+                let ours = self.shares.get_mut(&share);
+                if let Some(share) = ours.filter(|s| s.phase == Phase::Active) {
+                    share.add_job(&mut self.ctx, spec, reply.revision);
+                }
+                let reply = Reply::json(201, &status(&id, JobStage::Queued));
+                self.ctx.respond(token, reply);
+            }
+            409 => {
+                let lost = Reply::later("try again");
+                if let Some(reply) = self.look_up(token, id, Lookup::Submission(lost)) {
+                    self.ctx.respond(token, reply);
+                }
+            }
+            0 | 429 | 503 if self.ctx.now < until => {
+                // If an earlier copy is carried out after all, the condition
+                // fails and the job is found.
+                self.create(Creation {
+                    token,
+                    spec,
+                    share,
+                    until,
+                });
+            }
+            _ => self.ctx.respond(token, Reply::later("not now")),
+        }
+    }
+
+    // Questions.
+
+    fn question(&mut self, token: Token, id: &str) -> Option<Reply> {
+        let Some(id) = JobId::parse(id) else {
+            return Some(Reply::error(404, "no such job"));
+        };
+        if let Some(stage) = self.finals.get(&id) {
+            return Some(Reply::json(200, &status(&id, stage)));
+        }
+        if self.member.has_right(&self.ctx) {
+            if let Some(share) = self.share_of(&id) {
+                return share.jobs.get(&id).map(|j| Reply::json(200, &j.status()));
+            }
+        }
+        self.look_up(token, id, Lookup::Question)
+    }
+
+    /// Reads a job's record, for an answer that must not be older than what
+    /// any node has told.
+    fn look_up(&mut self, token: Token, id: JobId, why: Lookup) -> Option<Reply> {
+        let path = format!("/kv/{}", job_key(&id));
+        self.ctx
+            .read(Urgency::User, path, Pending::Lookup { token, id, why });
+        None
+    }
+
+    pub(crate) fn on_lookup(
+        &mut self,
+        token: Token,
+        id: JobId,
+        why: Lookup,
+        code: u16,
+        body: &[u8],
+    ) {
+        let record = match code {
+            200 => read_job(body),
+            404 => {
+                let reply = match why {
+                    Lookup::Submission(otherwise) => otherwise,
+                    Lookup::Question | Lookup::Abort => Reply::error(404, "no such job"),
+                };
+                return self.ctx.respond(token, reply);
+            }
+            _ => None,
+        };
+        let Some(record) = record else {
+            return self.ctx.respond(token, Reply::later("not now"));
+        };
+        if record.stage.is_final() {
+            self.finals.insert(id.clone(), record.stage);
+        } else if matches!(why, Lookup::Abort) {
+            return self.pass_abort(token, id);
+        }
+        self.ctx
+            .respond(token, Reply::json(200, &status(&id, record.stage)));
+    }
+
+    // Cancellations.
+
+    fn abort(&mut self, token: Token, id: &str) -> Option<Reply> {
+        let Some(id) = JobId::parse(id) else {
+            return Some(Reply::error(404, "no such job"));
+        };
+        if let Some(stage) = self.finals.get(&id) {
+            return Some(Reply::json(200, &status(&id, stage)));
+        }
+        let Node { shares, ctx, .. } = self;
+        let ours = shares
+            .values_mut()
+            .find(|s| s.phase == Phase::Active && s.jobs.contains_key(&id));
+        if let Some(share) = ours {
+            share.cancel(ctx, &id);
+            if let Some(job) = share.jobs.get_mut(&id) {
+                job.cancel_waiters.push(token);
+            }
+            return None;
+        }
+        self.look_up(token, id, Lookup::Abort)
+    }
+
+    /// Leaves word for the holder, in the place that it watches.
+    fn pass_abort(&mut self, token: Token, id: JobId) {
+        let until = self.ctx.now + ANSWER_MS * 3 / 4;
+        if self.view.aborts.contains_key(&id) {
+            return self.poll_abort(token, id, until);
+        }
+        let txn = Txn {
+            conds: Vec::new(),
+            writes: vec![Write::put(abort_key(&id), true.into())],
+        };
+        self.ctx
+            .txn(Urgency::User, &txn, Pending::Abort { token, id, until });
+    }
+
+    pub(crate) fn on_abort_put(&mut self, token: Token, id: JobId, until: Ms, code: u16) {
+        if code == 200 {
+            self.poll_abort(token, id, until);
+        } else {
+            self.ctx.respond(token, Reply::later("not now"));
+        }
+    }
+
+    fn poll_abort(&mut self, token: Token, id: JobId, until: Ms) {
+        let path = format!("/kv/{}", job_key(&id));
+        self.ctx
+            .read(Urgency::User, path, Pending::AbortPoll { token, id, until });
+    }
+
+    pub(crate) fn on_abort_poll(
+        &mut self,
+        token: Token,
+        id: JobId,
+        until: Ms,
+        code: u16,
+        body: &[u8],
+    ) {
+        let record = if code == 200 { read_job(body) } else { None };
+        match record {
+            Some(record) if record.stage.is_final() => {
+                self.finals.insert(id.clone(), record.stage);
+                let reply = Reply::json(200, &status(&id, record.stage));
+                self.ctx.respond(token, reply);
+                if let Some(version) = self.view.aborts.get(&id) {
+                    crate::share::remove_key(&mut self.ctx, abort_key(&id), *version);
+                }
+            }
+            _ if self.ctx.now < until => {
+                self.later_polls
+                    .push((self.ctx.now + POLL_MS, token, id, until))
+            }
+            _ => self.ctx.respond(token, Reply::later("being cancelled")),
+        }
+    }
+
+    /// Looks again at cancellations that others are to carry out.
+    pub(crate) fn repeat_polls(&mut self) {
+        let now = self.ctx.now;
+        let polls = std::mem::take(&mut self.later_polls);
+        for (at, token, id, until) in polls {
+            if now >= at {
+                self.poll_abort(token, id, until);
+            } else {
+                self.later_polls.push((at, token, id, until));
+            }
+        }
+    }
+
+    // Workers.
+
+    fn report(&mut self, body: Option<Vec<u8>>) -> Reply {
+        let Some(body) = body else {
+            return Reply::error(413, "too large");
+        };
+        let report: Report = match serde_json::from_slice(&body) {
+            Ok(report) => report,
+            Err(e) => {
+                log::info!("a report is not understood: {e}");
+                return Reply::error(400, "not a report");
+            }
+        };
+        let Some(record) = self.view.machines.get(&report.machine) else {
+            return Reply::json(421, &Redirect::default());
+        };
+        let k = record.rec.share;
+        let Node { shares, ctx, .. } = self;
+        let Some(share) = shares.get_mut(&k) else {
+            let holder = self.view.holder(k).filter(|n| **n != self.ctx.cfg.node);
+            let report_to = holder.map(|n| n.to_string());
+            return Reply::json(421, &Redirect { report_to });
+        };
+        if share.phase != Phase::Active {
+            // The share is ours, so the lease may be renewed; what runs there
+            // is not known yet.
+            let token = (share.epoch << 24).max(record.rec.floor + 1);
+            if report.token > token {
+                return Reply::json(421, &Redirect::default());
+            }
+            let orders = Vec::new();
+            return Reply::json(200, &ReportReply { token, orders });
+        }
+        if share
+            .machines
+            .get(&report.machine)
+            .is_none_or(|m| report.token > m.token)
+        {
+            // Somebody newer holds the machine. A 200 would be dropped, and
+            // the worker would stay here while its lease runs out.
+            return Reply::json(421, &Redirect::default());
+        }
+        share.ingest(ctx, &report);
+        match share.report_reply(ctx, &report.machine) {
+            Some((token, orders)) => Reply::json(200, &ReportReply { token, orders }),
+            None => Reply::json(421, &Redirect::default()),
+        }
+    }
+}
+
+fn read_job(body: &[u8]) -> Option<JobRec> {
+    let item: Item = serde_json::from_slice(body).ok()?;
+    from_value(item.value).ok()
+}
+
+/// The id that a body names, whatever else it holds.
+fn id_of(body: &[u8]) -> Option<JobId> {
+    let value: serde_json::Value = serde_json::from_slice(body).ok()?;
+    JobId::parse(value.get("uid")?.as_str()?)
+}
+
+impl Ctx {
+    pub(crate) fn silent_ms(&self) -> Ms {
+        (self.cfg.lease_ms as f64 * self.cfg.ops.silent_leases) as Ms
+    }
+}
--- /dev/null
+++ b/crates/core/src/commit.rs
@@ -0,0 +1,320 @@
+//! Writing jobs: what is decided in memory becomes durable here.
+//!
+//! A job has at most one write under way. What waits for a write (an answer
+//! to a user, a start command, a `forget`) compares the version it needs with
+//! the version that is known to be written.
+
+use crate::ctx::{Ctx, JobWrite, Pending, Reply};
+use crate::job::Job;
+use crate::node::Finals;
+use crate::records::{abort_key, job_key, live_key, share_key, JobRec};
+use crate::share::Share;
+use crate::store::Urgency;
+use crate::view::View;
+use crate::Ms;
+use forkshift_wire::state::{Cond, Item, Txn, TxnReply, Write};
+use forkshift_wire::users::{JobStage, JobStatus};
+use forkshift_wire::JobId;
+use serde_json::to_value;
+
+/// Pause before a write that failed is tried again.
+const RETRY: Ms = 150;
+/// A transaction's share of the 64 KiB that it may have.
+const TXN_BYTES: usize = 40 * 1024;
+
+/// One job's part of a transaction.
+struct Part {
+    write: JobWrite,
+    conds: Vec<Cond>,
+    writes: Vec<Write>,
+    bytes: usize,
+    urgency: Urgency,
+}
+
+impl Share {
+    /// Writes what has changed. Mere progress waits for `progress`, so that a
+    /// job is written at most once a round.
+    pub(crate) fn flush(&mut self, ctx: &mut Ctx, view: &View, progress: bool) {
+        let mut parts: Vec<Part> = Vec::new();
+        let ids: Vec<JobId> = self.dirty.iter().cloned().collect();
+        for id in ids {
+            let Some(job) = self.jobs.get(&id) else {
+                self.dirty.remove(&id);
+                continue;
+            };
+            if job.writing || ctx.now < job.retry_at {
+                continue;
+            }
+            match part(self, job, ctx, view, progress) {
+                Some(part) => parts.push(part),
+                None if !job.blocks.values().any(|b| b.is_dirty()) && !job.is_over() => {
+                    self.dirty.remove(&id);
+                }
+                None => {}
+            }
+        }
+        parts.sort_by_key(|p| p.urgency);
+        let mut group: Vec<Part> = Vec::new();
+        let (mut ops, mut bytes) = (0, 0);
+        for part in parts {
+            let full = ops + part.writes.len() > ctx.cfg.txn_ops || bytes + part.bytes > TXN_BYTES;
+            let other = group.first().is_some_and(|p| p.urgency != part.urgency);
+            if !group.is_empty() && (full || other) {
+                self.send_group(ctx, std::mem::take(&mut group));
+                (ops, bytes) = (0, 0);
+            }
+            ops += part.writes.len();
+            bytes += part.bytes;
+            group.push(part);
+        }
+        if !group.is_empty() {
+            self.send_group(ctx, group);
+        }
+    }
+
+    fn send_group(&mut self, ctx: &mut Ctx, group: Vec<Part>) {
+        let urgency = group[0].urgency;
+        let mut txn = Txn {
+            conds: vec![Cond {
+                key: share_key(self.id),
+                version: self.version,
+            }],
+            writes: Vec::new(),
+        };
+        let mut jobs = Vec::new();
+        for part in group {
+            txn.conds.extend(part.conds);
+            txn.writes.extend(part.writes);
+            if let Some(job) = self.jobs.get_mut(&part.write.id) {
+                job.writing = true;
+                job.last_sent |= part.write.last;
+            }
+            jobs.push(part.write);
+        }
+        let (share, epoch) = (self.id, self.epoch);
+        ctx.txn(urgency, &txn, Pending::JobTxn { share, epoch, jobs });
+    }
+
+    pub(crate) fn on_txn(
+        &mut self,
+        ctx: &mut Ctx,
+        finals: &mut Finals,
+        jobs: Vec<JobWrite>,
+        status: u16,
+        body: &[u8],
+    ) {
+        let reply: TxnReply = serde_json::from_slice(body).unwrap_or_default();
+        for write in jobs {
+            let Some(job) = self.jobs.get_mut(&write.id) else {
+                continue;
+            };
+            job.writing = false;
+            if status == 200 {
+                self.written(ctx, finals, &write, reply.revision);
+                continue;
+            }
+            job.retry_at = ctx.now + RETRY;
+            if status != 409 {
+                // Perhaps it was carried out, perhaps it will be. Writing
+                // again on the same conditions is safe either way.
+                continue;
+            }
+            for block in &write.blocks {
+                let key = live_key(self.id, &write.id, *block);
+                if reply.failed.contains(&key) {
+                    job.writing = true;
+                    let (share, epoch) = (self.id, self.epoch);
+                    let (id, block) = (write.id.clone(), *block);
+                    let pending = Pending::JobFix {
+                        share,
+                        epoch,
+                        id,
+                        block,
+                    };
+                    ctx.read(Urgency::Work, format!("/kv/{key}"), pending);
+                }
+            }
+        }
+    }
+
+    /// An earlier write of ours, which had no answer, was carried out after
+    /// all: its version is taken from the record. Nobody else writes it while
+    /// the share is ours.
+    pub(crate) fn on_fix(
+        &mut self,
+        ctx: &mut Ctx,
+        finals: &mut Finals,
+        id: &JobId,
+        block: u32,
+        status: u16,
+        body: &[u8],
+    ) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.writing = false;
+        let found: Option<Item> = serde_json::from_slice(body).ok();
+        match (status, found) {
+            (200, Some(item)) => {
+                if let Some(block) = job.blocks.get_mut(&block) {
+                    block.stamp = item.version;
+                }
+            }
+            (404, _) if job.last_sent && block == 0 => {
+                let write = JobWrite {
+                    id: id.clone(),
+                    version: job.version,
+                    blocks: vec![0],
+                    last: true,
+                    cancel: job.cancelled,
+                };
+                self.written(ctx, finals, &write, u64::MAX);
+            }
+            (404, _) => {
+                if let Some(block) = job.blocks.get_mut(&block) {
+                    block.stamp = 0;
+                }
+            }
+            _ => job.retry_at = ctx.now + RETRY,
+        }
+    }
+
+    fn written(&mut self, ctx: &mut Ctx, finals: &mut Finals, write: &JobWrite, revision: u64) {
+        let Some(job) = self.jobs.get_mut(&write.id) else {
+            return;
+        };
+        for block in &write.blocks {
+            if let Some(block) = job.blocks.get_mut(block) {
+                block.stamp = revision;
+                block.committed = block.committed.max(write.version);
+            }
+        }
+        if write.cancel {
+            job.cancel_durable = true;
+        }
+        let stage = job.final_stage();
+        if write.last || write.cancel {
+            finals.insert(write.id.clone(), stage);
+            let waiters = std::mem::take(&mut job.cancel_waiters);
+            for token in waiters {
+                let id = write.id.clone();
+                let status = JobStatus {
+                    id,
+                    stage,
+                    done: None,
+                    running: None,
+                };
+                ctx.respond(token, Reply::json(200, &status));
+            }
+        }
+        if write.last {
+            log::info!(
+                "job {}: {stage:?} after {} ms",
+                write.id,
+                ctx.now - job.since
+            );
+            let rest: Vec<(String, u64)> = job
+                .blocks
+                .iter()
+                .filter(|(b, block)| **b > 0 && block.stamp > 0)
+                .map(|(b, block)| (live_key(self.id, &write.id, *b), block.stamp))
+                .collect();
+            for (key, version) in rest {
+                crate::share::remove_key(ctx, key, version);
+            }
+            self.forget_job(&write.id, revision);
+        }
+    }
+}
+
+/// A job's part of the next transaction, if it has any.
+fn part(share: &Share, job: &Job, ctx: &Ctx, view: &View, progress: bool) -> Option<Part> {
+    let id = &job.spec.id;
+    let last = job.is_over();
+    let cancel = job.cancelled && !job.cancel_durable;
+    let unsent = job
+        .bound
+        .values()
+        .any(|b| b.sent == crate::job::Sent::No && b.stop.is_none());
+    let urgency = if last || cancel {
+        Urgency::User
+    } else if unsent {
+        Urgency::Work
+    } else if progress {
+        Urgency::Later
+    } else {
+        return None;
+    };
+    let mut conds = Vec::new();
+    let mut writes = Vec::new();
+    let mut blocks = Vec::new();
+    let mut bytes = 0;
+    if last {
+        let block = &job.blocks[&0];
+        let key = live_key(share.id, id, 0);
+        conds.push(Cond {
+            key: key.clone(),
+            version: block.stamp,
+        });
+        writes.push(Write::Remove { remove: key });
+        blocks.push(0);
+    } else {
+        for (b, block) in &job.blocks {
+            // A cancellation is kept in the head, so the head goes with it.
+            if !(block.is_dirty() || (cancel && *b == 0)) {
+                continue;
+            }
+            if writes.len() + 2 > ctx.cfg.txn_ops {
+                break;
+            }
+            let key = live_key(share.id, id, *b);
+            let value = match b {
+                0 => to_value(job.head_rec()),
+                _ => to_value(job.block_rec(*b)),
+            };
+            let value = value.unwrap_or_default();
+            bytes += value.to_string().len() + key.len() * 2;
+            conds.push(Cond {
+                key: key.clone(),
+                version: block.stamp,
+            });
+            writes.push(Write::put(key, value));
+            blocks.push(*b);
+        }
+    }
+    if writes.is_empty() {
+        return None;
+    }
+    if cancel || (last && !job.cancelled) {
+        let rec = JobRec {
+            spec: (*job.spec).clone(),
+            share: share.id,
+            stage: job.final_stage(),
+        };
+        bytes += 700;
+        writes.push(Write::put(job_key(id), to_value(rec).unwrap_or_default()));
+    }
+    if last && job.final_stage() == JobStage::Cancelled {
+        if let Some(version) = view.aborts.get(id) {
+            let key = abort_key(id);
+            conds.push(Cond {
+                key: key.clone(),
+                version: *version,
+            });
+            writes.push(Write::Remove { remove: key });
+        }
+    }
+    Some(Part {
+        write: JobWrite {
+            id: id.clone(),
+            version: job.version,
+            blocks,
+            last,
+            cancel,
+        },
+        conds,
+        writes,
+        bytes,
+        urgency,
+    })
+}
--- /dev/null
+++ b/crates/core/src/config.rs
@@ -0,0 +1,170 @@
+//! What a controller is told before it starts.
+
+use crate::records::ShareId;
+use crate::Ms;
+use forkshift_sched::{Resources, Weights};
+use forkshift_wire::settings::Settings;
+use forkshift_wire::NodeName;
+use std::collections::BTreeMap;
+
+/// Settings that the operators may change; all have defaults.
+#[derive(Clone, Debug)]
+pub struct Operator {
+    /// Weights of the score.
+    pub weights: Weights,
+    /// Seconds between the starts of two rounds.
+    pub round_s: f64,
+    /// Least seconds between two rounds that arrivals set off.
+    pub round_gap_s: f64,
+    /// Seconds between two looks of the leader at the shares.
+    pub assign_s: f64,
+    /// Spare places for classes with a short wait, as a multiple of what
+    /// arrives while a machine boots.
+    pub spare: f64,
+    /// An empty machine is returned after this share of its boot time.
+    pub idle_boots: f64,
+    /// A silent machine is given up after this share of a lease.
+    pub silent_leases: f64,
+}
+
+impl Default for Operator {
+    fn default() -> Self {
+        Self {
+            weights: Weights::default(),
+            round_s: 1.0,
+            round_gap_s: 0.1,
+            assign_s: 0.5,
+            spare: 1.0,
+            idle_boots: 0.5,
+            silent_leases: 0.6,
+        }
+    }
+}
+
+/// A team's guarantee and limit.
+#[derive(Clone, Debug)]
+pub struct Team {
+    /// Its name.
+    pub name: String,
+    /// Its guarantee.
+    pub guarantee: Resources,
+    /// Its limit.
+    pub limit: Resources,
+    /// The share that its jobs belong to.
+    pub share: ShareId,
+}
+
+/// Settings in the form that the controller works with.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// This controller.
+    pub node: NodeName,
+    /// All controllers, in order.
+    pub nodes: Vec<NodeName>,
+    /// Teams by name.
+    pub teams: BTreeMap<String, Team>,
+    /// Shortest `wait` objective of each class, in seconds.
+    pub waits: BTreeMap<String, f64>,
+    /// Lease of a worker.
+    pub lease_ms: Ms,
+    /// Between two reports of a worker.
+    pub report_ms: Ms,
+    /// Within this a cancelled job's tasks must be gone.
+    pub cancel_ms: Ms,
+    /// Within this a gang must be complete.
+    pub gang_wait_ms: Ms,
+    /// Requests a second to the state service, of all controllers.
+    pub state_rps: f64,
+    /// Changes a second at the state service, of all controllers.
+    pub write_rps: f64,
+    /// Most changes in a transaction.
+    pub txn_ops: usize,
+    /// Largest value, in bytes.
+    pub value_bytes: usize,
+    /// Requests a second to the cloud.
+    pub cloud_rps: f64,
+    /// Lag of the cloud's machine list.
+    pub list_lag_ms: Ms,
+    /// The operators' own settings.
+    pub ops: Operator,
+}
+
+impl Config {
+    /// Takes over settings that were checked.
+    pub fn new(settings: &Settings, ops: Operator) -> Self {
+        let c = &settings.cluster;
+        let mut nodes: Vec<NodeName> = settings.peers.iter().map(|p| p.node.clone()).collect();
+        nodes.push(settings.node.clone());
+        nodes.sort();
+        nodes.dedup();
+        let mut waits = BTreeMap::new();
+        for o in c.objectives.iter().filter(|o| o.kind == "wait") {
+            if let Some(class) = &o.class {
+                let within = waits.entry(class.clone()).or_insert(o.within_s);
+                *within = o.within_s.min(*within);
+            }
+        }
+        let ms = |s: f64| (s * 1000.0) as Ms;
+        Self {
+            node: settings.node.clone(),
+            teams: spread_teams(&c.teams, nodes.len().max(c.nodes as usize)),
+            nodes,
+            waits,
+            lease_ms: ms(c.workers.lease_s),
+            report_ms: ms(c.workers.report_s),
+            cancel_ms: ms(c.workers.cancel_s),
+            gang_wait_ms: ms(c.workers.gang_wait_s),
+            state_rps: c.state.rps,
+            write_rps: c.state.write_rps,
+            txn_ops: c.state.txn_ops,
+            value_bytes: (c.state.value_kb * 1024.0) as usize,
+            cloud_rps: c.cloud.rps,
+            list_lag_ms: ms(c.cloud.list_lag_s),
+            ops,
+        }
+    }
+
+    /// Number of shares.
+    pub fn shares(&self) -> u32 {
+        self.nodes.len() as u32
+    }
+
+    /// How long a controller's own lease at the state service lives: a crash
+    /// must be noticed, and its share loaded elsewhere, well within the lease
+    /// of the workers that reported to it.
+    pub fn node_lease_ms(&self) -> Ms {
+        (self.lease_ms / 4).clamp(2_000, 5_000)
+    }
+}
+
+/// Spreads the teams over the shares by their guarantees, the largest first.
+/// Every controller comes to the same result from the same settings.
+fn spread_teams(teams: &[forkshift_wire::settings::Team], shares: usize) -> BTreeMap<String, Team> {
+    let sum =
+        |f: fn(&forkshift_wire::settings::Team) -> f64| teams.iter().map(f).sum::<f64>().max(1e-9);
+    let (cpus, gpus) = (sum(|t| t.cpus), sum(|t| t.gpus));
+    let weight = |t: &forkshift_wire::settings::Team| t.cpus / cpus + t.gpus / gpus;
+    let mut order: Vec<&forkshift_wire::settings::Team> = teams.iter().collect();
+    order.sort_by(|a, b| weight(b).total_cmp(&weight(a)).then(a.name.cmp(&b.name)));
+    let mut load = vec![0.0; shares];
+    let mut spread = BTreeMap::new();
+    for team in order {
+        let mut share = 0;
+        for k in 1..shares {
+            if load[k] < load[share] {
+                share = k;
+            }
+        }
+        load[share] += weight(team).max(1e-6);
+        spread.insert(
+            team.name.clone(),
+            Team {
+                name: team.name.clone(),
+                guarantee: Resources::new(team.cpus, team.gpus, 0.0),
+                limit: Resources::new(team.cpus_max, team.gpus_max, 0.0),
+                share: ShareId(share as u32),
+            },
+        );
+    }
+    spread
+}
--- /dev/null
+++ b/crates/core/src/ctx.rs
@@ -0,0 +1,406 @@
+//! What every part of the controller needs: time, settings, a way out.
+
+use crate::config::Config;
+use crate::records::ShareId;
+use crate::store::{StateCall, Store, Urgency};
+use crate::Ms;
+use forkshift_wire::state::Txn;
+use forkshift_wire::users::JobSpec;
+use forkshift_wire::workers::Order;
+use forkshift_wire::{JobId, MachineId};
+use rand::rngs::StdRng;
+use rand::SeedableRng;
+use serde::Serialize;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// Names a call that is under way.
+pub type CallId = u64;
+
+/// Names a request that waits for its answer.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+pub struct Token(pub u64);
+
+/// What reaches the controller.
+#[derive(Debug)]
+pub enum Input {
+    /// A request from a user, a worker or a probe.
+    Request {
+        /// To be named in the answer.
+        token: Token,
+        /// `GET`, `POST`, …
+        method: String,
+        /// Path and query.
+        path: String,
+        /// The body; none if it was too long.
+        body: Option<Vec<u8>>,
+    },
+    /// The end of a call.
+    Answer {
+        /// Which call.
+        call: CallId,
+        /// HTTP status; 0: no answer came.
+        status: u16,
+        /// The body as it came.
+        body: Vec<u8>,
+    },
+}
+
+/// Whom a call goes to.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum Target {
+    /// The state service.
+    State,
+    /// The cloud.
+    Cloud,
+    /// A worker, by its address.
+    Worker(String),
+}
+
+/// An answer to a request.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// JSON.
+    pub body: Vec<u8>,
+    /// When to come back.
+    pub retry_after_s: Option<u32>,
+}
+
+impl Reply {
+    pub(crate) fn json(status: u16, body: &impl Serialize) -> Self {
+        Self {
+            status,
+            body: serde_json::to_vec(body).unwrap_or_default(),
+            retry_after_s: None,
+        }
+    }
+
+    pub(crate) fn error(status: u16, error: &str) -> Self {
+        let error = error.to_owned();
+        Self::json(status, &forkshift_wire::users::Refusal { error })
+    }
+
+    /// Not now: come back after a while.
+    pub(crate) fn later(error: &str) -> Self {
+        Self {
+            retry_after_s: Some(1),
+            ..Self::error(503, error)
+        }
+    }
+}
+
+/// What the controller wants done.
+#[derive(Debug)]
+pub enum Effect {
+    /// Answer a request.
+    Respond {
+        /// Which request.
+        token: Token,
+        /// The answer.
+        reply: Reply,
+    },
+    /// Make a call, once.
+    Call {
+        /// To be named in the answer.
+        id: CallId,
+        /// To whom.
+        target: Target,
+        /// `GET`, `POST` or `DELETE`.
+        method: &'static str,
+        /// Path and query.
+        path: String,
+        /// JSON.
+        body: Option<Vec<u8>>,
+        /// No answer counts after this.
+        timeout: Ms,
+    },
+}
+
+/// What is to be done when a call ends.
+#[derive(Debug)]
+pub(crate) enum Pending {
+    Lease {
+        sent: Ms,
+    },
+    Extend {
+        sent: Ms,
+    },
+    NodePut,
+    LeaderPut,
+    ViewList,
+    ViewWatch,
+    SharePut(ShareId),
+    ShareList {
+        share: ShareId,
+        epoch: u64,
+    },
+    ShareWatch {
+        share: ShareId,
+        epoch: u64,
+    },
+    Create(Box<Creation>),
+    Lookup {
+        token: Token,
+        id: JobId,
+        why: Lookup,
+    },
+    Abort {
+        token: Token,
+        id: JobId,
+        until: Ms,
+    },
+    AbortPoll {
+        token: Token,
+        id: JobId,
+        until: Ms,
+    },
+    JobTxn {
+        share: ShareId,
+        epoch: u64,
+        jobs: Vec<JobWrite>,
+    },
+    JobFix {
+        share: ShareId,
+        epoch: u64,
+        id: JobId,
+        block: u32,
+    },
+    MachinePut(MachineId),
+    Demand {
+        share: ShareId,
+    },
+    Housekeeping,
+    Commands {
+        share: ShareId,
+        epoch: u64,
+        machine: MachineId,
+        token: u64,
+        orders: Vec<Order>,
+    },
+    Catalog,
+    MachineList {
+        page: Vec<forkshift_wire::cloud::Listed>,
+    },
+    CharterPut {
+        request: String,
+    },
+    Rent {
+        request: String,
+    },
+    Rented {
+        request: String,
+    },
+    Delete {
+        machines: Vec<MachineId>,
+    },
+    Removed {
+        machines: Vec<MachineId>,
+    },
+}
+
+/// A submission that is being written.
+#[derive(Debug)]
+pub(crate) struct Creation {
+    pub(crate) token: Token,
+    pub(crate) spec: JobSpec,
+    pub(crate) share: ShareId,
+    pub(crate) until: Ms,
+}
+
+/// What a job is looked up for.
+#[derive(Debug)]
+pub(crate) enum Lookup {
+    /// A question about it.
+    Question,
+    /// A repeated submission; if the job is not known, this answer stands.
+    Submission(Reply),
+    /// A cancellation.
+    Abort,
+}
+
+/// What a transaction writes of one job.
+#[derive(Debug, Clone)]
+pub(crate) struct JobWrite {
+    pub(crate) id: JobId,
+    pub(crate) version: u64,
+    pub(crate) blocks: Vec<u32>,
+    pub(crate) last: bool,
+    pub(crate) cancel: bool,
+}
+
+/// Time, settings, and a way out.
+pub(crate) struct Ctx {
+    pub(crate) now: Ms,
+    pub(crate) cfg: Rc<Config>,
+    pub(crate) inc: u64,
+    pub(crate) out: Vec<Effect>,
+    pub(crate) store: Store,
+    pub(crate) rng: StdRng,
+    pub(crate) pending: HashMap<CallId, Pending>,
+    /// Inputs that the controller makes for itself: calls that never went out.
+    pub(crate) refused: Vec<Pending>,
+    next_call: CallId,
+    interned: HashMap<String, u32>,
+}
+
+/// Time that the state service has for an answer.
+const STATE_TIMEOUT: Ms = 2_000;
+
+impl Ctx {
+    pub(crate) fn new(cfg: Rc<Config>, inc: u64, seed: u64) -> Self {
+        let n = cfg.nodes.len() as f64;
+        Self {
+            now: 0,
+            store: Store::new(cfg.state_rps / n, cfg.write_rps / n),
+            cfg,
+            inc,
+            out: Vec::new(),
+            rng: StdRng::seed_from_u64(seed),
+            pending: HashMap::new(),
+            refused: Vec::new(),
+            next_call: 0,
+            interned: HashMap::new(),
+        }
+    }
+
+    /// A number that stands for a name within this process.
+    pub(crate) fn intern(&mut self, name: &str) -> u32 {
+        if let Some(n) = self.interned.get(name) {
+            return *n;
+        }
+        let n = self.interned.len() as u32;
+        self.interned.insert(name.to_owned(), n);
+        n
+    }
+
+    pub(crate) fn respond(&mut self, token: Token, reply: Reply) {
+        self.out.push(Effect::Respond { token, reply });
+    }
+
+    fn call(
+        &mut self,
+        target: Target,
+        method: &'static str,
+        path: String,
+        body: Option<Vec<u8>>,
+        timeout: Ms,
+        pending: Pending,
+    ) -> CallId {
+        self.next_call += 1;
+        let id = self.next_call;
+        self.pending.insert(id, pending);
+        self.out.push(Effect::Call {
+            id,
+            target,
+            method,
+            path,
+            body,
+            timeout,
+        });
+        id
+    }
+
+    /// Sends what the budget of the state service allows.
+    pub(crate) fn pump(&mut self) {
+        let (go, late) = self.store.due(self.now);
+        for call in go {
+            self.call(
+                Target::State,
+                call.method,
+                call.path,
+                call.body,
+                call.timeout,
+                call.pending,
+            );
+        }
+        self.refused.extend(late.into_iter().map(|c| c.pending));
+    }
+
+    pub(crate) fn read(&mut self, urgency: Urgency, path: String, pending: Pending) {
+        let call = StateCall {
+            method: "GET",
+            path,
+            body: None,
+            writes: 0,
+            timeout: STATE_TIMEOUT,
+            expires: self.now + STATE_TIMEOUT,
+            pending,
+        };
+        self.store.push(urgency, call);
+    }
+
+    /// Waits for changes below a prefix.
+    pub(crate) fn watch(&mut self, prefix: &str, from: u64, wait: Ms, pending: Pending) {
+        let call = StateCall {
+            method: "GET",
+            path: format!("/changes?starts={prefix}&from={from}&wait_ms={wait}"),
+            body: None,
+            writes: 0,
+            timeout: wait + STATE_TIMEOUT * 2,
+            expires: self.now + STATE_TIMEOUT,
+            pending,
+        };
+        self.store.push(Urgency::Member, call);
+    }
+
+    pub(crate) fn post(
+        &mut self,
+        method: &'static str,
+        path: String,
+        body: Option<Vec<u8>>,
+        pending: Pending,
+    ) {
+        let call = StateCall {
+            method,
+            path,
+            body,
+            writes: 0,
+            timeout: STATE_TIMEOUT,
+            expires: self.now + STATE_TIMEOUT,
+            pending,
+        };
+        self.store.push(Urgency::Member, call);
+    }
+
+    pub(crate) fn txn(&mut self, urgency: Urgency, txn: &Txn, pending: Pending) {
+        let call = StateCall {
+            method: "POST",
+            path: "/txn".to_owned(),
+            body: Some(serde_json::to_vec(txn).unwrap_or_default()),
+            writes: txn.writes.len(),
+            timeout: STATE_TIMEOUT,
+            expires: self.now + STATE_TIMEOUT,
+            pending,
+        };
+        self.store.push(urgency, call);
+    }
+
+    pub(crate) fn cloud(
+        &mut self,
+        method: &'static str,
+        path: String,
+        body: Option<Vec<u8>>,
+        pending: Pending,
+    ) -> CallId {
+        self.call(Target::Cloud, method, path, body, 5_000, pending)
+    }
+
+    pub(crate) fn worker(
+        &mut self,
+        addr: &str,
+        body: Vec<u8>,
+        timeout: Ms,
+        pending: Pending,
+    ) -> CallId {
+        self.call(
+            Target::Worker(addr.to_owned()),
+            "POST",
+            "/commands".to_owned(),
+            Some(body),
+            timeout,
+            pending,
+        )
+    }
+}
--- /dev/null
+++ b/crates/core/src/evidence.rs
@@ -0,0 +1,281 @@
+//! What a worker's message proves.
+//!
+//! A task that may have been started is gone only if a message says that it
+//! exited; if the message is from a later session of the worker; if it echoes
+//! a token minted after the start was last sent, and does not list the task;
+//! or if the machine's deletion was answered. Silence proves nothing.
+
+use crate::ctx::Ctx;
+use crate::job::{Binding, Sent, Stop};
+use crate::share::Share;
+use crate::Ms;
+use forkshift_sched::Resources;
+use forkshift_wire::workers::{ExitCause, Report, TaskReport, TaskStage};
+use forkshift_wire::{JobId, MachineId, TaskRef};
+use std::collections::BTreeMap;
+
+/// Pause before a job that failed on several machines is tried again; it doubles.
+const RETRY_LEAST: Ms = 2_000;
+const RETRY_MOST: Ms = 60_000;
+/// A job that failed on this many machines is itself to blame.
+const BLAME_JOB: usize = 3;
+
+impl Share {
+    /// Takes in a message. Returns false if it is an old copy, or is not
+    /// about a machine of this share.
+    pub(crate) fn ingest(&mut self, ctx: &mut Ctx, report: &Report) -> bool {
+        let Some(machine) = self.machines.get_mut(&report.machine) else {
+            return false;
+        };
+        if (report.session, report.seq) <= (machine.session, machine.seq) {
+            return false;
+        }
+        if machine.heard.is_none() {
+            log::info!(
+                "machine {}: up after {} ms",
+                machine.id,
+                ctx.now - machine.since
+            );
+            self.next_round = self.next_round.min(ctx.now);
+        }
+        machine.session = report.session;
+        machine.seq = report.seq;
+        machine.echo = report.token;
+        machine.heard = Some(ctx.now);
+        machine.addr.get_or_insert_with(|| report.addr.clone());
+        machine.taken_at = match (report.notice_s, machine.taken_at) {
+            (Some(s), None) => {
+                log::info!("machine {}: taken in {s} s", machine.id);
+                Some(ctx.now + crate::ms(s))
+            }
+            (_, known) => known,
+        };
+        if machine.echo >= machine.token {
+            machine.unanswered = false;
+            machine.unechoed_since = None;
+        } else {
+            machine.unechoed_since.get_or_insert(ctx.now);
+        }
+        machine.exited.clear();
+        machine.orphans.clear();
+
+        let mut listed: BTreeMap<(&TaskRef, u64), &TaskReport> = BTreeMap::new();
+        for task in &report.tasks {
+            listed.insert((&task.task, task.attempt), task);
+        }
+        let bound: Vec<TaskRef> = machine.tasks.iter().cloned().collect();
+        for task in bound {
+            self.judge(ctx, report, &task, &listed);
+        }
+        for task in &report.tasks {
+            self.judge_stray(ctx, &report.machine, task);
+        }
+        true
+    }
+
+    /// Decides what a message says about a task that may be on the machine.
+    fn judge(
+        &mut self,
+        ctx: &mut Ctx,
+        report: &Report,
+        task: &TaskRef,
+        listed: &BTreeMap<(&TaskRef, u64), &TaskReport>,
+    ) {
+        let Some(binding) = self
+            .jobs
+            .get_mut(&task.job)
+            .and_then(|j| j.bound.get_mut(&task.index))
+        else {
+            return;
+        };
+        if let Some(found) = listed.get(&(task, binding.attempt)) {
+            if found.stage == TaskStage::Exited {
+                self.exited(ctx, &report.machine, task, found);
+                return;
+            }
+            if found.stage == TaskStage::Running && binding.running_since.is_none() {
+                binding.running_since = Some(ctx.now);
+                if let Some(machine) = self.machines.get_mut(&report.machine) {
+                    machine.errors.clear();
+                }
+            }
+            binding.stage = Some(found.stage);
+            if binding.sent == Sent::No {
+                // Listed although we never sent it: an earlier copy did arrive.
+                if let Some(machine) = self.machines.get(&report.machine) {
+                    binding.sent = Sent::Ours {
+                        token: machine.token,
+                        session: report.session,
+                    };
+                }
+            }
+            return;
+        }
+        let Some(machine) = self.machines.get_mut(&report.machine) else {
+            return;
+        };
+        let gone = match binding.sent {
+            Sent::No => return,
+            Sent::Ours { token, session } => report.session > session || report.token > token,
+            // Every token of ours is newer than those of earlier holders.
+            Sent::Inherited => report.token >= machine.token,
+        };
+        if gone {
+            log::debug!("{task}: not on {} any more", report.machine);
+            self.unbind(&task.job, task.index);
+            self.gang_broken(ctx, &task.job);
+            self.hurry(ctx);
+        } else if !machine.calling && report.token >= machine.token {
+            // It was told, or should have been, and is not there: a newer
+            // token settles whether it can still come.
+            machine.raise(ctx.now);
+        }
+    }
+
+    fn exited(&mut self, ctx: &mut Ctx, machine: &MachineId, task: &TaskRef, found: &TaskReport) {
+        let Some(binding) = self.unbind(&task.job, task.index) else {
+            return;
+        };
+        let cause = found.cause.unwrap_or(ExitCause::Error);
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        if cause == ExitCause::Done {
+            job.done.insert(task.index);
+            job.failed_on.clear();
+        }
+        let version = job.version;
+        if let Some(machine) = self.machines.get_mut(machine) {
+            machine.fates.insert((task.clone(), found.attempt), version);
+            machine.exited.push((task.clone(), found.attempt));
+        }
+        match cause {
+            ExitCause::Done => {}
+            ExitCause::Error => self.failed(ctx, machine, &task.job),
+            ExitCause::Full => {
+                // Our booking and the worker's differ; it will settle.
+                if let Some(machine) = self.machines.get_mut(machine) {
+                    machine.full_until = ctx.now + ctx.cfg.report_ms * 2;
+                }
+            }
+            ExitCause::InUse | ExitCause::NoSuch => {
+                job.not_before = job.not_before.max(ctx.now + RETRY_LEAST);
+            }
+            ExitCause::Stopped | ExitCause::Peers | ExitCause::Alone => {}
+        }
+        if cause != ExitCause::Done {
+            log::debug!(
+                "{task}: {cause:?} on {machine} after {} ms",
+                ctx.now - binding.since
+            );
+            self.gang_broken(ctx, &task.job);
+        }
+        self.hurry(ctx);
+    }
+
+    /// A task failed: is it the machine, or the job?
+    fn failed(&mut self, ctx: &Ctx, machine: &MachineId, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.failed_on.insert(machine.clone());
+        let n = job.failed_on.len();
+        if n >= BLAME_JOB {
+            // It fails wherever it goes: its retries are slowed, and the
+            // machines are not held to account for it.
+            let pause = RETRY_LEAST << (n - BLAME_JOB).min(5);
+            job.not_before = ctx.now + pause.min(RETRY_MOST);
+            let blamed = job.failed_on.clone();
+            for m in blamed {
+                if let Some(machine) = self.machines.get_mut(&m) {
+                    machine.errors.remove(id);
+                }
+            }
+        } else if let Some(machine) = self.machines.get_mut(machine) {
+            machine.errors.insert(id.clone());
+        }
+    }
+
+    /// Stops what is left of a gang's attempt: the next one begins when all
+    /// of it is gone.
+    fn gang_broken(&mut self, _ctx: &Ctx, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if !job.is_gang() || job.is_complete() {
+            return;
+        }
+        for binding in job.bound.values_mut() {
+            binding.stop.get_or_insert(Stop {
+                grace_s: 0.0,
+                told: None,
+            });
+        }
+        self.drop_unsent(id);
+    }
+
+    /// Tasks whose start was never sent need no evidence.
+    pub(crate) fn drop_unsent(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let unsent: Vec<u32> = job
+            .bound
+            .iter()
+            .filter(|(_, b)| b.sent == Sent::No && b.stop.is_some())
+            .map(|(i, _)| *i)
+            .collect();
+        for index in unsent {
+            self.unbind(id, index);
+        }
+    }
+
+    /// A task that the machine reports and that is not bound to it in this attempt.
+    fn judge_stray(&mut self, ctx: &Ctx, id: &MachineId, found: &TaskReport) {
+        let task = &found.task;
+        let job = self.jobs.get(&task.job);
+        let known = job.and_then(|j| j.bound.get(&task.index));
+        if known.is_some_and(|b| b.attempt == found.attempt && b.machine == *id) {
+            return;
+        }
+        let res = job.map_or(Resources::default(), |j| j.task);
+        let free_to_adopt = job.is_some_and(|j| {
+            known.is_none() && !j.done.contains(task.index) && task.index < j.spec.tasks
+        });
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        if found.stage == TaskStage::Exited {
+            let entry = (task.clone(), found.attempt);
+            if !machine.exited.contains(&entry) {
+                machine.exited.push(entry);
+            }
+            return;
+        }
+        log::info!("{task}: unexpected on {id}, to be stopped");
+        if !free_to_adopt {
+            machine.orphans.push((task.clone(), found.attempt, res));
+            return;
+        }
+        let (token, session) = (machine.token, machine.session);
+        // It must be gone before the task is started elsewhere, so it is
+        // kept account of like one of ours.
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            let block = job.block_of(task.index);
+            let version = job.touch(block);
+            let binding = Binding {
+                machine: id.clone(),
+                attempt: found.attempt,
+                version,
+                sent: Sent::Ours { token, session },
+                stage: Some(found.stage),
+                stop: Some(Stop {
+                    grace_s: 0.0,
+                    told: None,
+                }),
+                since: ctx.now,
+                running_since: None,
+            };
+            self.bind(&task.job, task.index, binding);
+            self.dirty.insert(task.job.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/job.rs
@@ -0,0 +1,271 @@
+//! An unfinished job in its holder's memory.
+
+use crate::ctx::Token;
+use crate::ranges::Ranges;
+use crate::records::{BlockRec, HeadRec};
+use crate::Ms;
+use forkshift_sched::Resources;
+use forkshift_wire::users::{JobKind, JobSpec, JobStage, JobStatus};
+use forkshift_wire::workers::TaskStage;
+use forkshift_wire::MachineId;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// Whether a start command for a task was ever sent.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum Sent {
+    /// Not by us; the record says that we are the first who could.
+    No,
+    /// By us, last under this token and for this session.
+    Ours { token: u64, session: u64 },
+    /// Perhaps, by an earlier holder.
+    Inherited,
+}
+
+/// A task that is to be stopped.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Stop {
+    /// Time it has for saving.
+    pub(crate) grace_s: f64,
+    /// When it was told last.
+    pub(crate) told: Option<Ms>,
+}
+
+/// A task that may be on a machine.
+#[derive(Clone, Debug)]
+pub(crate) struct Binding {
+    pub(crate) machine: MachineId,
+    pub(crate) attempt: u64,
+    /// The job's version that recorded it.
+    pub(crate) version: u64,
+    pub(crate) sent: Sent,
+    pub(crate) stage: Option<TaskStage>,
+    pub(crate) stop: Option<Stop>,
+    pub(crate) since: Ms,
+    pub(crate) running_since: Option<Ms>,
+}
+
+/// One record's worth of tasks.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Block {
+    /// Version of the record; 0: there is none.
+    pub(crate) stamp: u64,
+    /// The job's version that last changed it.
+    pub(crate) version: u64,
+    /// The job's version that is known to be written.
+    pub(crate) committed: u64,
+    pub(crate) next: u64,
+}
+
+impl Block {
+    pub(crate) fn is_dirty(&self) -> bool {
+        self.version > self.committed
+    }
+}
+
+/// An unfinished job.
+pub(crate) struct Job {
+    pub(crate) spec: Rc<JobSpec>,
+    pub(crate) task: Resources,
+    pub(crate) image: u32,
+    block_size: u32,
+    pub(crate) version: u64,
+    pub(crate) blocks: BTreeMap<u32, Block>,
+    pub(crate) done: Ranges,
+    pub(crate) bound: BTreeMap<u32, Binding>,
+    pub(crate) cancelled: bool,
+    pub(crate) cancelled_at: Ms,
+    /// The cancellation is written.
+    pub(crate) cancel_durable: bool,
+    pub(crate) cancel_waiters: Vec<Token>,
+    /// A write is under way.
+    pub(crate) writing: bool,
+    pub(crate) retry_at: Ms,
+    /// Its last write was sent, and may have been carried out.
+    pub(crate) last_sent: bool,
+    /// When this holder learnt of it.
+    pub(crate) since: Ms,
+    /// Nothing of it is placed before this.
+    pub(crate) not_before: Ms,
+    /// Machines that it failed on since a task of it last succeeded.
+    pub(crate) failed_on: BTreeSet<MachineId>,
+}
+
+/// Bytes that one task may take in a record.
+const TASK_BYTES: usize = 40;
+
+impl Job {
+    /// Tasks a record holds, so that it stays well below the largest value.
+    fn block_size(value_bytes: usize) -> u32 {
+        (value_bytes / 2 / TASK_BYTES).max(1) as u32
+    }
+
+    pub(crate) fn new(spec: JobSpec, image: u32, stamp: u64, value_bytes: usize, now: Ms) -> Self {
+        let head = Block {
+            stamp,
+            ..Block::default()
+        };
+        Self {
+            task: Resources::new(spec.cpus, spec.gpus, spec.memory_gb),
+            image,
+            block_size: Self::block_size(value_bytes),
+            version: 0,
+            blocks: BTreeMap::from([(0, head)]),
+            done: Ranges::default(),
+            bound: BTreeMap::new(),
+            cancelled: false,
+            cancelled_at: 0,
+            cancel_durable: false,
+            cancel_waiters: Vec::new(),
+            writing: false,
+            retry_at: 0,
+            last_sent: false,
+            since: now,
+            not_before: 0,
+            failed_on: BTreeSet::new(),
+            spec: Rc::new(spec),
+        }
+    }
+
+    /// Takes over a block that an earlier holder wrote. Where its tasks are
+    /// bound is returned for the share to book.
+    pub(crate) fn restore(
+        &mut self,
+        block: u32,
+        rec: BlockRec,
+        stamp: u64,
+        now: Ms,
+    ) -> Vec<(u32, Binding)> {
+        let entry = self.blocks.entry(block).or_default();
+        entry.stamp = stamp;
+        entry.next = rec.next;
+        for (from, to) in rec.done {
+            self.done.insert_range(from, to.min(self.spec.tasks));
+        }
+        let bound = rec.bound.into_iter();
+        bound
+            .map(|(index, attempt, machine)| {
+                let binding = Binding {
+                    machine,
+                    attempt,
+                    version: 0,
+                    sent: Sent::Inherited,
+                    stage: None,
+                    stop: None,
+                    since: now,
+                    running_since: None,
+                };
+                (index, binding)
+            })
+            .collect()
+    }
+
+    pub(crate) fn block_of(&self, index: u32) -> u32 {
+        index / self.block_size
+    }
+
+    pub(crate) fn is_gang(&self) -> bool {
+        self.spec.kind == JobKind::Gang
+    }
+
+    /// Marks a block as changed.
+    pub(crate) fn touch(&mut self, block: u32) -> u64 {
+        self.version += 1;
+        self.blocks.entry(block).or_default().version = self.version;
+        self.version
+    }
+
+    /// Whether what a version of the job says of a task is written.
+    pub(crate) fn is_durable(&self, index: u32, version: u64) -> bool {
+        let block = self.blocks.get(&self.block_of(index));
+        version == 0 || block.is_some_and(|b| b.committed >= version)
+    }
+
+    /// A number for the next attempt at a task, that was never used before.
+    pub(crate) fn next_attempt(&mut self, index: u32) -> u64 {
+        let block = self.block_of(index);
+        let block = self.blocks.entry(block).or_default();
+        block.next += 1;
+        block.next
+    }
+
+    /// A number for the next attempt of the whole gang.
+    pub(crate) fn next_gang_attempt(&mut self) -> u64 {
+        let next = 1 + self.blocks.values().map(|b| b.next).max().unwrap_or(0);
+        for block in 0..=self.block_of(self.spec.tasks - 1) {
+            self.blocks.entry(block).or_default().next = next;
+        }
+        next
+    }
+
+    pub(crate) fn is_complete(&self) -> bool {
+        self.done.len() == self.spec.tasks
+    }
+
+    /// Whether nothing is left but the last write.
+    pub(crate) fn is_over(&self) -> bool {
+        self.bound.is_empty() && (self.cancelled || self.is_complete())
+    }
+
+    pub(crate) fn final_stage(&self) -> JobStage {
+        if self.cancelled {
+            JobStage::Cancelled
+        } else {
+            JobStage::Done
+        }
+    }
+
+    /// Up to `most` tasks that wait for a place.
+    pub(crate) fn waiting(&self, most: usize) -> Vec<u32> {
+        if self.cancelled {
+            return Vec::new();
+        }
+        let missing = self.done.missing(self.spec.tasks);
+        missing
+            .filter(|i| !self.bound.contains_key(i))
+            .take(most)
+            .collect()
+    }
+
+    pub(crate) fn status(&self) -> JobStatus {
+        let running = self.bound.values();
+        let running = running
+            .filter(|b| b.stage == Some(TaskStage::Running))
+            .count() as u32;
+        JobStatus {
+            id: self.spec.id.clone(),
+            stage: if self.cancelled && self.cancel_durable {
+                JobStage::Cancelled
+            } else if running > 0 {
+                JobStage::Running
+            } else {
+                JobStage::Queued
+            },
+            done: Some(self.done.len()),
+            running: Some(running),
+        }
+    }
+
+    /// A block as it is to be written.
+    pub(crate) fn block_rec(&self, block: u32) -> BlockRec {
+        let from = block * self.block_size;
+        let to = from.saturating_add(self.block_size);
+        let bound = self.bound.range(from..to);
+        BlockRec {
+            next: self.blocks.get(&block).map_or(0, |b| b.next),
+            done: self.done.within(from, to),
+            bound: bound
+                .map(|(i, b)| (*i, b.attempt, b.machine.clone()))
+                .collect(),
+        }
+    }
+
+    /// The head as it is to be written.
+    pub(crate) fn head_rec(&self) -> HeadRec {
+        HeadRec {
+            spec: (*self.spec).clone(),
+            cancelled: self.cancelled,
+            block: self.block_rec(0),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/leader.rs
@@ -0,0 +1,657 @@
+//! The leader: assigns shares, and alone speaks to the cloud.
+
+use crate::ctx::{Ctx, Pending};
+use crate::records::{
+    charter_key, machine_key, share_key, type_key, CharterRec, MachineRec, ShareId, LEADER,
+};
+use crate::share::hand_over;
+use crate::store::{Bucket, Urgency};
+use crate::view::View;
+use crate::Ms;
+use forkshift_sched::{plan, Offer, Resources, Shape};
+use forkshift_wire::cloud::{
+    Catalog, Listed, MachineList, MachineStage, Machines, Rent, DELETE_MOST, LIST_MOST, RENT_MOST,
+};
+use forkshift_wire::state::{Cond, Txn, TxnReply, Write};
+use forkshift_wire::{MachineId, NodeName};
+use serde_json::to_value;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// A controller that came back is given a share after this many of its leases.
+const STEADY_LEASES: u64 = 4;
+/// A machine that has not come up after this many boots never will.
+const BOOTS_MOST: f64 = 3.0;
+/// A machine missing from this many lists in a row is gone.
+const ABSENT_LISTS: u32 = 3;
+
+/// What the leader remembers.
+pub(crate) struct Leader {
+    active: bool,
+    bucket: Bucket,
+    pause_until: Ms,
+    assign_at: Ms,
+    assigning: BTreeSet<ShareId>,
+    catalog_at: Ms,
+    list_at: Ms,
+    listing: bool,
+    renting: BTreeSet<String>,
+    /// Charters that the view must show before a share's demand is looked at again.
+    acted: BTreeMap<ShareId, u64>,
+    chartering: BTreeMap<String, ShareId>,
+    charters: u64,
+    deleting: BTreeSet<MachineId>,
+    seen: HashMap<MachineId, Ms>,
+    absent: HashMap<MachineId, u32>,
+    nodes: BTreeMap<NodeName, (u64, Ms)>,
+    /// Kinds of machines that could not be had, until when they are left
+    /// alone, and the last pause.
+    refused: BTreeMap<(String, String, bool), (Ms, Ms)>,
+}
+
+impl Leader {
+    pub(crate) fn new(cloud_rps: f64) -> Self {
+        Self {
+            active: false,
+            bucket: Bucket::new(cloud_rps * 0.9),
+            pause_until: 0,
+            assign_at: 0,
+            assigning: BTreeSet::new(),
+            catalog_at: 0,
+            list_at: 0,
+            listing: false,
+            renting: BTreeSet::new(),
+            acted: BTreeMap::new(),
+            chartering: BTreeMap::new(),
+            charters: 0,
+            deleting: BTreeSet::new(),
+            seen: HashMap::new(),
+            absent: HashMap::new(),
+            nodes: BTreeMap::new(),
+            refused: BTreeMap::new(),
+        }
+    }
+
+    fn is_leader(ctx: &Ctx, view: &View) -> bool {
+        let leader = view.leader.as_ref();
+        leader.is_some_and(|l| l.rec.node == ctx.cfg.node && l.rec.inc == ctx.inc)
+    }
+
+    pub(crate) fn tick(&mut self, ctx: &mut Ctx, view: &View) {
+        self.follow_nodes(ctx, view);
+        if !view.ready || !Self::is_leader(ctx, view) {
+            self.active = false;
+            return;
+        }
+        if !self.active {
+            log::info!("leader from now on");
+            *self = Self {
+                nodes: std::mem::take(&mut self.nodes),
+                active: true,
+                ..Self::new(ctx.cfg.cloud_rps)
+            };
+        }
+        if ctx.now >= self.assign_at {
+            self.assign_at = ctx.now + crate::ms(ctx.cfg.ops.assign_s);
+            self.assign(ctx, view);
+        }
+        self.bucket.refill(ctx.now);
+        for id in view.machines.keys() {
+            self.seen.entry(id.clone()).or_insert(ctx.now);
+        }
+        let in_flight = |id: &MachineId| {
+            let calls = ctx.pending.values();
+            calls
+                .into_iter()
+                .any(|p| matches!(p, Pending::Delete { machines } if machines.contains(id)))
+        };
+        self.deleting
+            .retain(|id| view.machines.contains_key(id) || in_flight(id));
+        self.renting.retain(|r| view.charters.contains_key(r));
+        self.delete(ctx, view);
+        self.rent(ctx, view);
+        self.charter(ctx, view);
+        self.look(ctx);
+    }
+
+    /// Notes since when every start of a controller has been there.
+    fn follow_nodes(&mut self, ctx: &Ctx, view: &View) {
+        self.nodes
+            .retain(|name, (inc, _)| view.is_alive(name, *inc));
+        for (name, node) in &view.nodes {
+            self.nodes
+                .entry(name.clone())
+                .or_insert((node.rec.inc, ctx.now));
+        }
+    }
+
+    /// Gives every share a holder that is alive, and brings shares back to
+    /// controllers that have none.
+    fn assign(&mut self, ctx: &mut Ctx, view: &View) {
+        let mut load: BTreeMap<&NodeName, u32> = view.nodes.keys().map(|n| (n, 0)).collect();
+        let mut free = Vec::new();
+        for k in (0..ctx.cfg.shares()).map(ShareId) {
+            match view.holder(k) {
+                Some(holder) => *load.entry(holder).or_default() += 1,
+                None => free.push(k),
+            }
+        }
+        let mut assigned = false;
+        for k in free {
+            if self.assigning.contains(&k) || assigned {
+                continue;
+            }
+            let home = ctx.cfg.nodes.get(k.0 as usize);
+            let least = load.iter().min_by_key(|(n, l)| (**l, Some(**n) != home));
+            let Some((to, _)) = least.map(|(n, l)| ((*n).clone(), *l)) else {
+                return;
+            };
+            log::info!("share {k}: to {to}");
+            self.assigning.insert(k);
+            // One at a time: each takes the next value of the epoch counter.
+            assigned = true;
+            hand_over(ctx, view, k, &to);
+        }
+        if !assigned {
+            self.balance(ctx, view, &load);
+        }
+    }
+
+    fn balance(&mut self, ctx: &mut Ctx, view: &View, load: &BTreeMap<&NodeName, u32>) {
+        let steady = ctx.cfg.node_lease_ms() * STEADY_LEASES;
+        let ready = |n: &NodeName| {
+            self.nodes
+                .get(n)
+                .is_some_and(|(_, t)| ctx.now >= t + steady)
+        };
+        let from = load.iter().max_by_key(|(_, l)| **l);
+        let to = load
+            .iter()
+            .filter(|(n, _)| ready(n))
+            .min_by_key(|(_, l)| **l);
+        let (Some((from, most)), Some((to, least))) = (from, to) else {
+            return;
+        };
+        let moving = view.shares.values().any(|s| s.rec.want.is_some());
+        if *most < least + 2 || moving {
+            return;
+        }
+        let of = view.shares.iter().filter(|(_, s)| s.rec.holder == **from);
+        let home = |k: ShareId| ctx.cfg.nodes.get(k.0 as usize) == Some(*to);
+        let Some((k, share)) = of.max_by_key(|(k, _)| home(**k)) else {
+            return;
+        };
+        log::info!("share {k}: {from} is asked to hand it over to {to}");
+        let mut rec = share.rec.clone();
+        rec.want = Some((*to).clone());
+        let txn = Txn {
+            conds: self.conds(view, share_key(*k), share.version),
+            writes: vec![Write::put(share_key(*k), to_value(rec).unwrap_or_default())],
+        };
+        self.assigning.insert(*k);
+        ctx.txn(Urgency::Member, &txn, Pending::SharePut(*k));
+    }
+
+    /// Conditions of a leader's write: the record, and that we still lead.
+    fn conds(&self, view: &View, key: String, version: u64) -> Vec<Cond> {
+        let leader = Cond {
+            key: LEADER.to_owned(),
+            version: view.leader.as_ref().map_or(0, |l| l.version),
+        };
+        vec![leader, Cond { key, version }]
+    }
+
+    pub(crate) fn on_share_put(&mut self, k: ShareId) {
+        self.assigning.remove(&k);
+    }
+
+    fn may_call(&mut self, ctx: &Ctx) -> bool {
+        ctx.now >= self.pause_until && self.bucket.take(1.0, false)
+    }
+
+    /// Returns true if the cloud could not be asked.
+    fn trouble(&mut self, ctx: &Ctx, status: u16, body: &[u8]) -> bool {
+        let trouble = match status {
+            0 | 429 => true,
+            503 => !String::from_utf8_lossy(body).contains("capacity"),
+            _ => false,
+        };
+        if trouble {
+            self.pause_until = ctx.now + 500;
+        }
+        trouble
+    }
+
+    fn look(&mut self, ctx: &mut Ctx) {
+        if ctx.now >= self.catalog_at && self.may_call(ctx) {
+            self.catalog_at = ctx.now + 5_000;
+            ctx.cloud("GET", "/catalog".to_owned(), None, Pending::Catalog);
+        }
+        if !self.listing && ctx.now >= self.list_at && self.may_call(ctx) {
+            self.listing = true;
+            self.list_at = ctx.now + ctx.cfg.list_lag_ms.max(2_000);
+            self.list(ctx, Vec::new());
+        }
+    }
+
+    fn list(&mut self, ctx: &mut Ctx, page: Vec<Listed>) {
+        let mut path = format!("/machines?most={LIST_MOST}");
+        if let Some(last) = page.last() {
+            path.push_str(&format!("&from={}", last.id));
+        }
+        ctx.cloud("GET", path, None, Pending::MachineList { page });
+    }
+
+    pub(crate) fn on_catalog(&mut self, ctx: &mut Ctx, view: &View, status: u16, body: &[u8]) {
+        if self.trouble(ctx, status, body) || status != 200 {
+            return;
+        }
+        let catalog: Catalog = match serde_json::from_slice(body) {
+            Ok(catalog) => catalog,
+            Err(e) => {
+                log::error!("the cloud's catalogue is not understood: {e}");
+                return;
+            }
+        };
+        // Prices move all the time; they need not be followed closely.
+        self.catalog_at = ctx.now + 60_000;
+        for t in catalog.types {
+            let known = view.types.get(&t.name);
+            if known.is_some_and(|k| k.rec == t) {
+                continue;
+            }
+            let key = type_key(&t.name);
+            let txn = Txn {
+                conds: self.conds(view, key.clone(), known.map_or(0, |k| k.version)),
+                writes: vec![Write::put(key, to_value(t).unwrap_or_default())],
+            };
+            ctx.txn(Urgency::Work, &txn, Pending::Housekeeping);
+        }
+    }
+
+    pub(crate) fn on_list(
+        &mut self,
+        ctx: &mut Ctx,
+        view: &View,
+        mut page: Vec<Listed>,
+        status: u16,
+        body: &[u8],
+    ) {
+        self.listing = false;
+        if self.trouble(ctx, status, body) {
+            return;
+        }
+        let list: Option<MachineList> = serde_json::from_slice(body).ok();
+        let Some(list) = list.filter(|_| status == 200) else {
+            return;
+        };
+        page.extend(list.machines);
+        if list.more && !page.is_empty() {
+            self.listing = true;
+            self.list(ctx, page);
+            return;
+        }
+        let listed: BTreeMap<&MachineId, &Listed> = page.iter().map(|m| (&m.id, m)).collect();
+        let mut condemn: Vec<(MachineId, &str)> = Vec::new();
+        for (id, machine) in &view.machines {
+            let known_for = ctx.now - self.seen.get(id).copied().unwrap_or(ctx.now);
+            let boot = view
+                .types
+                .get(&machine.rec.machine_type)
+                .map_or(60.0, |t| t.rec.boot_s);
+            let up = machine.rec.addr.is_some();
+            let late = !up && known_for > crate::ms(boot * BOOTS_MOST);
+            match listed.get(id) {
+                Some(l) if l.stage == MachineStage::Failed => {
+                    condemn.push((id.clone(), "it failed"))
+                }
+                _ if late => condemn.push((id.clone(), "it never came up")),
+                Some(_) => {
+                    self.absent.remove(id);
+                }
+                None if known_for > ctx.cfg.list_lag_ms * 4 => {
+                    // Lists may be older than those before them.
+                    let n = self.absent.entry(id.clone()).or_default();
+                    *n += 1;
+                    if *n >= ABSENT_LISTS {
+                        condemn.push((id.clone(), "it is gone from the list"));
+                    }
+                }
+                None => {}
+            }
+        }
+        for (id, why) in condemn {
+            self.condemn(ctx, view, &id, why);
+        }
+        // What nobody rented as far as we know was rented by a request that
+        // came late. Nothing was ever started there.
+        let settled = view.charters.is_empty() && self.chartering.is_empty();
+        let unknown: Vec<MachineId> = page
+            .iter()
+            .filter(|m| !view.machines.contains_key(&m.id) && !self.deleting.contains(&m.id))
+            .filter(|m| settled && m.age_s * 1000.0 > ctx.cfg.list_lag_ms as f64 * 4.0)
+            .filter(|m| !self.seen.contains_key(&m.id))
+            .map(|m| m.id.clone())
+            .take(DELETE_MOST)
+            .collect();
+        if !unknown.is_empty() && self.may_call(ctx) {
+            log::info!("{} unknown machines are returned", unknown.len());
+            self.send_delete(ctx, unknown);
+        }
+        self.seen
+            .retain(|id, _| view.machines.contains_key(id) || listed.contains_key(id));
+        self.absent.retain(|id, _| view.machines.contains_key(id));
+    }
+
+    fn condemn(&mut self, ctx: &mut Ctx, view: &View, id: &MachineId, why: &str) {
+        let Some(machine) = view.machines.get(id) else {
+            return;
+        };
+        if machine.rec.condemned.is_some() {
+            return;
+        }
+        log::info!("machine {id}: condemned, {why}");
+        let mut rec = machine.rec.clone();
+        rec.condemned = Some(why.to_owned());
+        let key = machine_key(id);
+        let txn = Txn {
+            conds: self.conds(view, key.clone(), machine.version),
+            writes: vec![Write::put(key, to_value(rec).unwrap_or_default())],
+        };
+        ctx.txn(Urgency::Work, &txn, Pending::Housekeeping);
+    }
+
+    fn delete(&mut self, ctx: &mut Ctx, view: &View) {
+        let condemned: Vec<MachineId> = view
+            .machines
+            .iter()
+            .filter(|(id, m)| m.rec.condemned.is_some() && !self.deleting.contains(*id))
+            .map(|(id, _)| id.clone())
+            .take(DELETE_MOST)
+            .collect();
+        if !condemned.is_empty() && self.may_call(ctx) {
+            self.send_delete(ctx, condemned);
+        }
+    }
+
+    fn send_delete(&mut self, ctx: &mut Ctx, machines: Vec<MachineId>) {
+        self.deleting.extend(machines.iter().cloned());
+        let body = Machines {
+            machines: machines.clone(),
+        };
+        let body = serde_json::to_vec(&body).unwrap_or_default();
+        let path = "/machines/delete".to_owned();
+        ctx.cloud("POST", path, Some(body), Pending::Delete { machines });
+    }
+
+    pub(crate) fn on_delete(
+        &mut self,
+        ctx: &mut Ctx,
+        view: &View,
+        machines: Vec<MachineId>,
+        status: u16,
+        body: &[u8],
+    ) {
+        for id in &machines {
+            self.deleting.remove(id);
+        }
+        if self.trouble(ctx, status, body) || status != 200 {
+            return;
+        }
+        // The machines are gone: their records say so by going, too.
+        let gone: Vec<(&MachineId, u64)> = machines
+            .iter()
+            .filter_map(|id| view.machines.get(id).map(|m| (id, m.version)))
+            .collect();
+        for group in gone.chunks(ctx.cfg.txn_ops) {
+            let leader = view.leader.as_ref().map_or(0, |l| l.version);
+            let mut txn = Txn {
+                conds: vec![Cond {
+                    key: LEADER.to_owned(),
+                    version: leader,
+                }],
+                writes: Vec::new(),
+            };
+            for (id, version) in group {
+                let key = machine_key(id);
+                txn.conds.push(Cond {
+                    key: key.clone(),
+                    version: *version,
+                });
+                txn.writes.push(Write::Remove { remove: key });
+                // Until the view shows it, it must not be deleted again.
+                self.deleting.insert((*id).clone());
+            }
+            let machines = group.iter().map(|(id, _)| (*id).clone()).collect();
+            log::info!("{} machines returned", group.len());
+            ctx.txn(Urgency::Work, &txn, Pending::Removed { machines });
+        }
+    }
+
+    pub(crate) fn on_removed(&mut self, machines: &[MachineId], status: u16) {
+        if status != 200 {
+            for id in machines {
+                self.deleting.remove(id);
+            }
+        }
+    }
+
+    /// Turns what shares lack into rental intents.
+    fn charter(&mut self, ctx: &mut Ctx, view: &View) {
+        for (k, demand) in &view.demands {
+            let seen = self.acted.get(k).copied().unwrap_or(0);
+            let busy = self.chartering.values().any(|s| s == k);
+            if demand.rec.shapes.is_empty() || demand.rec.rev < seen || busy {
+                continue;
+            }
+            let (offers, kinds) = self.offers(ctx, view, *k);
+            let type_no = |name: &String| kinds.iter().position(|t| t == name).map(|i| i as u16);
+            let zones = zone_names(view);
+            let zone_no = |name: &String| zones.iter().position(|z| z == name).map(|i| i as u16);
+            let shapes: Vec<Shape> = demand
+                .rec
+                .shapes
+                .iter()
+                .map(|s| Shape {
+                    task: Resources {
+                        cpus: s.res.0,
+                        gpus: s.res.1,
+                        memory: s.res.2,
+                    },
+                    count: s.n,
+                    types: s
+                        .types
+                        .as_ref()
+                        .map(|t| t.iter().filter_map(type_no).collect()),
+                    zones: s
+                        .zones
+                        .as_ref()
+                        .map(|z| z.iter().filter_map(zone_no).collect()),
+                    spot: s.spot,
+                })
+                .collect();
+            let most = (ctx.cfg.txn_ops as u32 - 2).min(RENT_MOST);
+            for rental in plan(&shapes, &offers, RENT_MOST) {
+                let offer = &offers[rental.offer];
+                let rec = CharterRec {
+                    share: *k,
+                    machine_type: kinds[offer.machine_type as usize].clone(),
+                    zone: zones[offer.zone as usize].clone(),
+                    spot: offer.spot,
+                    count: rental.count.min(most),
+                };
+                self.charters += 1;
+                let request = format!("r-{:x}-{}", ctx.inc, self.charters);
+                let key = charter_key(&request);
+                let txn = Txn {
+                    conds: self.conds(view, key.clone(), 0),
+                    writes: vec![Write::put(key, to_value(&rec).unwrap_or_default())],
+                };
+                self.chartering.insert(request.clone(), *k);
+                ctx.txn(Urgency::Work, &txn, Pending::CharterPut { request });
+            }
+        }
+    }
+
+    /// What may be had, as far as is known.
+    fn offers(&self, ctx: &Ctx, view: &View, k: ShareId) -> (Vec<Offer>, Vec<String>) {
+        let kinds: Vec<String> = view.types.keys().cloned().collect();
+        let zones = zone_names(view);
+        let mut offers = Vec::new();
+        for (i, t) in view.types.values().map(|t| &t.rec).enumerate() {
+            for zone in &t.zones {
+                for spot in [false, true] {
+                    let price = match (spot, t.spot_price) {
+                        (false, _) => t.price,
+                        (true, Some(price)) => price,
+                        (true, None) => continue,
+                    };
+                    let kind = (t.name.clone(), zone.clone(), spot);
+                    if self
+                        .refused
+                        .get(&kind)
+                        .is_some_and(|(until, _)| ctx.now < *until)
+                    {
+                        continue;
+                    }
+                    let held = view.machines.values().filter(|m| {
+                        m.rec.share == k && m.rec.machine_type == t.name && m.rec.zone == *zone
+                    });
+                    offers.push(Offer {
+                        machine_type: i as u16,
+                        zone: zones.iter().position(|z| z == zone).unwrap_or(0) as u16,
+                        spot,
+                        total: Resources::new(t.cpus, t.gpus, t.memory_gb),
+                        price,
+                        held: held.count() as u32,
+                    });
+                }
+            }
+        }
+        (offers, kinds)
+    }
+
+    pub(crate) fn on_charter_put(&mut self, request: &str, status: u16, body: &[u8]) {
+        let Some(k) = self.chartering.remove(request) else {
+            return;
+        };
+        // A demand counts again once it was made in sight of this charter.
+        let reply: TxnReply = serde_json::from_slice(body).unwrap_or_default();
+        if status == 200 {
+            let acted = self.acted.entry(k).or_default();
+            *acted = (*acted).max(reply.revision);
+        }
+    }
+
+    /// Carries intents out, those of an earlier leader too: a request that
+    /// had an answer before gets the same one again and rents nothing.
+    fn rent(&mut self, ctx: &mut Ctx, view: &View) {
+        for (request, charter) in &view.charters {
+            if self.renting.contains(request) || !self.may_call(ctx) {
+                continue;
+            }
+            let rec = &charter.rec;
+            let body = Rent {
+                request: request.clone(),
+                machine_type: rec.machine_type.clone(),
+                zone: rec.zone.clone(),
+                spot: rec.spot,
+                count: rec.count,
+            };
+            let body = serde_json::to_vec(&body).unwrap_or_default();
+            self.renting.insert(request.clone());
+            let request = request.clone();
+            ctx.cloud(
+                "POST",
+                "/machines".to_owned(),
+                Some(body),
+                Pending::Rent { request },
+            );
+        }
+    }
+
+    pub(crate) fn on_rent(
+        &mut self,
+        ctx: &mut Ctx,
+        view: &View,
+        request: &str,
+        status: u16,
+        body: &[u8],
+    ) {
+        let Some(charter) = view.charters.get(request).cloned() else {
+            self.renting.remove(request);
+            return;
+        };
+        if self.trouble(ctx, status, body) {
+            self.renting.remove(request);
+            return;
+        }
+        let rec = charter.rec;
+        let rented: Machines = serde_json::from_slice(body).unwrap_or_default();
+        let machines = if status == 200 {
+            rented.machines
+        } else {
+            Vec::new()
+        };
+        let kind = (rec.machine_type.clone(), rec.zone.clone(), rec.spot);
+        if (machines.len() as u32) < rec.count {
+            // The pause grows while there is none, up to some boots.
+            let boot = view
+                .types
+                .get(&rec.machine_type)
+                .map_or(60.0, |t| t.rec.boot_s);
+            let (_, last) = self.refused.get(&kind).copied().unwrap_or((0, 0));
+            let least = crate::ms(boot / 5.0).max(1);
+            let pause = (last * 2).clamp(least, crate::ms(boot).max(least));
+            self.refused.insert(kind, (ctx.now + pause, pause));
+        } else {
+            self.refused.remove(&kind);
+        }
+        let key = charter_key(request);
+        let mut txn = Txn {
+            conds: self.conds(view, key.clone(), charter.version),
+            writes: vec![Write::Remove { remove: key }],
+        };
+        log::info!(
+            "share {}: {} of {} {} rented in {}{}",
+            rec.share,
+            machines.len(),
+            rec.count,
+            rec.machine_type,
+            rec.zone,
+            if rec.spot { ", spot" } else { "" }
+        );
+        for id in machines {
+            let key = machine_key(&id);
+            let machine = MachineRec {
+                share: rec.share,
+                machine_type: rec.machine_type.clone(),
+                zone: rec.zone.clone(),
+                spot: rec.spot,
+                addr: None,
+                condemned: None,
+                floor: 0,
+            };
+            txn.conds.push(Cond {
+                key: key.clone(),
+                version: 0,
+            });
+            txn.writes
+                .push(Write::put(key, to_value(machine).unwrap_or_default()));
+        }
+        let request = request.to_owned();
+        ctx.txn(Urgency::Work, &txn, Pending::Rented { request });
+    }
+
+    /// If the outcome was not written, the request is repeated: the cloud
+    /// then gives the same answer. Otherwise the name is done with, and must
+    /// not be used again while the view still shows it.
+    pub(crate) fn on_rented(&mut self, request: &str, status: u16) {
+        if status != 200 {
+            self.renting.remove(request);
+        }
+    }
+}
+
+fn zone_names(view: &View) -> Vec<String> {
+    view.zones().into_iter().map(str::to_owned).collect()
+}
--- /dev/null
+++ b/crates/core/src/machine.rs
@@ -0,0 +1,97 @@
+//! A machine of a share, in its holder's memory.
+
+use crate::Ms;
+use forkshift_sched::Resources;
+use forkshift_wire::{JobId, MachineId, TaskRef};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A machine of a share.
+pub(crate) struct Machine {
+    pub(crate) id: MachineId,
+    pub(crate) machine_type: u16,
+    pub(crate) zone: u16,
+    pub(crate) spot: bool,
+    pub(crate) total: Resources,
+    pub(crate) price: f64,
+    pub(crate) fetch_rate: f64,
+    pub(crate) cache_gb: f64,
+    pub(crate) boot_ms: Ms,
+    pub(crate) addr: Option<String>,
+    pub(crate) condemned: bool,
+    /// Version of its record.
+    pub(crate) version: u64,
+    /// A write of its record is under way.
+    pub(crate) putting: bool,
+
+    /// Session and sequence number of the newest message.
+    pub(crate) session: u64,
+    pub(crate) seq: u64,
+    /// The token that the newest message echoed.
+    pub(crate) echo: u64,
+    /// The token that we use.
+    pub(crate) token: u64,
+    /// Since when the echo has been behind the token.
+    pub(crate) unechoed_since: Option<Ms>,
+    /// When the newest message came; none: nothing was heard yet.
+    pub(crate) heard: Option<Ms>,
+    /// Since when we know the machine.
+    pub(crate) since: Ms,
+    /// When the cloud takes it away.
+    pub(crate) taken_at: Option<Ms>,
+
+    /// A call is under way.
+    pub(crate) calling: bool,
+    pub(crate) retry_at: Ms,
+    /// A call with orders had no answer and may be carried out late.
+    pub(crate) unanswered: bool,
+    /// The token must be told, even without orders.
+    pub(crate) push: bool,
+
+    /// Tasks that may be here.
+    pub(crate) tasks: BTreeSet<TaskRef>,
+    pub(crate) used: Resources,
+    /// Tasks that are here and should not be.
+    pub(crate) orphans: Vec<(TaskRef, u64, Resources)>,
+    /// Exited tasks that the worker still reports.
+    pub(crate) exited: Vec<(TaskRef, u64)>,
+    /// The job's version that records the fate of an exited task.
+    pub(crate) fates: BTreeMap<(TaskRef, u64), u64>,
+    /// Images, the most recently used last, with their sizes.
+    pub(crate) images: Vec<(u32, f64)>,
+    /// Jobs that failed here since a task last ran well.
+    pub(crate) errors: BTreeSet<JobId>,
+    /// Nothing more is placed here before this.
+    pub(crate) full_until: Ms,
+    /// Since when nothing has needed it.
+    pub(crate) idle_since: Option<Ms>,
+}
+
+impl Machine {
+    /// What is free, once everything that may be here is counted.
+    pub(crate) fn free(&self) -> Resources {
+        let orphans = self.orphans.iter();
+        orphans.fold(self.total - self.used, |free, (_, _, r)| free - *r)
+    }
+
+    /// Whether a message has shown all that may be here from before our time.
+    pub(crate) fn is_confirmed(&self) -> bool {
+        self.heard.is_some() && self.echo >= self.token
+    }
+
+    /// Makes every command void that is still on its way.
+    pub(crate) fn raise(&mut self, now: Ms) {
+        self.token += 1;
+        self.push = true;
+        self.unechoed_since.get_or_insert(now);
+    }
+
+    /// Notes that an image is used.
+    pub(crate) fn use_image(&mut self, image: u32, gb: f64) {
+        self.images.retain(|(i, _)| *i != image);
+        self.images.push((image, gb));
+        let mut sum: f64 = self.images.iter().map(|(_, gb)| gb).sum();
+        while sum > self.cache_gb && self.images.len() > 1 {
+            sum -= self.images.remove(0).1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/member.rs
@@ -0,0 +1,181 @@
+//! Membership: this controller's lease, its record, and leadership.
+
+use crate::ctx::{Ctx, Pending};
+use crate::records::{node_key, LeaderRec, NodeRec, LEADER};
+use crate::store::Urgency;
+use crate::view::View;
+use crate::Ms;
+use forkshift_wire::state::{Cond, LeaseReply, LeaseRequest, Txn, Write};
+use serde::Serialize;
+use serde_json::to_value;
+
+/// Where this controller stands with the state service.
+#[derive(Default)]
+pub(crate) struct Member {
+    lease: Option<u64>,
+    /// When the last extension that succeeded was sent.
+    extended: Ms,
+    asked: bool,
+    next: Ms,
+    putting: bool,
+    electing: bool,
+    /// Our record is on our lease.
+    registered: bool,
+}
+
+impl Member {
+    /// Until when this controller may answer from memory. Counted from the
+    /// moment the last extension was *sent*, less what clocks may drift: by
+    /// then the lease is still alive at the state service, so nobody else can
+    /// have been given our shares.
+    fn right_until(&self, ctx: &Ctx) -> Ms {
+        let ttl = ctx.cfg.node_lease_ms();
+        self.extended + ttl - ttl / 500
+    }
+
+    /// Whether this controller may answer from memory.
+    pub(crate) fn has_right(&self, ctx: &Ctx) -> bool {
+        self.registered && self.lease.is_some() && ctx.now < self.right_until(ctx)
+    }
+
+    pub(crate) fn is_registered(&self) -> bool {
+        self.registered
+    }
+
+    pub(crate) fn tick(&mut self, ctx: &mut Ctx, view: &View) {
+        if !self.asked && ctx.now >= self.next {
+            self.ask(ctx);
+        }
+        let Some(lease) = self.lease else { return };
+        if !view.ready {
+            return;
+        }
+        let mine = view.is_alive(&ctx.cfg.node, ctx.inc);
+        if !self.putting && (!mine || !self.registered) {
+            let key = node_key(&ctx.cfg.node);
+            let version = view.nodes.get(&ctx.cfg.node).map_or(0, |n| n.version);
+            let rec = NodeRec { inc: ctx.inc };
+            self.putting = true;
+            put_leased(ctx, key, version, &rec, lease, Pending::NodePut);
+        }
+        if mine && self.registered && !self.electing {
+            // A leader's key left over from an earlier start of this very
+            // controller belongs to a process that is gone for certain.
+            let version = match &view.leader {
+                None => 0,
+                Some(l) if l.rec.node == ctx.cfg.node && l.rec.inc != ctx.inc => l.version,
+                Some(_) => return,
+            };
+            let rec = LeaderRec {
+                node: ctx.cfg.node.clone(),
+                inc: ctx.inc,
+            };
+            self.electing = true;
+            put_leased(
+                ctx,
+                LEADER.to_owned(),
+                version,
+                &rec,
+                lease,
+                Pending::LeaderPut,
+            );
+        }
+    }
+
+    fn ask(&mut self, ctx: &mut Ctx) {
+        self.asked = true;
+        let sent = ctx.now;
+        match self.lease {
+            Some(lease) => {
+                let path = format!("/grants/{lease}/extend");
+                ctx.post("POST", path, None, Pending::Extend { sent });
+            }
+            None => {
+                let ttl_ms = ctx.cfg.node_lease_ms();
+                let body = serde_json::to_vec(&LeaseRequest { ttl_ms }).unwrap_or_default();
+                ctx.post(
+                    "POST",
+                    "/grants".to_owned(),
+                    Some(body),
+                    Pending::Lease { sent },
+                );
+            }
+        }
+    }
+
+    pub(crate) fn on_lease(&mut self, ctx: &Ctx, sent: Ms, status: u16, body: &[u8]) {
+        self.asked = false;
+        let ttl = ctx.cfg.node_lease_ms();
+        match serde_json::from_slice::<LeaseReply>(body) {
+            Ok(reply) if status == 200 => {
+                self.lease = Some(reply.lease);
+                self.extended = sent;
+                self.registered = false;
+                self.next = sent + ttl / 4;
+            }
+            _ => self.next = ctx.now + ttl / 10,
+        }
+    }
+
+    pub(crate) fn on_extend(&mut self, ctx: &Ctx, sent: Ms, status: u16) {
+        self.asked = false;
+        let ttl = ctx.cfg.node_lease_ms();
+        match status {
+            200 => {
+                self.extended = sent;
+                self.next = sent + ttl / 4;
+            }
+            404 => {
+                log::info!("our lease ran out");
+                self.lease = None;
+                self.registered = false;
+                self.next = ctx.now;
+            }
+            _ => self.next = ctx.now + ttl / 10,
+        }
+    }
+
+    pub(crate) fn on_node_put(&mut self, status: u16, body: &[u8]) {
+        self.putting = false;
+        if status == 200 {
+            self.registered = true;
+        } else if is_lease_gone(status, body) {
+            self.lease = None;
+        }
+    }
+
+    pub(crate) fn on_leader_put(&mut self, status: u16, body: &[u8]) {
+        self.electing = false;
+        if is_lease_gone(status, body) {
+            self.lease = None;
+            self.registered = false;
+        }
+    }
+}
+
+fn is_lease_gone(status: u16, body: &[u8]) -> bool {
+    status == 400 && String::from_utf8_lossy(body).contains("lease")
+}
+
+fn put_leased(
+    ctx: &mut Ctx,
+    key: String,
+    version: u64,
+    rec: &impl Serialize,
+    lease: u64,
+    pending: Pending,
+) {
+    let value = to_value(rec).unwrap_or_default();
+    let txn = Txn {
+        conds: vec![Cond {
+            key: key.clone(),
+            version,
+        }],
+        writes: vec![Write::Put {
+            put: key,
+            value,
+            lease: Some(lease),
+        }],
+    };
+    ctx.txn(Urgency::Member, &txn, pending);
+}
--- /dev/null
+++ b/crates/core/src/node.rs
@@ -0,0 +1,410 @@
+//! The controller: one owner of all state, working through batches of inputs.
+
+use crate::config::Config;
+use crate::ctx::{Ctx, Effect, Input, Pending, Token};
+use crate::leader::Leader;
+use crate::member::Member;
+use crate::records::{ShareId, CLUSTER};
+use crate::share::{hand_over, Phase, Share};
+use crate::store::Urgency;
+use crate::view::View;
+use crate::Ms;
+use forkshift_wire::state::{Changes, Item, Page};
+use forkshift_wire::users::JobStage;
+use forkshift_wire::{JobId, MachineId};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::rc::Rc;
+
+/// Jobs that are over, as many as are worth remembering.
+#[derive(Default)]
+pub(crate) struct Finals {
+    stages: HashMap<JobId, JobStage>,
+    order: VecDeque<JobId>,
+}
+
+const FINALS_MOST: usize = 4_000;
+
+impl Finals {
+    pub(crate) fn insert(&mut self, id: JobId, stage: JobStage) {
+        if self.stages.insert(id.clone(), stage).is_none() {
+            self.order.push_back(id);
+        }
+        while self.order.len() > FINALS_MOST {
+            if let Some(old) = self.order.pop_front() {
+                self.stages.remove(&old);
+            }
+        }
+    }
+
+    pub(crate) fn get(&self, id: &JobId) -> Option<JobStage> {
+        self.stages.get(id).copied()
+    }
+}
+
+/// A controller.
+pub struct Node {
+    pub(crate) ctx: Ctx,
+    pub(crate) view: View,
+    pub(crate) member: Member,
+    pub(crate) leader: Leader,
+    pub(crate) shares: BTreeMap<ShareId, Share>,
+    /// Epochs that were ours, and are not to be used again.
+    used: BTreeMap<ShareId, u64>,
+    pub(crate) finals: Finals,
+    listed: Vec<Item>,
+    list_rev: u64,
+    watching: bool,
+    listing: bool,
+    watch_at: Ms,
+    moving: BTreeMap<ShareId, Ms>,
+    seen: u64,
+    status_at: Ms,
+    /// Looks at cancellations that are to be repeated.
+    pub(crate) later_polls: Vec<(Ms, Token, JobId, Ms)>,
+}
+
+/// Longest wait of the watch on what all controllers share.
+const WATCH_MS: Ms = 10_000;
+
+impl Node {
+    /// A controller that has just started. `inc` names this start, and must
+    /// differ from that of every other start.
+    pub fn new(cfg: Config, inc: u64, seed: u64) -> Self {
+        let cfg = Rc::new(cfg);
+        Self {
+            leader: Leader::new(cfg.cloud_rps),
+            ctx: Ctx::new(cfg, inc, seed),
+            view: View::default(),
+            member: Member::default(),
+            shares: BTreeMap::new(),
+            used: BTreeMap::new(),
+            finals: Finals::default(),
+            listed: Vec::new(),
+            list_rev: 0,
+            watching: false,
+            listing: false,
+            watch_at: 0,
+            moving: BTreeMap::new(),
+            seen: 0,
+            status_at: 0,
+            later_polls: Vec::new(),
+        }
+    }
+
+    /// Takes in a batch, and says what is to be done.
+    pub fn step(&mut self, now: Ms, inputs: Vec<Input>) -> Vec<Effect> {
+        self.ctx.now = self.ctx.now.max(now);
+        for input in inputs {
+            match input {
+                Input::Request {
+                    token,
+                    method,
+                    path,
+                    body,
+                } => self.on_request(token, &method, &path, body),
+                Input::Answer { call, status, body } => {
+                    if let Some(pending) = self.ctx.pending.remove(&call) {
+                        if is_state(&pending) {
+                            let now = self.ctx.now;
+                            let Ctx { store, rng, .. } = &mut self.ctx;
+                            store.heard(status, now, rng);
+                        }
+                        self.on_answer(pending, status, &body);
+                    }
+                }
+            }
+        }
+        self.tick();
+        self.ctx.pump();
+        while !self.ctx.refused.is_empty() {
+            for pending in std::mem::take(&mut self.ctx.refused) {
+                self.on_answer(pending, 503, b"");
+            }
+            self.ctx.pump();
+        }
+        std::mem::take(&mut self.ctx.out)
+    }
+
+    /// Whether this controller can take requests.
+    pub(crate) fn is_up(&self) -> bool {
+        self.view.ready && self.member.is_registered() && !self.view.types.is_empty()
+    }
+
+    fn tick(&mut self) {
+        self.member.tick(&mut self.ctx, &self.view);
+        self.follow_view();
+        self.leader.tick(&mut self.ctx, &self.view);
+        self.follow_shares();
+        let changed = self.seen != self.view.revision;
+        self.seen = self.view.revision;
+        let alive = self.view.nodes.len().max(1) as f64;
+        let cfg = self.ctx.cfg.clone();
+        self.ctx
+            .store
+            .set_rates(cfg.state_rps * 0.9 / alive, cfg.write_rps * 0.95 / alive);
+        for share in self.shares.values_mut() {
+            share.watch(&mut self.ctx);
+            if let Phase::Waiting(revision) = share.phase {
+                if self.view.revision >= revision {
+                    share.activate(&mut self.ctx, &self.view);
+                }
+            }
+            if share.phase != Phase::Active {
+                continue;
+            }
+            if changed {
+                share.sync_machines(&mut self.ctx, &self.view);
+                let aborts: Vec<JobId> = self.view.aborts.keys().cloned().collect();
+                for id in aborts {
+                    share.cancel(&self.ctx, &id);
+                }
+            }
+            share.tend(&mut self.ctx, &self.view);
+        }
+        self.repeat_polls();
+        self.log_status();
+    }
+
+    fn log_status(&mut self) {
+        if self.ctx.now < self.status_at {
+            return;
+        }
+        self.status_at = self.ctx.now + 10_000;
+        for share in self.shares.values() {
+            let bound: usize = share.jobs.values().map(|j| j.bound.len()).sum();
+            let up = share
+                .machines
+                .values()
+                .filter(|m| m.heard.is_some())
+                .count();
+            log::info!(
+                "share {}: {} jobs, {} tasks placed, {} of {} machines up, {} writes queued",
+                share.id(),
+                share.jobs.len(),
+                bound,
+                up,
+                share.machines.len(),
+                self.ctx.store.len(),
+            );
+        }
+    }
+
+    /// Keeps the view up to date.
+    fn follow_view(&mut self) {
+        let wanting = self
+            .shares
+            .values()
+            .any(|s| matches!(s.phase, Phase::Waiting(r) if r > self.view.revision));
+        if !self.listing && ((!self.view.ready && self.ctx.now >= self.watch_at) || wanting) {
+            self.listing = true;
+            self.listed.clear();
+            self.list("");
+        }
+        if self.view.ready && !self.watching && self.ctx.now >= self.watch_at {
+            self.watching = true;
+            let revision = self.view.revision;
+            self.ctx
+                .watch(CLUSTER, revision, WATCH_MS, Pending::ViewWatch);
+        }
+    }
+
+    fn list(&mut self, from: &str) {
+        let mut path = format!("/kv?starts={CLUSTER}&most=500");
+        if !from.is_empty() {
+            path.push_str(&format!("&from={from}"));
+        }
+        self.ctx.read(Urgency::Member, path, Pending::ViewList);
+    }
+
+    fn on_view_list(&mut self, status: u16, body: &[u8]) {
+        let page: Option<Page> = serde_json::from_slice(body).ok().filter(|_| status == 200);
+        let Some(mut page) = page else {
+            self.listing = false;
+            self.watch_at = self.ctx.now + 200;
+            return;
+        };
+        if self.listed.is_empty() {
+            // What changes while the pages are read is shown by the watch.
+            self.list_rev = page.revision;
+        }
+        self.listed.append(&mut page.items);
+        if page.more {
+            if let Some(last) = self.listed.last() {
+                let from = last.key.clone();
+                self.list(&from);
+                return;
+            }
+        }
+        self.listing = false;
+        let items = std::mem::take(&mut self.listed);
+        if self.list_rev > self.view.revision || !self.view.ready {
+            self.view.replace(items, self.list_rev);
+        }
+    }
+
+    fn on_view_watch(&mut self, status: u16, body: &[u8]) {
+        self.watching = false;
+        match serde_json::from_slice::<Changes>(body) {
+            Ok(changes) if status == 200 => self.view.apply(changes.events, changes.revision),
+            _ if status == 410 => self.view.ready = false,
+            _ => self.watch_at = self.ctx.now + 250,
+        }
+    }
+
+    /// Takes up shares that became ours, lets go of those that are not.
+    fn follow_shares(&mut self) {
+        let node = self.ctx.cfg.node.clone();
+        let inc = self.ctx.inc;
+        let mut handing = Vec::new();
+        for (k, stamped) in &self.view.shares {
+            let rec = &stamped.rec;
+            if rec.holder != node || rec.inc != inc {
+                if self.shares.remove(k).is_some() {
+                    log::info!("share {k}: now with {}", rec.holder);
+                }
+                continue;
+            }
+            if let Some(share) = self.shares.get_mut(k) {
+                if share.epoch == rec.epoch && !share.reload {
+                    share.version = stamped.version;
+                    if let Some(to) = rec.want.as_ref().filter(|w| **w != node) {
+                        if self.view.nodes.contains_key(to) && share.is_quiet() {
+                            handing.push((*k, to.clone()));
+                        }
+                    }
+                    continue;
+                }
+            }
+            self.shares.remove(k);
+            let used = self.used.get(k).copied().unwrap_or(0);
+            if rec.epoch > used {
+                self.used.insert(*k, rec.epoch);
+                let share = Share::new(&mut self.ctx, *k, rec.epoch, stamped.version);
+                self.shares.insert(*k, share);
+            } else {
+                // What we knew under this epoch is gone. Its tokens are not
+                // used again: a new epoch is taken first.
+                handing.push((*k, node.clone()));
+            }
+        }
+        for (k, to) in handing {
+            let at = self.moving.get(&k).copied().unwrap_or(0);
+            if self.ctx.now < at {
+                continue;
+            }
+            self.moving.insert(k, self.ctx.now + 1_000);
+            // From here on we answer for the share no more, whatever becomes
+            // of the request.
+            self.shares.remove(&k);
+            hand_over(&mut self.ctx, &self.view, k, &to);
+        }
+    }
+
+    fn on_answer(&mut self, pending: Pending, status: u16, body: &[u8]) {
+        match pending {
+            Pending::Lease { sent } => self.member.on_lease(&self.ctx, sent, status, body),
+            Pending::Extend { sent } => self.member.on_extend(&self.ctx, sent, status),
+            Pending::NodePut => self.member.on_node_put(status, body),
+            Pending::LeaderPut => self.member.on_leader_put(status, body),
+            Pending::ViewList => self.on_view_list(status, body),
+            Pending::ViewWatch => self.on_view_watch(status, body),
+            Pending::SharePut(k) => {
+                self.leader.on_share_put(k);
+                self.moving.remove(&k);
+            }
+            Pending::ShareList { share, epoch } => {
+                if let Some(s) = self.shares.get_mut(&share).filter(|s| s.epoch == epoch) {
+                    s.on_list(&mut self.ctx, status, body);
+                }
+            }
+            Pending::ShareWatch { share, epoch } => {
+                if let Some(s) = self.shares.get_mut(&share).filter(|s| s.epoch == epoch) {
+                    s.on_watch(&mut self.ctx, status, body);
+                }
+            }
+            Pending::Create(creation) => self.on_created(*creation, status, body),
+            Pending::Lookup { token, id, why } => self.on_lookup(token, id, why, status, body),
+            Pending::Abort { token, id, until } => self.on_abort_put(token, id, until, status),
+            Pending::AbortPoll { token, id, until } => {
+                self.on_abort_poll(token, id, until, status, body);
+            }
+            Pending::JobTxn { share, epoch, jobs } => {
+                if let Some(s) = self.shares.get_mut(&share).filter(|s| s.epoch == epoch) {
+                    s.on_txn(&mut self.ctx, &mut self.finals, jobs, status, body);
+                }
+            }
+            Pending::JobFix {
+                share,
+                epoch,
+                id,
+                block,
+            } => {
+                if let Some(s) = self.shares.get_mut(&share).filter(|s| s.epoch == epoch) {
+                    s.on_fix(&mut self.ctx, &mut self.finals, &id, block, status, body);
+                }
+            }
+            Pending::MachinePut(id) => self.on_machine_put(&id),
+            Pending::Demand { share } => {
+                if let Some(s) = self.shares.get_mut(&share) {
+                    s.demand_putting = false;
+                }
+            }
+            Pending::Housekeeping => {}
+            Pending::Commands {
+                share,
+                epoch,
+                machine,
+                token,
+                orders,
+            } => {
+                if let Some(s) = self.shares.get_mut(&share).filter(|s| s.epoch == epoch) {
+                    s.on_commands(&mut self.ctx, &machine, token, &orders, status, body);
+                }
+            }
+            Pending::Catalog => self
+                .leader
+                .on_catalog(&mut self.ctx, &self.view, status, body),
+            Pending::MachineList { page } => {
+                self.leader
+                    .on_list(&mut self.ctx, &self.view, page, status, body);
+            }
+            Pending::CharterPut { request } => self.leader.on_charter_put(&request, status, body),
+            Pending::Rent { request } => {
+                self.leader
+                    .on_rent(&mut self.ctx, &self.view, &request, status, body);
+            }
+            Pending::Rented { request } => self.leader.on_rented(&request, status),
+            Pending::Delete { machines } => {
+                self.leader
+                    .on_delete(&mut self.ctx, &self.view, machines, status, body);
+            }
+            Pending::Removed { machines } => self.leader.on_removed(&machines, status),
+        }
+    }
+
+    fn on_machine_put(&mut self, id: &MachineId) {
+        for share in self.shares.values_mut() {
+            if let Some(machine) = share.machines.get_mut(id) {
+                machine.putting = false;
+            }
+        }
+    }
+
+    /// The share that holds an unfinished job, if it is here and in use.
+    pub(crate) fn share_of(&mut self, id: &JobId) -> Option<&mut Share> {
+        let mut shares = self.shares.values_mut();
+        shares.find(|s| s.phase == Phase::Active && s.jobs.contains_key(id))
+    }
+}
+
+/// Whether the answer to a call tells how the state service is.
+fn is_state(pending: &Pending) -> bool {
+    !matches!(
+        pending,
+        Pending::Commands { .. }
+            | Pending::Catalog
+            | Pending::MachineList { .. }
+            | Pending::Rent { .. }
+            | Pending::Delete { .. }
+    )
+}
--- /dev/null
+++ b/crates/core/src/orders.rs
@@ -0,0 +1,260 @@
+//! Commands to workers.
+//!
+//! Starts go straight to the worker, whose answer tells at once what became
+//! of them. They never ride on the answer to a report: that can be lost
+//! without anybody knowing.
+
+use crate::ctx::{Ctx, Pending};
+use crate::job::{Sent, Stop};
+use crate::records::ShareId;
+use crate::share::Share;
+use crate::Ms;
+use forkshift_wire::workers::{Commands, Order, Report, Verb};
+use forkshift_wire::{JobId, MachineId, TaskRef};
+
+/// Most orders in one call, so that no line gets near 64 KiB.
+const ORDERS_MOST: usize = 200;
+/// A stop that shows no effect is repeated after this many reports.
+const REPEAT_REPORTS: u64 = 2;
+
+impl Share {
+    /// Sends what is due to every machine that has no call under way.
+    pub(crate) fn send_orders(&mut self, ctx: &mut Ctx) {
+        let ids: Vec<MachineId> = self
+            .machines
+            .values()
+            .filter(|m| !m.calling && m.addr.is_some() && ctx.now >= m.retry_at)
+            .filter(|m| {
+                m.push || !m.tasks.is_empty() || !m.exited.is_empty() || !m.orphans.is_empty()
+            })
+            .map(|m| m.id.clone())
+            .collect();
+        for id in ids {
+            self.send_to(ctx, &id);
+        }
+    }
+
+    fn send_to(&mut self, ctx: &mut Ctx, id: &MachineId) {
+        let mut orders = self.calm_orders(ctx, id);
+        orders.extend(self.starts(id));
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        if orders.is_empty() && !machine.push {
+            return;
+        }
+        let Some(addr) = machine.addr.clone() else {
+            return;
+        };
+        // A fresh holder does not know the session yet. Most workers are in
+        // their first; the others answer 409 with a report that tells.
+        let session = machine.session.max(1);
+        let commands = Commands {
+            token: machine.token,
+            session,
+            orders,
+        };
+        machine.calling = true;
+        machine.push = false;
+        let body = serde_json::to_vec(&commands).unwrap_or_default();
+        let pending = Pending::Commands {
+            share: self.id,
+            epoch: self.epoch,
+            machine: id.clone(),
+            token: commands.token,
+            orders: commands.orders,
+        };
+        // A start whose call is given up late holds its task up for as long.
+        let timeout = (ctx.cfg.report_ms * 2).clamp(1_000, 4_000);
+        ctx.worker(&addr, body, timeout, pending);
+    }
+
+    /// Orders that do no harm however often and late they arrive: `forget`
+    /// for what is durable, and stops.
+    pub(crate) fn calm_orders(&mut self, ctx: &Ctx, id: &MachineId) -> Vec<Order> {
+        let Some(machine) = self.machines.get_mut(id) else {
+            return Vec::new();
+        };
+        let mut orders = Vec::new();
+        // Once a worker has forgotten an attempt, a start that is still on
+        // its way would run it anew.
+        if !machine.unanswered && !machine.calling {
+            for (task, attempt) in &machine.exited {
+                let fate = machine.fates.get(&(task.clone(), *attempt)).copied();
+                let job = self.jobs.get(&task.job);
+                let bound = job.and_then(|j| j.bound.get(&task.index));
+                let still_ours = bound.is_some_and(|b| b.machine == *id && b.attempt == *attempt);
+                let durable = job.is_none_or(|j| fate.is_none_or(|v| j.is_durable(task.index, v)));
+                if durable && !still_ours && orders.len() < ORDERS_MOST {
+                    orders.push(order(Verb::Forget, task, *attempt, None));
+                }
+            }
+        }
+        let again = ctx.cfg.report_ms * REPEAT_REPORTS;
+        for task in &machine.tasks {
+            let Some(binding) = self
+                .jobs
+                .get_mut(&task.job)
+                .and_then(|j| j.bound.get_mut(&task.index))
+            else {
+                continue;
+            };
+            let attempt = binding.attempt;
+            if let (Some(stop), false) = (&mut binding.stop, binding.sent == Sent::No) {
+                let due = stop.told.is_none_or(|t| ctx.now >= t + again);
+                if due && orders.len() < ORDERS_MOST {
+                    stop.told = Some(ctx.now);
+                    orders.push(order(Verb::Stop, task, attempt, Some(stop.grace_s)));
+                }
+            }
+        }
+        for (task, attempt, _) in &machine.orphans {
+            if orders.len() < ORDERS_MOST {
+                orders.push(order(Verb::Stop, task, *attempt, Some(0.0)));
+            }
+        }
+        orders
+    }
+
+    /// Starts that are recorded and were never sent.
+    fn starts(&mut self, id: &MachineId) -> Vec<Order> {
+        let Some(machine) = self.machines.get(id) else {
+            return Vec::new();
+        };
+        if machine.condemned || !machine.is_confirmed() {
+            return Vec::new();
+        }
+        let (token, session) = (machine.token, machine.session);
+        let mut orders = Vec::new();
+        for task in &machine.tasks {
+            let Some(job) = self.jobs.get_mut(&task.job) else {
+                continue;
+            };
+            let Some(binding) = job.bound.get(&task.index) else {
+                continue;
+            };
+            let due = binding.sent == Sent::No && binding.stop.is_none() && !job.cancelled;
+            if due && job.is_durable(task.index, binding.version) && orders.len() < ORDERS_MOST {
+                orders.push(order(Verb::Start, task, binding.attempt, None));
+                if let Some(binding) = job.bound.get_mut(&task.index) {
+                    binding.sent = Sent::Ours { token, session };
+                }
+            }
+        }
+        orders
+    }
+
+    pub(crate) fn on_commands(
+        &mut self,
+        ctx: &mut Ctx,
+        id: &MachineId,
+        token: u64,
+        orders: &[Order],
+        status: u16,
+        body: &[u8],
+    ) {
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        machine.calling = false;
+        let report: Option<Report> = serde_json::from_slice(body).ok();
+        match (status, report) {
+            (200 | 409, Some(report)) => {
+                if status == 409 {
+                    // Nothing was carried out, and this was the only copy.
+                    machine.push = report.token < machine.token;
+                    self.unsend(id, token, orders);
+                }
+                self.ingest(ctx, &report);
+            }
+            _ => {
+                log::debug!("machine {id}: commands had no answer ({status})");
+                machine.retry_at = ctx.now + ctx.cfg.report_ms / 2;
+                if orders.is_empty() {
+                    machine.push = true;
+                } else {
+                    // It may be carried out late, unless a newer token is
+                    // there first.
+                    machine.unanswered = true;
+                    machine.raise(ctx.now);
+                }
+            }
+        }
+    }
+
+    fn unsend(&mut self, id: &MachineId, token: u64, orders: &[Order]) {
+        for order in orders.iter().filter(|o| o.verb == Verb::Start) {
+            let binding = self
+                .jobs
+                .get_mut(&order.task.job)
+                .and_then(|j| j.bound.get_mut(&order.task.index));
+            let Some(binding) = binding else { continue };
+            let ours = matches!(binding.sent, Sent::Ours { token: t, .. } if t == token);
+            if ours && binding.machine == *id && binding.attempt == order.attempt {
+                binding.sent = Sent::No;
+            }
+        }
+    }
+
+    /// Cancels a job. Its user is answered when that is written.
+    pub(crate) fn cancel(&mut self, ctx: &Ctx, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.cancelled || job.is_complete() {
+            return;
+        }
+        job.cancelled = true;
+        job.cancelled_at = ctx.now;
+        job.touch(0);
+        for binding in job.bound.values_mut() {
+            binding.stop = Some(Stop {
+                grace_s: 0.0,
+                told: None,
+            });
+        }
+        self.dirty.insert(id.clone());
+        self.drop_unsent(id);
+    }
+
+    /// Token for a worker's report, and the orders that may ride on the answer.
+    pub(crate) fn report_reply(&mut self, ctx: &Ctx, id: &MachineId) -> Option<(u64, Vec<Order>)> {
+        let token = self.machines.get(id)?.token;
+        Some((token, self.calm_orders(ctx, id)))
+    }
+
+    /// Stops tasks of cancelled jobs that a holder before us did not stop.
+    pub(crate) fn stop_cancelled(&mut self) {
+        for job in self.jobs.values_mut().filter(|j| j.cancelled) {
+            for binding in job.bound.values_mut() {
+                binding.stop.get_or_insert(Stop {
+                    grace_s: 0.0,
+                    told: None,
+                });
+            }
+        }
+    }
+
+    /// Machines that may still run a task of a job cancelled this long ago.
+    pub(crate) fn holding_cancelled(&self, now: Ms, after: Ms) -> Vec<MachineId> {
+        let late = self
+            .jobs
+            .values()
+            .filter(|j| j.cancelled && now >= j.cancelled_at + after);
+        late.flat_map(|j| j.bound.values().map(|b| b.machine.clone()))
+            .collect()
+    }
+
+    pub(crate) fn id(&self) -> ShareId {
+        self.id
+    }
+}
+
+fn order(verb: Verb, task: &TaskRef, attempt: u64, grace_s: Option<f64>) -> Order {
+    Order {
+        verb,
+        task: task.clone(),
+        attempt,
+        grace_s,
+    }
+}
--- /dev/null
+++ b/crates/core/src/records.rs
@@ -0,0 +1,216 @@
+//! What is kept in the state service.
+//!
+//! Everything that all controllers must know lives below `c/`, so that one
+//! watch shows all of it, in order. Jobs live below `job/` for ever, and
+//! below `live/<share>/` while they are unfinished.
+
+use forkshift_wire::users::{JobSpec, JobStage};
+use forkshift_wire::{JobId, MachineId, NodeName};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// Prefix of all that every controller watches.
+pub const CLUSTER: &str = "c/";
+/// The counter that epochs come from.
+pub const EPOCH: &str = "c/epoch";
+/// The leader's key.
+pub const LEADER: &str = "c/leader";
+
+/// A share: a set of teams and a set of machines.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ShareId(pub u32);
+
+impl fmt::Display for ShareId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// Key of a share's record.
+pub fn share_key(k: ShareId) -> String {
+    format!("c/share/{k}")
+}
+
+/// Key of a controller's record.
+pub fn node_key(node: &NodeName) -> String {
+    format!("c/node/{node}")
+}
+
+/// Key of a machine's record.
+pub fn machine_key(id: &MachineId) -> String {
+    format!("c/machine/{id}")
+}
+
+/// Key of a rental intent.
+pub fn charter_key(request: &str) -> String {
+    format!("c/charter/{request}")
+}
+
+/// Key of a machine type.
+pub fn type_key(name: &str) -> String {
+    format!("c/rig/{name}")
+}
+
+/// Key of what a share lacks.
+pub fn demand_key(k: ShareId) -> String {
+    format!("c/demand/{k}")
+}
+
+/// Key of a cancellation that waits for its share's holder.
+pub fn abort_key(id: &JobId) -> String {
+    format!("c/abort/{id}")
+}
+
+/// Key of a job's lasting record.
+pub fn job_key(id: &JobId) -> String {
+    format!("job/{id}")
+}
+
+/// Prefix of a share's unfinished jobs.
+pub fn live_prefix(k: ShareId) -> String {
+    format!("live/{k}/")
+}
+
+/// Key of a block of an unfinished job; block 0 lives in its head.
+pub fn live_key(k: ShareId, id: &JobId, block: u32) -> String {
+    if block == 0 {
+        format!("live/{k}/{id}")
+    } else {
+        format!("live/{k}/{id}/{block}")
+    }
+}
+
+/// A controller, on its lease.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NodeRec {
+    /// This start of it.
+    pub inc: u64,
+}
+
+/// The leader, on its lease.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LeaderRec {
+    /// The controller.
+    pub node: NodeName,
+    /// Its start.
+    pub inc: u64,
+}
+
+/// Who holds a share.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ShareRec {
+    /// The controller.
+    pub holder: NodeName,
+    /// Its start.
+    pub inc: u64,
+    /// Grows with every change of hands.
+    pub epoch: u64,
+    /// To whom the holder should hand it over.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub want: Option<NodeName>,
+}
+
+/// A rented machine.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineRec {
+    /// The share that it works for.
+    pub share: ShareId,
+    /// Type.
+    #[serde(rename = "type")]
+    pub machine_type: String,
+    /// Zone.
+    pub zone: String,
+    /// Whether the cloud may take it back.
+    pub spot: bool,
+    /// Its worker, once it was heard of.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub addr: Option<String>,
+    /// It is to be returned, and never used again.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub condemned: Option<String>,
+    /// Tokens of its present share are above this.
+    #[serde(default)]
+    pub floor: u64,
+}
+
+/// A rental intent, written before the request.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CharterRec {
+    /// For which share.
+    pub share: ShareId,
+    /// Type.
+    #[serde(rename = "type")]
+    pub machine_type: String,
+    /// Zone.
+    pub zone: String,
+    /// Whether spot machines are meant.
+    pub spot: bool,
+    /// How many.
+    pub count: u32,
+}
+
+/// What a share lacks.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct DemandRec {
+    /// Revision that the share's holder had seen.
+    pub rev: u64,
+    /// Tasks without a place, the most urgent first.
+    pub shapes: Vec<ShapeRec>,
+}
+
+/// Tasks of one shape.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ShapeRec {
+    /// CPUs of each, in thousandths; GPUs and memory likewise.
+    pub res: (i64, i64, i64),
+    /// How many.
+    pub n: u32,
+    /// Allowed types.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub types: Option<Vec<String>>,
+    /// Allowed zones.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub zones: Option<Vec<String>>,
+    /// May use spot machines.
+    #[serde(default)]
+    pub spot: bool,
+}
+
+/// A job, for ever.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct JobRec {
+    /// As it was submitted.
+    pub spec: JobSpec,
+    /// The share that it belongs to.
+    pub share: ShareId,
+    /// `pending`, or its final stage.
+    pub stage: JobStage,
+}
+
+/// An unfinished job.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct HeadRec {
+    /// As it was submitted.
+    pub spec: JobSpec,
+    /// Its user was told that it is cancelled.
+    #[serde(default)]
+    pub cancelled: bool,
+    /// Its first tasks.
+    #[serde(default)]
+    pub block: BlockRec,
+}
+
+/// A block of an unfinished job's tasks.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct BlockRec {
+    /// The next attempt's number; none is used twice.
+    #[serde(default)]
+    pub next: u64,
+    /// Completed tasks, as ranges without their ends.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub done: Vec<(u32, u32)>,
+    /// Tasks that may be on a machine: task, attempt, machine.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub bound: Vec<(u32, u64, MachineId)>,
+}
--- /dev/null
+++ b/crates/core/src/rounds.rs
@@ -0,0 +1,388 @@
+//! Rounds of a share: placing what waits, and saying what is lacking.
+
+use crate::ctx::{Ctx, Pending};
+use crate::job::{Binding, Job, Sent};
+use crate::machine::Machine;
+use crate::records::{demand_key, share_key, DemandRec, ShapeRec};
+use crate::share::Share;
+use crate::store::Urgency;
+use crate::view::View;
+use crate::Ms;
+use forkshift_sched::{run_round, Host, Quota, Resources, Want};
+use forkshift_wire::state::{Cond, Txn, Write};
+use forkshift_wire::users::{JobKind, Priority};
+use forkshift_wire::{JobId, MachineId};
+use serde_json::to_value;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Most tasks of one job that a round places.
+const TASKS_A_ROUND: usize = 256;
+/// Most shapes in what a share says that it lacks.
+const SHAPES_MOST: usize = 24;
+/// Jobs that waited this many boots go before all others, so that large ones
+/// do not starve.
+const AGED_BOOTS: f64 = 2.0;
+
+impl Share {
+    /// Runs a round if one is due.
+    pub(crate) fn round(&mut self, ctx: &mut Ctx, view: &View) {
+        if ctx.now < self.next_round {
+            return;
+        }
+        self.last_round = ctx.now;
+        self.next_round = ctx.now + crate::ms(ctx.cfg.ops.round_s);
+        let usable: Vec<MachineId> = self
+            .machines
+            .values()
+            .filter(|m| is_usable(m, ctx))
+            .map(|m| m.id.clone())
+            .collect();
+        let mut hosts: Vec<Host> = usable.iter().map(|id| host(&self.machines[id])).collect();
+        let (ids, mut wants) = self.wants(ctx, &usable);
+        let mut quotas = self.quotas.clone();
+        let weights = ctx.cfg.ops.weights;
+        let placed = run_round(&mut wants, &mut hosts, &mut quotas, &weights);
+        let mut attempts: BTreeMap<usize, u64> = BTreeMap::new();
+        for p in &placed {
+            let id = &ids[p.want];
+            let Some(job) = self.jobs.get_mut(id) else {
+                continue;
+            };
+            let attempt = if job.is_gang() {
+                *attempts
+                    .entry(p.want)
+                    .or_insert_with(|| job.next_gang_attempt())
+            } else {
+                job.next_attempt(p.task)
+            };
+            let block = job.block_of(p.task);
+            let version = job.touch(block);
+            let binding = Binding {
+                machine: usable[p.host].clone(),
+                attempt,
+                version,
+                sent: Sent::No,
+                stage: None,
+                stop: None,
+                since: ctx.now,
+                running_since: None,
+            };
+            self.bind(id, p.task, binding);
+            self.dirty.insert(id.clone());
+        }
+        self.lack(ctx, view, &usable, hosts, wants, quotas);
+    }
+
+    /// What waits, as a round sees it.
+    fn wants(&mut self, ctx: &mut Ctx, usable: &[MachineId]) -> (Vec<JobId>, Vec<Want>) {
+        let zones: BTreeMap<MachineId, u16> = self
+            .machines
+            .values()
+            .map(|m| (m.id.clone(), m.zone))
+            .collect();
+        let boot_ms = self.machines.values().map(|m| m.boot_ms).max().unwrap_or(0);
+        let mut ids = Vec::new();
+        let mut wants = Vec::new();
+        for (id, job) in &self.jobs {
+            if ctx.now < job.not_before {
+                continue;
+            }
+            let spec = job.spec.clone();
+            let gang = job.is_gang();
+            let waiting = job.waiting(if gang { usize::MAX } else { TASKS_A_ROUND });
+            // What is left of a gang's last attempt must be gone first.
+            if waiting.is_empty() || (gang && !job.bound.is_empty()) {
+                continue;
+            }
+            let Some(&team) = self.teams.get(&spec.team) else {
+                continue;
+            };
+            let mut at: BTreeMap<u16, u32> = BTreeMap::new();
+            for binding in job.bound.values() {
+                if let Some(zone) = zones.get(&binding.machine) {
+                    *at.entry(*zone).or_default() += 1;
+                }
+            }
+            let avoid = job.failed_on.iter();
+            wants.push(Want {
+                task: job.task,
+                band: band(job, &self.quotas[team], &waiting, ctx.now, boot_ms),
+                waiting,
+                total: spec.tasks,
+                gang,
+                estimate: spec.estimate_s,
+                team,
+                image: job.image,
+                image_gb: spec.image_gb,
+                types: names(ctx, spec.types.as_deref()),
+                zone: spec.zone.as_ref().map(|z| ctx.intern(z) as u16),
+                one_zone: spec.one_zone,
+                spread: spec.spread,
+                spot: spec.spot,
+                zones: at,
+                avoid: avoid
+                    .filter_map(|m| usable.iter().position(|u| u == m))
+                    .collect(),
+            });
+            ids.push(id.clone());
+        }
+        (ids, wants)
+    }
+
+    /// Books what found no room on machines that are still to come; what is
+    /// left then, and spare places, are what the share lacks.
+    fn lack(
+        &mut self,
+        ctx: &mut Ctx,
+        view: &View,
+        usable: &[MachineId],
+        mut hosts: Vec<Host>,
+        mut wants: Vec<Want>,
+        mut quotas: Vec<Quota>,
+    ) {
+        for machine in self.machines.values() {
+            if machine.heard.is_none() && !machine.condemned {
+                hosts.push(coming(machine.total, machine, ctx.now));
+            }
+        }
+        self.push_charters(ctx, view, &mut hosts);
+        for want in &mut wants {
+            want.avoid.clear();
+        }
+        let weights = ctx.cfg.ops.weights;
+        run_round(&mut wants, &mut hosts, &mut quotas, &weights);
+        wants.sort_by_key(|w| std::cmp::Reverse(w.band));
+        let mut shapes: Vec<ShapeRec> = Vec::new();
+        let names: BTreeMap<u16, String> = type_names(ctx, view);
+        let zone_names: BTreeMap<u16, String> = view
+            .zones()
+            .into_iter()
+            .map(|z| (ctx.intern(z) as u16, z.to_owned()))
+            .collect();
+        for want in &wants {
+            let mut n = 0;
+            while n < want.waiting.len() && quotas[want.team].allows(&want.task) {
+                quotas[want.team].used += want.task;
+                n += 1;
+            }
+            if n == 0 || (want.gang && n < want.waiting.len()) {
+                continue;
+            }
+            let allowed = zone_names.iter().filter(|(z, _)| want.zone_allowed(**z));
+            let allowed: Vec<String> = allowed.map(|(_, name)| name.clone()).collect();
+            let types = want.types.as_ref();
+            add_shape(
+                &mut shapes,
+                ShapeRec {
+                    res: (want.task.cpus, want.task.gpus, want.task.memory),
+                    n: n as u32,
+                    types: types.map(|t| t.iter().filter_map(|t| names.get(t).cloned()).collect()),
+                    zones: (allowed.len() < zone_names.len()).then_some(allowed),
+                    spot: want.spot,
+                },
+            );
+        }
+        let spare = self.spare(ctx, &mut hosts);
+        shapes.extend(spare);
+        shapes.truncate(SHAPES_MOST);
+        self.note_idle(ctx, usable, &hosts);
+        self.show_demand(ctx, view, shapes);
+    }
+
+    fn push_charters(&self, ctx: &mut Ctx, view: &View, hosts: &mut Vec<Host>) {
+        for charter in view.charters.values().map(|c| &c.rec) {
+            let Some(of_type) = view.types.get(&charter.machine_type) else {
+                continue;
+            };
+            if charter.share != self.id {
+                continue;
+            }
+            let t = &of_type.rec;
+            for _ in 0..charter.count {
+                hosts.push(Host {
+                    free: Resources::new(t.cpus, t.gpus, t.memory_gb),
+                    machine_type: ctx.intern(&charter.machine_type) as u16,
+                    zone: ctx.intern(&charter.zone) as u16,
+                    spot: charter.spot,
+                    price: t.price / 3600.0,
+                    fetch_rate: t.fetch_gb_per_s,
+                    images: BTreeSet::new(),
+                    delay: t.boot_s,
+                });
+            }
+        }
+    }
+
+    /// Books spare places for classes whose tasks must start sooner than a
+    /// machine boots, and returns those that found none.
+    fn spare(&mut self, ctx: &mut Ctx, hosts: &mut [Host]) -> Vec<ShapeRec> {
+        let boot_s = self.machines.values().map(|m| m.boot_ms).max().unwrap_or(0) as f64 / 1000.0;
+        let mut lacking = Vec::new();
+        let now = ctx.now;
+        let factor = ctx.cfg.ops.spare;
+        let mut classes: Vec<(f64, ShapeRec, f64)> = Vec::new();
+        for (class, stats) in &mut self.classes {
+            let Some(wait) = ctx.cfg.waits.get(class) else {
+                continue;
+            };
+            if *wait < boot_s {
+                classes.push((*wait, stats.last.clone(), stats.rate(now)));
+            }
+        }
+        classes.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, shape, rate) in classes {
+            let arrive = rate * boot_s * factor;
+            let target = (arrive + arrive.sqrt() * factor.min(1.0)).ceil() as u32;
+            let task = Resources {
+                cpus: shape.res.0,
+                gpus: shape.res.1,
+                memory: shape.res.2,
+            };
+            let types = names(ctx, shape.types.as_deref());
+            let mut left = target;
+            for host in hosts.iter_mut() {
+                let allowed = (shape.spot || !host.spot)
+                    && types
+                        .as_ref()
+                        .is_none_or(|t| t.contains(&host.machine_type));
+                while left > 0 && allowed && task.fits(&host.free) {
+                    host.free -= task;
+                    left -= 1;
+                }
+            }
+            if left > 0 {
+                add_shape(&mut lacking, ShapeRec { n: left, ..shape });
+            }
+        }
+        lacking
+    }
+
+    /// Notes since when a machine has been of no use.
+    fn note_idle(&mut self, ctx: &Ctx, usable: &[MachineId], hosts: &[Host]) {
+        for (id, host) in usable.iter().zip(hosts) {
+            let Some(machine) = self.machines.get_mut(id) else {
+                continue;
+            };
+            let empty = machine.tasks.is_empty() && host.free == machine.total;
+            machine.idle_since = empty.then(|| machine.idle_since.unwrap_or(ctx.now));
+        }
+    }
+
+    /// Machines that have been of no use for long enough to be returned.
+    pub(crate) fn surplus(&self, ctx: &Ctx) -> Vec<MachineId> {
+        let idle = ctx.cfg.ops.idle_boots;
+        self.machines
+            .values()
+            .filter(|m| {
+                let keep = (m.boot_ms as f64 * idle) as Ms;
+                !m.condemned && m.idle_since.is_some_and(|t| ctx.now >= t + keep)
+            })
+            .map(|m| m.id.clone())
+            .collect()
+    }
+
+    fn show_demand(&mut self, ctx: &mut Ctx, view: &View, shapes: Vec<ShapeRec>) {
+        let known = view.demands.get(&self.id);
+        let shown = known.map(|d| d.rec.shapes.as_slice()).unwrap_or_default();
+        let stale = !shapes.is_empty() && known.is_none_or(|d| d.rec.rev < view.revision);
+        let changed = shown != shapes.as_slice();
+        // The first word of a lack goes out at once, the rest now and then.
+        let pause = if shown.is_empty() { 300 } else { 1_500 };
+        if self.demand_putting || ctx.now < self.demand_at + pause || !(changed || stale) {
+            return;
+        }
+        self.demand_putting = true;
+        self.demand_at = ctx.now;
+        if shapes.len() != self.demand_shown {
+            log::debug!("share {}: lacks {} shapes", self.id, shapes.len());
+            self.demand_shown = shapes.len();
+        }
+        let rec = DemandRec {
+            rev: view.revision,
+            shapes,
+        };
+        let txn = Txn {
+            conds: vec![Cond {
+                key: share_key(self.id),
+                version: self.version,
+            }],
+            writes: vec![Write::put(
+                demand_key(self.id),
+                to_value(rec).unwrap_or_default(),
+            )],
+        };
+        let share = self.id;
+        ctx.txn(Urgency::Work, &txn, Pending::Demand { share });
+    }
+}
+
+fn add_shape(shapes: &mut Vec<ShapeRec>, shape: ShapeRec) {
+    let same = |s: &&mut ShapeRec| {
+        s.res == shape.res
+            && s.types == shape.types
+            && s.zones == shape.zones
+            && s.spot == shape.spot
+    };
+    match shapes.iter_mut().find(same) {
+        Some(known) => known.n += shape.n,
+        None => shapes.push(shape),
+    }
+}
+
+fn names(ctx: &mut Ctx, types: Option<&[String]>) -> Option<Vec<u16>> {
+    types.map(|t| t.iter().map(|name| ctx.intern(name) as u16).collect())
+}
+
+fn type_names(ctx: &mut Ctx, view: &View) -> BTreeMap<u16, String> {
+    let types = view.types.keys();
+    types.map(|t| (ctx.intern(t) as u16, t.clone())).collect()
+}
+
+/// Priority, the guarantee, and for how long a job has waited.
+fn band(job: &Job, quota: &Quota, waiting: &[u32], now: Ms, boot_ms: Ms) -> i32 {
+    let priority = match job.spec.priority {
+        Priority::Low => 0,
+        Priority::Normal => 1,
+        Priority::High => 2,
+        Priority::Production => 3,
+    };
+    let guaranteed = quota.guarantees(&job.task.times(waiting.len() as i64));
+    let aged = job.spec.kind != JobKind::Service
+        && job.bound.is_empty()
+        && now.saturating_sub(job.since) as f64 > AGED_BOOTS * boot_ms as f64;
+    priority + if guaranteed { 4 } else { 0 } + if aged { 8 } else { 0 }
+}
+
+/// Whether tasks may be placed on a machine.
+fn is_usable(m: &Machine, ctx: &Ctx) -> bool {
+    let fresh = m.heard.is_some_and(|t| ctx.now < t + ctx.cfg.report_ms * 3);
+    fresh
+        && !m.condemned
+        && m.taken_at.is_none()
+        && m.errors.len() < 2
+        && m.is_confirmed()
+        && !m.unanswered
+        && ctx.now >= m.full_until
+}
+
+fn host(m: &Machine) -> Host {
+    Host {
+        free: m.free(),
+        machine_type: m.machine_type,
+        zone: m.zone,
+        spot: m.spot,
+        price: m.price,
+        fetch_rate: m.fetch_rate,
+        images: m.images.iter().map(|(i, _)| *i).collect(),
+        delay: 0.0,
+    }
+}
+
+fn coming(free: Resources, m: &Machine, now: Ms) -> Host {
+    let left = m.boot_ms.saturating_sub(now.saturating_sub(m.since));
+    Host {
+        free,
+        delay: left as f64 / 1000.0,
+        ..host(m)
+    }
+}
--- /dev/null
+++ b/crates/core/src/share.rs
@@ -0,0 +1,570 @@
+//! A share that this controller holds: its jobs and its machines.
+
+use crate::ctx::{Ctx, Pending};
+use crate::job::{Binding, Job};
+use crate::machine::Machine;
+use crate::records::{
+    live_prefix, machine_key, node_key, share_key, BlockRec, HeadRec, MachineRec, ShapeRec,
+    ShareId, ShareRec, EPOCH,
+};
+use crate::store::Urgency;
+use crate::view::View;
+use crate::Ms;
+use forkshift_sched::{Quota, Resources};
+use forkshift_wire::state::{Change, Changes, Cond, Item, Page, Txn, Write};
+use forkshift_wire::users::JobSpec;
+use forkshift_wire::{JobId, MachineId, NodeName, TaskRef};
+use serde_json::{from_value, to_value, Value};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// How far a share is.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum Phase {
+    /// Its jobs are being read.
+    Loading,
+    /// Its jobs are read as of a revision that the view has not reached.
+    Waiting(u64),
+    /// In use.
+    Active,
+}
+
+/// What is known of the arrivals of a class.
+#[derive(Clone, Debug)]
+pub(crate) struct ClassStats {
+    /// Tasks, fading out.
+    pub(crate) weight: f64,
+    pub(crate) at: Ms,
+    pub(crate) last: ShapeRec,
+}
+
+/// A share that this controller holds.
+pub(crate) struct Share {
+    pub(crate) id: ShareId,
+    pub(crate) epoch: u64,
+    /// Version of its record.
+    pub(crate) version: u64,
+    pub(crate) phase: Phase,
+    /// Since when it is in use.
+    pub(crate) active_since: Ms,
+    pub(crate) jobs: BTreeMap<JobId, Job>,
+    pub(crate) machines: BTreeMap<MachineId, Machine>,
+    pub(crate) teams: BTreeMap<String, usize>,
+    pub(crate) quotas: Vec<Quota>,
+    /// Jobs to be written.
+    pub(crate) dirty: BTreeSet<JobId>,
+    /// Jobs that are over, with the revision that removed them: a watch may
+    /// still show how they were created.
+    gone: HashMap<JobId, u64>,
+    loaded: Vec<Item>,
+    live_rev: u64,
+    watching: bool,
+    watch_at: Ms,
+    pub(crate) next_round: Ms,
+    pub(crate) last_round: Ms,
+    pub(crate) next_progress: Ms,
+    pub(crate) classes: BTreeMap<String, ClassStats>,
+    pub(crate) demand_at: Ms,
+    pub(crate) demand_putting: bool,
+    pub(crate) demand_shown: usize,
+    pub(crate) reload: bool,
+}
+
+impl Share {
+    pub(crate) fn new(ctx: &mut Ctx, id: ShareId, epoch: u64, version: u64) -> Self {
+        log::info!("share {id}: ours from epoch {epoch}");
+        let mut teams = BTreeMap::new();
+        let mut quotas = Vec::new();
+        for team in ctx.cfg.teams.values().filter(|t| t.share == id) {
+            teams.insert(team.name.clone(), quotas.len());
+            quotas.push(Quota {
+                guarantee: team.guarantee,
+                limit: team.limit,
+                used: Resources::default(),
+            });
+        }
+        let share = Self {
+            id,
+            epoch,
+            version,
+            phase: Phase::Loading,
+            active_since: ctx.now,
+            jobs: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            teams,
+            quotas,
+            dirty: BTreeSet::new(),
+            gone: HashMap::new(),
+            loaded: Vec::new(),
+            live_rev: 0,
+            watching: false,
+            watch_at: 0,
+            next_round: ctx.now,
+            last_round: 0,
+            next_progress: 0,
+            classes: BTreeMap::new(),
+            demand_at: 0,
+            demand_putting: false,
+            demand_shown: 0,
+            reload: false,
+        };
+        share.list(ctx, "");
+        share
+    }
+
+    fn list(&self, ctx: &mut Ctx, from: &str) {
+        let prefix = live_prefix(self.id);
+        let mut path = format!("/kv?starts={prefix}&most=400");
+        if !from.is_empty() {
+            path.push_str(&format!("&from={from}"));
+        }
+        let (share, epoch) = (self.id, self.epoch);
+        ctx.read(Urgency::Member, path, Pending::ShareList { share, epoch });
+    }
+
+    pub(crate) fn on_list(&mut self, ctx: &mut Ctx, status: u16, body: &[u8]) {
+        let page: Option<Page> = serde_json::from_slice(body).ok().filter(|_| status == 200);
+        let Some(mut page) = page else {
+            // Start over; what was read may be old by now.
+            self.loaded.clear();
+            self.list(ctx, "");
+            return;
+        };
+        if self.live_rev == 0 || self.loaded.is_empty() {
+            // Changes after the first page are shown by the watch.
+            self.live_rev = page.revision;
+        }
+        self.loaded.append(&mut page.items);
+        match self.loaded.last() {
+            Some(last) if page.more => {
+                let from = last.key.clone();
+                self.list(ctx, &from);
+            }
+            _ => self.phase = Phase::Waiting(page.revision),
+        }
+    }
+
+    /// Starts to use the share, once the view is as new as what was read.
+    /// Only then does a machine that the view lacks not exist any more.
+    pub(crate) fn activate(&mut self, ctx: &mut Ctx, view: &View) {
+        self.phase = Phase::Active;
+        self.active_since = ctx.now;
+        self.sync_machines(ctx, view);
+        let prefix = live_prefix(self.id);
+        let items = std::mem::take(&mut self.loaded);
+        let mut blocks = Vec::new();
+        for item in items {
+            let name = item.key.strip_prefix(&prefix).unwrap_or_default();
+            match name.split_once('/') {
+                None => self.load_head(ctx, item.value, item.version),
+                Some((id, block)) => {
+                    let id = JobId::new(id);
+                    blocks.push((id, block.parse().unwrap_or(0), item));
+                }
+            }
+        }
+        for (id, block, item) in blocks {
+            match from_value::<BlockRec>(item.value) {
+                Ok(rec) if self.jobs.contains_key(&id) => {
+                    self.restore(ctx, &id, block, rec, item.version);
+                }
+                _ => remove_key(ctx, item.key, item.version),
+            }
+        }
+        self.dirty.extend(self.jobs.keys().cloned());
+        log::info!(
+            "share {}: {} jobs and {} machines taken over",
+            self.id,
+            self.jobs.len(),
+            self.machines.len()
+        );
+    }
+
+    fn load_head(&mut self, ctx: &mut Ctx, value: Value, stamp: u64) {
+        let head: HeadRec = match from_value(value) {
+            Ok(head) => head,
+            Err(e) => {
+                log::error!("a job's record is not understood: {e}");
+                return;
+            }
+        };
+        let id = head.spec.id.clone();
+        self.add_job(ctx, head.spec, stamp);
+        self.restore(ctx, &id, 0, head.block, stamp);
+        if head.cancelled {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.cancelled = true;
+                job.cancel_durable = true;
+                job.cancelled_at = ctx.now;
+            }
+        }
+    }
+
+    fn restore(&mut self, ctx: &Ctx, id: &JobId, block: u32, rec: BlockRec, stamp: u64) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        for (index, binding) in job.restore(block, rec, stamp, ctx.now) {
+            if self.machines.contains_key(&binding.machine) {
+                self.bind(id, index, binding);
+            } else if let Some(job) = self.jobs.get_mut(id) {
+                // Its machine's record is gone, so the machine is.
+                let block = job.block_of(index);
+                job.touch(block);
+            }
+        }
+    }
+
+    /// Takes a new job on, unless it is known or over.
+    pub(crate) fn add_job(&mut self, ctx: &mut Ctx, spec: JobSpec, stamp: u64) {
+        let over = self.gone.get(&spec.id).is_some_and(|rev| stamp <= *rev);
+        if over || self.jobs.contains_key(&spec.id) || !self.teams.contains_key(&spec.team) {
+            return;
+        }
+        let image = ctx.intern(&spec.image);
+        self.count_arrival(&spec, ctx.now);
+        let job = Job::new(spec, image, stamp, ctx.cfg.value_bytes, ctx.now);
+        if ctx.cfg.waits.contains_key(&job.spec.class) {
+            self.hurry(ctx);
+        }
+        self.jobs.insert(job.spec.id.clone(), job);
+    }
+
+    /// Asks for a round before its time.
+    pub(crate) fn hurry(&mut self, ctx: &Ctx) {
+        let gap = crate::ms(ctx.cfg.ops.round_gap_s);
+        self.next_round = self.next_round.min(ctx.now.max(self.last_round + gap));
+    }
+
+    pub(crate) fn forget_job(&mut self, id: &JobId, revision: u64) {
+        self.jobs.remove(id);
+        self.dirty.remove(id);
+        self.gone.insert(id.clone(), revision);
+    }
+
+    /// Books a task on a machine.
+    pub(crate) fn bind(&mut self, id: &JobId, index: u32, binding: Binding) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if let Some(machine) = self.machines.get_mut(&binding.machine) {
+            machine.used += job.task;
+            machine.tasks.insert(TaskRef {
+                job: id.clone(),
+                index,
+            });
+            machine.use_image(job.image, job.spec.image_gb);
+        }
+        if let Some(team) = self.teams.get(&job.spec.team) {
+            self.quotas[*team].used += job.task;
+        }
+        job.bound.insert(index, binding);
+    }
+
+    /// Takes a task off its machine, and has the change written.
+    pub(crate) fn unbind(&mut self, id: &JobId, index: u32) -> Option<Binding> {
+        let job = self.jobs.get_mut(id)?;
+        let binding = job.bound.remove(&index)?;
+        let block = job.block_of(index);
+        job.touch(block);
+        if let Some(machine) = self.machines.get_mut(&binding.machine) {
+            machine.used -= job.task;
+            machine.tasks.remove(&TaskRef {
+                job: id.clone(),
+                index,
+            });
+        }
+        if let Some(team) = self.teams.get(&job.spec.team) {
+            self.quotas[*team].used -= job.task;
+        }
+        self.dirty.insert(id.clone());
+        Some(binding)
+    }
+
+    /// Follows the view: new machines, changed records, machines that are gone.
+    pub(crate) fn sync_machines(&mut self, ctx: &mut Ctx, view: &View) {
+        for (id, stamped) in &view.machines {
+            if stamped.rec.share != self.id {
+                continue;
+            }
+            if let Some(machine) = self.machines.get_mut(id) {
+                if machine.version != stamped.version {
+                    machine.version = stamped.version;
+                    machine.condemned = stamped.rec.condemned.is_some();
+                    machine.addr = stamped.rec.addr.clone().or(machine.addr.take());
+                }
+                continue;
+            }
+            if let Some(machine) = self.new_machine(ctx, view, id, &stamped.rec, stamped.version) {
+                self.machines.insert(id.clone(), machine);
+            }
+        }
+        let gone: Vec<MachineId> = self
+            .machines
+            .keys()
+            .filter(|id| {
+                view.machines
+                    .get(*id)
+                    .is_none_or(|m| m.rec.share != self.id)
+            })
+            .cloned()
+            .collect();
+        for id in gone {
+            self.drop_machine(ctx, &id);
+        }
+    }
+
+    fn new_machine(
+        &self,
+        ctx: &mut Ctx,
+        view: &View,
+        id: &MachineId,
+        rec: &MachineRec,
+        version: u64,
+    ) -> Option<Machine> {
+        let of_type = &view.types.get(&rec.machine_type)?.rec;
+        let hourly = if rec.spot {
+            of_type.spot_price.unwrap_or(of_type.price)
+        } else {
+            of_type.price
+        };
+        Some(Machine {
+            id: id.clone(),
+            machine_type: ctx.intern(&rec.machine_type) as u16,
+            zone: ctx.intern(&rec.zone) as u16,
+            spot: rec.spot,
+            total: Resources::new(of_type.cpus, of_type.gpus, of_type.memory_gb),
+            price: hourly / 3600.0,
+            fetch_rate: of_type.fetch_gb_per_s,
+            cache_gb: of_type.cache_gb,
+            boot_ms: crate::ms(of_type.boot_s),
+            addr: rec.addr.clone(),
+            condemned: rec.condemned.is_some(),
+            version,
+            putting: false,
+            session: 0,
+            seq: 0,
+            echo: 0,
+            token: (self.epoch << 24).max(rec.floor + 1),
+            unechoed_since: None,
+            heard: None,
+            since: ctx.now,
+            taken_at: None,
+            calling: false,
+            retry_at: 0,
+            unanswered: false,
+            push: rec.addr.is_some(),
+            tasks: BTreeSet::new(),
+            used: Resources::default(),
+            orphans: Vec::new(),
+            exited: Vec::new(),
+            fates: BTreeMap::new(),
+            images: Vec::new(),
+            errors: BTreeSet::new(),
+            full_until: 0,
+            idle_since: None,
+        })
+    }
+
+    /// The machine's record is gone: the cloud has answered that it was
+    /// deleted, so nothing that was on it is left.
+    fn drop_machine(&mut self, ctx: &Ctx, id: &MachineId) {
+        let Some(machine) = self.machines.get(id) else {
+            return;
+        };
+        let tasks: Vec<TaskRef> = machine.tasks.iter().cloned().collect();
+        for task in tasks {
+            self.unbind(&task.job, task.index);
+        }
+        self.machines.remove(id);
+        self.hurry(ctx);
+    }
+
+    /// Writes a machine's record, on condition that it and the share are as we know them.
+    pub(crate) fn put_machine(
+        &mut self,
+        ctx: &mut Ctx,
+        view: &View,
+        id: &MachineId,
+        change: impl FnOnce(&mut MachineRec),
+    ) {
+        let (Some(machine), Some(stamped)) = (self.machines.get_mut(id), view.machines.get(id))
+        else {
+            return;
+        };
+        if machine.putting {
+            return;
+        }
+        machine.putting = true;
+        let mut rec = stamped.rec.clone();
+        change(&mut rec);
+        let key = machine_key(id);
+        let txn = Txn {
+            conds: vec![
+                Cond {
+                    key: share_key(self.id),
+                    version: self.version,
+                },
+                Cond {
+                    key: key.clone(),
+                    version: stamped.version,
+                },
+            ],
+            writes: vec![Write::put(key, to_value(rec).unwrap_or_default())],
+        };
+        ctx.txn(Urgency::Work, &txn, Pending::MachinePut(id.clone()));
+    }
+
+    /// Gives a machine up: nothing more is placed there, and the leader
+    /// deletes it once the record says so.
+    pub(crate) fn condemn(&mut self, ctx: &mut Ctx, view: &View, id: &MachineId, why: &str) {
+        let Some(machine) = self.machines.get(id) else {
+            return;
+        };
+        if machine.condemned || machine.putting {
+            return;
+        }
+        log::info!(
+            "machine {id}: condemned, {why}, {} tasks",
+            machine.tasks.len()
+        );
+        let why = why.to_owned();
+        self.put_machine(ctx, view, id, |rec| rec.condemned = Some(why));
+        if let Some(machine) = self.machines.get_mut(id) {
+            machine.condemned = true;
+        }
+    }
+
+    /// Keeps a watch on the share's jobs, for those that other controllers accept.
+    pub(crate) fn watch(&mut self, ctx: &mut Ctx) {
+        if self.watching || self.live_rev == 0 || ctx.now < self.watch_at {
+            return;
+        }
+        self.watching = true;
+        let pending = Pending::ShareWatch {
+            share: self.id,
+            epoch: self.epoch,
+        };
+        ctx.watch(&live_prefix(self.id), self.live_rev, 10_000, pending);
+    }
+
+    pub(crate) fn on_watch(&mut self, ctx: &mut Ctx, status: u16, body: &[u8]) {
+        self.watching = false;
+        // Our own writes come back here; a short pause lets them come together.
+        self.watch_at = ctx.now + 200;
+        if status == 410 {
+            self.reload = true;
+        }
+        let changes: Option<Changes> = serde_json::from_slice(body).ok().filter(|_| status == 200);
+        let Some(changes) = changes else { return };
+        let prefix = live_prefix(self.id);
+        for event in changes.events {
+            let Change::Put {
+                put,
+                value,
+                version,
+            } = event
+            else {
+                continue;
+            };
+            let Some(name) = put.strip_prefix(&prefix) else {
+                continue;
+            };
+            let id = JobId::new(name);
+            if name.contains('/') || version <= self.live_rev || self.jobs.contains_key(&id) {
+                continue;
+            }
+            if let Ok(head) = from_value::<HeadRec>(value) {
+                self.add_job(ctx, head.spec, version);
+            }
+        }
+        self.live_rev = self.live_rev.max(changes.revision);
+        let seen = self.live_rev;
+        self.gone.retain(|_, rev| *rev >= seen);
+    }
+
+    fn count_arrival(&mut self, spec: &JobSpec, now: Ms) {
+        let res = Resources::new(spec.cpus, spec.gpus, spec.memory_gb);
+        let last = ShapeRec {
+            res: (res.cpus, res.gpus, res.memory),
+            n: 1,
+            types: spec.types.clone(),
+            zones: None,
+            spot: spec.spot,
+        };
+        let stats = self
+            .classes
+            .entry(spec.class.clone())
+            .or_insert(ClassStats {
+                weight: 0.0,
+                at: now,
+                last: last.clone(),
+            });
+        stats.fade(now);
+        stats.weight += f64::from(spec.tasks);
+        stats.last = last;
+    }
+}
+
+/// Arrivals are remembered for about this long.
+const ARRIVALS_MS: f64 = 150_000.0;
+
+impl ClassStats {
+    fn fade(&mut self, now: Ms) {
+        let gone = now.saturating_sub(self.at) as f64;
+        self.weight *= (-gone / ARRIVALS_MS).exp();
+        self.at = now;
+    }
+
+    /// Tasks a second.
+    pub(crate) fn rate(&mut self, now: Ms) -> f64 {
+        self.fade(now);
+        self.weight / (ARRIVALS_MS / 1000.0)
+    }
+}
+
+/// Removes a record that nothing refers to any more.
+pub(crate) fn remove_key(ctx: &mut Ctx, key: String, version: u64) {
+    let txn = Txn {
+        conds: vec![Cond {
+            key: key.clone(),
+            version,
+        }],
+        writes: vec![Write::Remove { remove: key }],
+    };
+    ctx.txn(Urgency::Later, &txn, Pending::Housekeeping);
+}
+
+/// Hands a share to a start of a controller, under a new epoch. It takes hold
+/// only if the controller that held it is as the view shows it: gone, or
+/// started anew, or willing.
+pub(crate) fn hand_over(ctx: &mut Ctx, view: &View, k: ShareId, to: &NodeName) {
+    let Some(node) = view.nodes.get(to) else {
+        return;
+    };
+    let share = view.shares.get(&k);
+    let (epoch_version, epoch) = view.epoch();
+    let rec = ShareRec {
+        holder: to.clone(),
+        inc: node.rec.inc,
+        epoch: epoch + 1,
+        want: None,
+    };
+    let cond = |key: String, version| Cond { key, version };
+    let mut conds = vec![
+        cond(share_key(k), share.map_or(0, |s| s.version)),
+        cond(EPOCH.to_owned(), epoch_version),
+        cond(node_key(to), node.version),
+    ];
+    if let Some(old) = share.map(|s| &s.rec.holder).filter(|old| *old != to) {
+        let version = view.nodes.get(old).map_or(0, |n| n.version);
+        conds.push(cond(node_key(old), version));
+    }
+    let txn = Txn {
+        conds,
+        writes: vec![
+            Write::put(share_key(k), to_value(rec).unwrap_or_default()),
+            Write::put(EPOCH.to_owned(), (epoch + 1).into()),
+        ],
+    };
+    ctx.txn(Urgency::Member, &txn, Pending::SharePut(k));
+}
--- /dev/null
+++ b/crates/core/src/store.rs
@@ -0,0 +1,180 @@
+//! The way to the state service: one queue, one budget, one backoff.
+
+use crate::ctx::Pending;
+use crate::Ms;
+use rand::rngs::StdRng;
+use rand::Rng;
+use std::collections::BTreeMap;
+
+/// A rate with bursts of one second's worth.
+#[derive(Debug)]
+pub(crate) struct Bucket {
+    rate: f64,
+    tokens: f64,
+    at: Ms,
+}
+
+impl Bucket {
+    pub(crate) fn new(rate: f64) -> Self {
+        Self {
+            rate,
+            tokens: rate,
+            at: 0,
+        }
+    }
+
+    pub(crate) fn set_rate(&mut self, rate: f64) {
+        self.rate = rate;
+    }
+
+    pub(crate) fn refill(&mut self, now: Ms) {
+        let gained = now.saturating_sub(self.at) as f64 / 1000.0 * self.rate;
+        self.tokens = (self.tokens + gained).min(self.rate.max(1.0));
+        self.at = now;
+    }
+
+    /// Takes `n`, even into debt if forced to.
+    pub(crate) fn take(&mut self, n: f64, force: bool) -> bool {
+        // More than one second's worth is let through when the bucket is full.
+        if force || self.tokens >= n.min(self.rate.max(1.0)) {
+            self.tokens -= n;
+            return true;
+        }
+        false
+    }
+
+    pub(crate) fn drain(&mut self) {
+        self.tokens = self.tokens.min(0.0);
+    }
+}
+
+/// How urgent a call is; the order is that of the queue.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub(crate) enum Urgency {
+    /// Leases, leadership, shares: never held back.
+    Member,
+    /// A user waits for the answer.
+    User,
+    /// Starts and the fate of tasks.
+    Work,
+    /// What can wait.
+    Later,
+}
+
+/// A call to the state service.
+#[derive(Debug)]
+pub(crate) struct StateCall {
+    pub(crate) method: &'static str,
+    pub(crate) path: String,
+    pub(crate) body: Option<Vec<u8>>,
+    /// Puts and deletes in it.
+    pub(crate) writes: usize,
+    pub(crate) timeout: Ms,
+    /// If it has not been sent by then, it is answered with 503.
+    pub(crate) expires: Ms,
+    pub(crate) pending: Pending,
+}
+
+/// The queue in front of the state service.
+pub(crate) struct Store {
+    queue: BTreeMap<(Urgency, u64), StateCall>,
+    next: u64,
+    requests: Bucket,
+    writes: Bucket,
+    /// Nothing but `Member` calls before this.
+    pause_until: Ms,
+    backoff: Ms,
+    /// The last time that the service answered anything but 503.
+    pub(crate) last_good: Ms,
+}
+
+/// Longest pause between two tries at a service that refuses.
+const BACKOFF_MOST: Ms = 1_000;
+const BACKOFF_LEAST: Ms = 50;
+
+impl Store {
+    pub(crate) fn new(rps: f64, write_rps: f64) -> Self {
+        Self {
+            queue: BTreeMap::new(),
+            next: 0,
+            requests: Bucket::new(rps),
+            writes: Bucket::new(write_rps),
+            pause_until: 0,
+            backoff: BACKOFF_LEAST,
+            last_good: 0,
+        }
+    }
+
+    pub(crate) fn set_rates(&mut self, rps: f64, write_rps: f64) {
+        self.requests.set_rate(rps);
+        self.writes.set_rate(write_rps);
+    }
+
+    pub(crate) fn push(&mut self, urgency: Urgency, call: StateCall) {
+        self.next += 1;
+        self.queue.insert((urgency, self.next), call);
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Learns from a status how the service is.
+    pub(crate) fn heard(&mut self, status: u16, now: Ms, rng: &mut StdRng) {
+        match status {
+            0 => {}
+            429 => {
+                self.requests.drain();
+                self.writes.drain();
+            }
+            503 => {
+                let pause = rng.random_range(self.backoff / 2..=self.backoff);
+                self.pause_until = self.pause_until.max(now + pause);
+                self.backoff = (self.backoff * 2).min(BACKOFF_MOST);
+            }
+            _ => {
+                self.backoff = BACKOFF_LEAST;
+                self.last_good = now;
+                self.pause_until = 0;
+            }
+        }
+    }
+
+    /// Calls that may go out now, and calls that waited too long.
+    pub(crate) fn due(&mut self, now: Ms) -> (Vec<StateCall>, Vec<StateCall>) {
+        self.requests.refill(now);
+        self.writes.refill(now);
+        let mut go = Vec::new();
+        let mut late = Vec::new();
+        let mut writes_blocked = false;
+        let keys: Vec<(Urgency, u64)> = self.queue.keys().copied().collect();
+        for key in keys {
+            let Some(call) = self.queue.get(&key) else {
+                continue;
+            };
+            let member = key.0 == Urgency::Member;
+            let blocked =
+                !member && (now < self.pause_until || (call.writes > 0 && writes_blocked));
+            let ready = !blocked && {
+                let n = call.writes as f64;
+                if n > 0.0 && !self.writes.take(n, member) {
+                    writes_blocked = true;
+                    false
+                } else if self.requests.take(1.0, member) {
+                    true
+                } else {
+                    // The writes were not made after all.
+                    self.writes.take(-n, true);
+                    writes_blocked = true;
+                    false
+                }
+            };
+            if ready {
+                go.extend(self.queue.remove(&key));
+            } else if now >= call.expires {
+                late.extend(self.queue.remove(&key));
+            }
+        }
+        (go, late)
+    }
+}
--- /dev/null
+++ b/crates/core/src/tend.rs
@@ -0,0 +1,88 @@
+//! What a holder does for its share between the messages.
+
+use crate::ctx::Ctx;
+use crate::share::Share;
+use crate::view::View;
+use forkshift_wire::MachineId;
+
+/// A machine that may hold a task of a cancelled job is given up after this
+/// part of the time in which the task must be gone.
+const CANCEL_PART: f64 = 0.35;
+/// Jobs that failed on a machine, none of which ran there since, before the
+/// machine is given up.
+const ERRORS_MOST: usize = 2;
+
+impl Share {
+    pub(crate) fn tend(&mut self, ctx: &mut Ctx, view: &View) {
+        self.stop_cancelled();
+        self.note_addresses(ctx, view);
+        self.give_up(ctx, view);
+        self.round(ctx, view);
+        let progress = ctx.now >= self.next_progress;
+        if progress {
+            self.next_progress = ctx.now + crate::ms(ctx.cfg.ops.round_s);
+        }
+        self.flush(ctx, view, progress);
+        self.send_orders(ctx);
+    }
+
+    /// Whether nothing is under way that a new holder would have to wait for.
+    pub(crate) fn is_quiet(&self) -> bool {
+        let calling = self.machines.values().any(|m| m.calling);
+        let writing = self
+            .jobs
+            .values()
+            .any(|j| j.writing || !j.cancel_waiters.is_empty());
+        !calling && !writing
+    }
+
+    fn note_addresses(&mut self, ctx: &mut Ctx, view: &View) {
+        let new: Vec<(MachineId, String)> = self
+            .machines
+            .values()
+            .filter(|m| !m.putting && !m.condemned && m.heard.is_some())
+            .filter(|m| {
+                view.machines
+                    .get(&m.id)
+                    .is_some_and(|r| r.rec.addr.is_none())
+            })
+            .filter_map(|m| m.addr.clone().map(|a| (m.id.clone(), a)))
+            .collect();
+        for (id, addr) in new {
+            self.put_machine(ctx, view, &id, |rec| rec.addr = Some(addr));
+        }
+    }
+
+    /// Gives up machines that are silent, deaf, faulty, taken or of no use.
+    fn give_up(&mut self, ctx: &mut Ctx, view: &View) {
+        let silent = ctx.silent_ms();
+        let mut give_up: Vec<(MachineId, &str)> = Vec::new();
+        for m in self.machines.values().filter(|m| !m.condemned) {
+            let known = m.addr.is_some() || m.heard.is_some();
+            let last = m.heard.unwrap_or(0).max(self.active_since).max(m.since);
+            let quiet = ctx.now.saturating_sub(last);
+            let taken = m
+                .taken_at
+                .is_some_and(|t| ctx.now > t + ctx.cfg.report_ms * 2);
+            if known && quiet > silent {
+                give_up.push((m.id.clone(), "it is silent"));
+            } else if taken && quiet > ctx.cfg.report_ms * 2 {
+                give_up.push((m.id.clone(), "it was taken"));
+            } else if m.unechoed_since.is_some_and(|t| ctx.now > t + silent * 2) {
+                give_up.push((m.id.clone(), "our answers do not reach it"));
+            } else if m.errors.len() >= ERRORS_MOST {
+                give_up.push((m.id.clone(), "it fails what it starts"));
+            }
+        }
+        let late = (ctx.cfg.cancel_ms as f64 * CANCEL_PART) as u64;
+        for id in self.holding_cancelled(ctx.now, late) {
+            give_up.push((id, "it may hold a cancelled task"));
+        }
+        for id in self.surplus(ctx) {
+            give_up.push((id, "it is not needed"));
+        }
+        for (id, why) in give_up {
+            self.condemn(ctx, view, &id, why);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/view.rs
@@ -0,0 +1,170 @@
+//! The controller's copy of what all controllers share.
+
+use crate::records::{
+    CharterRec, DemandRec, LeaderRec, MachineRec, NodeRec, ShareId, ShareRec, EPOCH, LEADER,
+};
+use forkshift_wire::cloud::MachineType;
+use forkshift_wire::state::{Change, Item};
+use forkshift_wire::{JobId, MachineId, NodeName};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A record and its version.
+#[derive(Clone, Debug)]
+pub(crate) struct Stamped<T> {
+    pub(crate) rec: T,
+    pub(crate) version: u64,
+}
+
+/// Everything below `c/`, as of one revision.
+#[derive(Default)]
+pub(crate) struct View {
+    pub(crate) revision: u64,
+    pub(crate) ready: bool,
+    pub(crate) nodes: BTreeMap<NodeName, Stamped<NodeRec>>,
+    pub(crate) leader: Option<Stamped<LeaderRec>>,
+    pub(crate) epoch: Option<Stamped<u64>>,
+    pub(crate) shares: BTreeMap<ShareId, Stamped<ShareRec>>,
+    pub(crate) machines: BTreeMap<MachineId, Stamped<MachineRec>>,
+    pub(crate) charters: BTreeMap<String, Stamped<CharterRec>>,
+    pub(crate) types: BTreeMap<String, Stamped<MachineType>>,
+    pub(crate) demands: BTreeMap<ShareId, Stamped<DemandRec>>,
+    pub(crate) aborts: BTreeMap<JobId, u64>,
+}
+
+fn decode<T: DeserializeOwned>(key: &str, value: Value, version: u64) -> Option<Stamped<T>> {
+    match serde_json::from_value(value) {
+        Ok(rec) => Some(Stamped { rec, version }),
+        Err(e) => {
+            log::error!("record {key} is not understood: {e}");
+            None
+        }
+    }
+}
+
+impl View {
+    /// Replaces everything by a full listing.
+    pub(crate) fn replace(&mut self, items: Vec<Item>, revision: u64) {
+        *self = Self {
+            revision,
+            ready: true,
+            ..Self::default()
+        };
+        for item in items {
+            self.put(&item.key, item.value, item.version);
+        }
+    }
+
+    /// Applies what a watch has shown.
+    pub(crate) fn apply(&mut self, events: Vec<Change>, revision: u64) {
+        for event in events {
+            match event {
+                Change::Put {
+                    put,
+                    value,
+                    version,
+                } if version > self.revision => {
+                    self.put(&put, value, version);
+                }
+                Change::Remove { remove, version } if version > self.revision => {
+                    self.remove(&remove);
+                }
+                _ => {}
+            }
+        }
+        self.revision = self.revision.max(revision);
+    }
+
+    fn put(&mut self, key: &str, value: Value, v: u64) {
+        if key == EPOCH {
+            self.epoch = decode(key, value, v);
+            return;
+        }
+        if key == LEADER {
+            self.leader = decode(key, value, v);
+            return;
+        }
+        let Some((kind, name)) = key.strip_prefix("c/").and_then(|k| k.split_once('/')) else {
+            return;
+        };
+        fn set<K: Ord, T: DeserializeOwned>(
+            map: &mut BTreeMap<K, Stamped<T>>,
+            name: K,
+            key: &str,
+            value: Value,
+            v: u64,
+        ) {
+            match decode(key, value, v) {
+                Some(found) => map.insert(name, found),
+                None => map.remove(&name),
+            };
+        }
+        match kind {
+            "node" => set(&mut self.nodes, NodeName::new(name), key, value, v),
+            "machine" => set(&mut self.machines, MachineId::new(name), key, value, v),
+            "charter" => set(&mut self.charters, name.to_owned(), key, value, v),
+            "rig" => set(&mut self.types, name.to_owned(), key, value, v),
+            "abort" => {
+                self.aborts.insert(JobId::new(name), v);
+            }
+            "share" | "demand" => {
+                let Ok(k) = name.parse().map(ShareId) else {
+                    return;
+                };
+                if kind == "share" {
+                    set(&mut self.shares, k, key, value, v);
+                } else {
+                    set(&mut self.demands, k, key, value, v);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn remove(&mut self, key: &str) {
+        if key == EPOCH {
+            self.epoch = None;
+        } else if key == LEADER {
+            self.leader = None;
+        }
+        let Some((kind, name)) = key.strip_prefix("c/").and_then(|k| k.split_once('/')) else {
+            return;
+        };
+        match kind {
+            "node" => drop(self.nodes.remove(&NodeName::new(name))),
+            "machine" => drop(self.machines.remove(&MachineId::new(name))),
+            "charter" => drop(self.charters.remove(name)),
+            "rig" => drop(self.types.remove(name)),
+            "abort" => drop(self.aborts.remove(&JobId::new(name))),
+            "share" => drop(name.parse().map(|k| self.shares.remove(&ShareId(k)))),
+            "demand" => drop(name.parse().map(|k| self.demands.remove(&ShareId(k)))),
+            _ => {}
+        }
+    }
+
+    /// Version of the epoch counter, and its value.
+    pub(crate) fn epoch(&self) -> (u64, u64) {
+        self.epoch.as_ref().map_or((0, 0), |e| (e.version, e.rec))
+    }
+
+    /// Whether this start of a controller is alive, as far as is known.
+    pub(crate) fn is_alive(&self, node: &NodeName, inc: u64) -> bool {
+        self.nodes.get(node).is_some_and(|n| n.rec.inc == inc)
+    }
+
+    /// The controller that holds a share, if it is alive.
+    pub(crate) fn holder(&self, k: ShareId) -> Option<&NodeName> {
+        let share = &self.shares.get(&k)?.rec;
+        self.is_alive(&share.holder, share.inc)
+            .then_some(&share.holder)
+    }
+
+    /// All zones in which machines can be had.
+    pub(crate) fn zones(&self) -> BTreeSet<&str> {
+        let types = self.types.values();
+        types
+            .flat_map(|t| t.rec.zones.iter().map(String::as_str))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,200 @@
+//! Wiring: the owner of all state, fed by the server and by finished calls.
+
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use forkshift_core::{Config, Effect, Input, Node, Reply, Target, Token};
+use forkshift_net::{Call, Client, Executor, Request, Response, ServerLimits};
+use forkshift_wire::settings::Settings;
+use futures_lite::future;
+use rand::Rng;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// The largest body of a request.
+const BODY_MOST: usize = 64 * 1024;
+/// The largest answer that a call may have: lists of changes have no limit,
+/// but beyond this they are read again instead.
+const ANSWER_MOST: u64 = 4 * 1024 * 1024;
+/// How long the owner waits for inputs before it looks at the clock.
+const TICK: Duration = Duration::from_millis(50);
+/// A connection on which nothing moves for this long is closed.
+const IDLE: Duration = Duration::from_secs(30);
+/// Time for the body of a request.
+const READ: Duration = Duration::from_secs(5);
+/// The part of the sockets that may be taken from outside; the rest is for
+/// our own calls.
+const INCOMING_PART: f64 = 0.6;
+
+type Waiting = Rc<RefCell<HashMap<Token, Sender<Reply>>>>;
+
+/// Runs a controller until the process ends.
+pub fn run(settings: &Settings, config: Config) -> io::Result<()> {
+    let listener = TcpListener::bind(settings.listen)?;
+    let ex: Executor = Rc::new(LocalExecutor::new());
+    let mut rng = rand::rng();
+    let node = Node::new(config, rng.random_range(1..1 << 52), rng.random());
+    let (sender, receiver) = async_channel::unbounded();
+    let waiting: Waiting = Rc::default();
+    let limits = ServerLimits {
+        connections: (settings.cluster.limits.sockets as f64 * INCOMING_PART) as usize,
+        body: BODY_MOST,
+        idle: IDLE,
+        read: READ,
+    };
+    let handler = handler(sender.clone(), waiting.clone());
+    ex.spawn(forkshift_net::serve(ex.clone(), listener, limits, handler))
+        .detach();
+    log::info!("{} listens on {}", settings.node, settings.listen);
+    let owner = Owner {
+        node,
+        ex: ex.clone(),
+        client: Rc::new(Client::new(8, Duration::from_secs(20), ANSWER_MOST)),
+        state: settings.services.state,
+        cloud: settings.services.cloud,
+        sender,
+        waiting,
+        started: Instant::now(),
+    };
+    async_io::block_on(ex.run(owner.work(receiver)));
+    Ok(())
+}
+
+/// Hands requests to the owner and waits for its answers.
+fn handler(
+    sender: Sender<Input>,
+    waiting: Waiting,
+) -> impl Fn(Request) -> std::pin::Pin<Box<dyn std::future::Future<Output = Response>>> + Clone {
+    let next = Rc::new(Cell::new(0_u64));
+    move |req: Request| {
+        let (sender, waiting) = (sender.clone(), waiting.clone());
+        let token = Token(next.get());
+        next.set(token.0 + 1);
+        Box::pin(async move {
+            let (reply, answer) = async_channel::bounded(1);
+            waiting.borrow_mut().insert(token, reply);
+            let guard = Forget(waiting, token);
+            let input = Input::Request {
+                token,
+                method: req.method,
+                path: req.path,
+                body: req.body,
+            };
+            let sent = sender.send(input).await.is_ok();
+            let reply = if sent { answer.recv().await.ok() } else { None };
+            drop(guard);
+            match reply {
+                Some(reply) => Response {
+                    status: reply.status,
+                    body: reply.body,
+                    retry_after_s: reply.retry_after_s,
+                },
+                None => Response {
+                    status: 503,
+                    body: Vec::new(),
+                    retry_after_s: Some(1),
+                },
+            }
+        })
+    }
+}
+
+/// A request whose connection is gone waits for nothing any more.
+struct Forget(Waiting, Token);
+
+impl Drop for Forget {
+    fn drop(&mut self) {
+        self.0.borrow_mut().remove(&self.1);
+    }
+}
+
+struct Owner {
+    node: Node,
+    ex: Executor,
+    client: Rc<Client>,
+    state: SocketAddr,
+    cloud: SocketAddr,
+    sender: Sender<Input>,
+    waiting: Waiting,
+    started: Instant,
+}
+
+impl Owner {
+    async fn work(mut self, receiver: Receiver<Input>) {
+        let mut swept = Instant::now();
+        loop {
+            let next = async { receiver.recv().await.ok() };
+            let tick = async {
+                Timer::after(TICK).await;
+                None
+            };
+            let mut batch: Vec<Input> = future::or(next, tick).await.into_iter().collect();
+            while let Ok(input) = receiver.try_recv() {
+                batch.push(input);
+            }
+            let now = self.started.elapsed().as_millis() as u64;
+            for effect in self.node.step(now, batch) {
+                self.carry_out(effect);
+            }
+            if swept.elapsed() > Duration::from_secs(5) {
+                swept = Instant::now();
+                self.client.sweep();
+            }
+            future::yield_now().await;
+        }
+    }
+
+    fn carry_out(&self, effect: Effect) {
+        match effect {
+            Effect::Respond { token, reply } => {
+                if let Some(sender) = self.waiting.borrow_mut().remove(&token) {
+                    let _ = sender.try_send(reply);
+                }
+            }
+            Effect::Call {
+                id,
+                target,
+                method,
+                path,
+                body,
+                timeout,
+            } => {
+                let addr = match &target {
+                    Target::State => Some(self.state),
+                    Target::Cloud => Some(self.cloud),
+                    Target::Worker(addr) => addr.parse().ok(),
+                };
+                let (client, sender) = (self.client.clone(), self.sender.clone());
+                self.ex
+                    .spawn(async move {
+                        let (status, body) = match addr {
+                            Some(addr) => {
+                                let timeout = Duration::from_millis(timeout);
+                                let call = Call {
+                                    addr,
+                                    method,
+                                    path,
+                                    body,
+                                    timeout,
+                                };
+                                let outcome = client.call(call).await;
+                                (outcome.status, outcome.body)
+                            }
+                            None => (0, Vec::new()),
+                        };
+                        let answer = Input::Answer {
+                            call: id,
+                            status,
+                            body,
+                        };
+                        let _ = sender.send(answer).await;
+                    })
+                    .detach();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/net/src/client.rs
@@ -0,0 +1,179 @@
+//! The client for state service, cloud and workers.
+//!
+//! Connections are kept and used again. A call is made once: whether it is
+//! repeated is for the caller to say, who knows what a repetition means.
+
+use crate::stream::Stream;
+use async_io::Timer;
+use futures_lite::{future, AsyncReadExt};
+use http_types::{Body, Method, Url};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// One request to a service or a worker.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Whom to ask.
+    pub addr: SocketAddr,
+    /// Whether it is a POST, a GET or a DELETE.
+    pub method: &'static str,
+    /// Path and query.
+    pub path: String,
+    /// JSON.
+    pub body: Option<Vec<u8>>,
+    /// No answer counts after this.
+    pub timeout: Duration,
+}
+
+/// The answer; status 0 stands for none.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// HTTP status, or 0.
+    pub status: u16,
+    /// The body as it came.
+    pub body: Vec<u8>,
+}
+
+struct Idle {
+    stream: Stream,
+    since: Instant,
+}
+
+/// Keeps connections for reuse.
+pub struct Client {
+    idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+    per_host: usize,
+    keep: Duration,
+    largest: u64,
+}
+
+impl Client {
+    /// A client that keeps up to `per_host` idle connections to each host for
+    /// `keep`, and takes answers of up to `largest` bytes.
+    pub fn new(per_host: usize, keep: Duration, largest: u64) -> Self {
+        Self {
+            idle: RefCell::default(),
+            per_host,
+            keep,
+            largest,
+        }
+    }
+
+    /// Makes a call, once.
+    pub async fn call(&self, call: Call) -> Outcome {
+        let work = async {
+            match self.attempt(&call).await {
+                Ok(outcome) => outcome,
+                Err(e) => {
+                    log::debug!("{} {} {}: {e}", call.addr, call.method, call.path);
+                    NO_ANSWER
+                }
+            }
+        };
+        let late = async {
+            Timer::after(call.timeout).await;
+            log::debug!("{} {} {}: no answer", call.addr, call.method, call.path);
+            NO_ANSWER
+        };
+        future::or(work, late).await
+    }
+
+    /// Closes connections that were not used for a while.
+    pub fn sweep(&self) {
+        let keep = self.keep;
+        self.idle.borrow_mut().retain(|_, list| {
+            list.retain(|idle| idle.since.elapsed() < keep);
+            !list.is_empty()
+        });
+    }
+
+    fn reuse(&self, addr: SocketAddr) -> Option<Stream> {
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.get_mut(&addr)?;
+        while let Some(found) = list.pop() {
+            if found.since.elapsed() < self.keep && found.stream.is_quiet() {
+                return Some(found.stream);
+            }
+        }
+        None
+    }
+
+    async fn attempt(&self, call: &Call) -> http_types::Result<Outcome> {
+        let stream = match self.reuse(call.addr) {
+            Some(stream) => stream,
+            None => Stream::connect(call.addr).await?,
+        };
+        let guard = CloseOnDrop(Some(stream));
+        let method = match call.method {
+            "GET" => Method::Get,
+            "DELETE" => Method::Delete,
+            _ => Method::Post,
+        };
+        let url = Url::parse(&format!("http://{}{}", call.addr, call.path))?;
+        let mut req = http_types::Request::new(method, url);
+        if let Some(body) = &call.body {
+            req.set_body(Body::from_bytes(body.clone()));
+            req.insert_header("content-type", "application/json");
+        }
+        let Some(stream) = guard.0.as_ref() else {
+            return Ok(NO_ANSWER);
+        };
+        let mut res = async_h1::connect(stream.clone(), req).await?;
+        let mut body = Vec::new();
+        (&mut res)
+            .take(self.largest + 1)
+            .read_to_end(&mut body)
+            .await?;
+        if body.len() as u64 > self.largest {
+            return Err(http_types::Error::from_str(
+                http_types::StatusCode::PayloadTooLarge,
+                "answer too long",
+            ));
+        }
+        let closing = res
+            .header("connection")
+            .is_some_and(|v| v.as_str().eq_ignore_ascii_case("close"));
+        let outcome = Outcome {
+            status: res.status().into(),
+            body,
+        };
+        if !closing {
+            self.put_back(call.addr, guard.keep());
+        }
+        Ok(outcome)
+    }
+
+    fn put_back(&self, addr: SocketAddr, stream: Option<Stream>) {
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.entry(addr).or_default();
+        if let (Some(stream), true) = (stream, list.len() < self.per_host) {
+            let since = Instant::now();
+            list.push(Idle { stream, since });
+        }
+    }
+}
+
+const NO_ANSWER: Outcome = Outcome {
+    status: 0,
+    body: Vec::new(),
+};
+
+/// A call that is given up must not leave its connection behind: an answer
+/// that comes late would be taken for that of the next call.
+struct CloseOnDrop(Option<Stream>);
+
+impl CloseOnDrop {
+    fn keep(mut self) -> Option<Stream> {
+        self.0.take()
+    }
+}
+
+impl Drop for CloseOnDrop {
+    fn drop(&mut self) {
+        if let Some(stream) = self.0.take() {
+            stream.close();
+        }
+    }
+}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,16 @@
+//! HTTP/1.1 server and client of forkshift, on `async-h1` and `async-io`.
+//!
+//! Everything runs on one thread, on a local executor.
+
+mod client;
+mod server;
+mod stream;
+
+pub use client::{Call, Client, Outcome};
+pub use server::{serve, Request, Response, ServerLimits};
+
+use async_executor::LocalExecutor;
+use std::rc::Rc;
+
+/// The executor that all of a process runs on.
+pub type Executor = Rc<LocalExecutor<'static>>;
--- /dev/null
+++ b/crates/net/src/server.rs
@@ -0,0 +1,162 @@
+//! The server that users, workers and probes come to.
+
+use crate::stream::Stream;
+use crate::Executor;
+use async_io::{Async, Timer};
+use futures_lite::{future, AsyncReadExt};
+use http_types::{Body, Method, StatusCode};
+use std::cell::Cell;
+use std::future::Future;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A request, read whole.
+#[derive(Debug)]
+pub struct Request {
+    /// `GET`, `POST`, …
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// The body; none if it was longer than allowed.
+    pub body: Option<Vec<u8>>,
+}
+
+/// An answer.
+#[derive(Clone, Debug)]
+pub struct Response {
+    /// HTTP status.
+    pub status: u16,
+    /// JSON.
+    pub body: Vec<u8>,
+    /// When to come back.
+    pub retry_after_s: Option<u32>,
+}
+
+/// What bounds the server.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerLimits {
+    /// Connections at a time.
+    pub connections: usize,
+    /// Largest body.
+    pub body: usize,
+    /// A connection on which nothing moves for this long is closed.
+    pub idle: Duration,
+    /// Time for the body of a request.
+    pub read: Duration,
+}
+
+/// Serves until the process ends.
+pub async fn serve<F, Fut>(ex: Executor, listener: TcpListener, limits: ServerLimits, handler: F)
+where
+    F: Fn(Request) -> Fut + Clone + 'static,
+    Fut: Future<Output = Response> + 'static,
+{
+    let listener = match Async::new(listener) {
+        Ok(listener) => listener,
+        Err(e) => {
+            log::error!("cannot listen: {e}");
+            return;
+        }
+    };
+    let open = Rc::new(Cell::new(0_usize));
+    loop {
+        // Connections beyond the limit wait in the backlog, where the load
+        // balancer sees them as not accepted and goes elsewhere.
+        if open.get() >= limits.connections {
+            Timer::after(Duration::from_millis(20)).await;
+            continue;
+        }
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => Stream::new(stream),
+            Err(e) => {
+                log::debug!("accept: {e}");
+                Timer::after(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        open.set(open.get() + 1);
+        let (open, handler) = (open.clone(), handler.clone());
+        ex.spawn(async move {
+            connection(&stream, limits, handler).await;
+            stream.close();
+            open.set(open.get() - 1);
+        })
+        .detach();
+    }
+}
+
+async fn connection<F, Fut>(stream: &Stream, limits: ServerLimits, handler: F)
+where
+    F: Fn(Request) -> Fut + 'static,
+    Fut: Future<Output = Response> + 'static,
+{
+    let endpoint = |req: http_types::Request| answer(req, limits, &handler);
+    let serving = async_h1::accept(stream.clone(), endpoint);
+    let idle = async {
+        while stream.idle_for() < limits.idle {
+            Timer::after(limits.idle - stream.idle_for()).await;
+        }
+        Ok(())
+    };
+    if let Err(e) = future::or(serving, idle).await {
+        log::debug!("connection: {e}");
+    }
+}
+
+async fn answer<F, Fut>(
+    mut req: http_types::Request,
+    limits: ServerLimits,
+    handler: &F,
+) -> http_types::Result<http_types::Response>
+where
+    F: Fn(Request) -> Fut,
+    Fut: Future<Output = Response>,
+{
+    let method = match req.method() {
+        Method::Get => "GET".to_owned(),
+        Method::Post => "POST".to_owned(),
+        other => other.to_string(),
+    };
+    let url = req.url();
+    let path = match url.query() {
+        Some(query) => format!("{}?{query}", url.path()),
+        None => url.path().to_owned(),
+    };
+    let mut whole = true;
+    let mut body = Vec::new();
+    if req.len().is_some_and(|len| len > limits.body) {
+        whole = false;
+    } else if req.len() != Some(0) && method != "GET" {
+        let reading = async {
+            let limit = limits.body as u64 + 1;
+            (&mut req).take(limit).read_to_end(&mut body).await
+        };
+        let late = async {
+            Timer::after(limits.read).await;
+            Err(std::io::ErrorKind::TimedOut.into())
+        };
+        if let Err(e) = future::or(reading, late).await {
+            return Err(http_types::Error::new(StatusCode::RequestTimeout, e));
+        }
+        whole = body.len() <= limits.body;
+    }
+    let reply = handler(Request {
+        method,
+        path,
+        body: whole.then_some(body),
+    })
+    .await;
+    let status = StatusCode::try_from(reply.status).unwrap_or(StatusCode::InternalServerError);
+    let mut res = http_types::Response::new(status);
+    res.set_body(Body::from_bytes(reply.body));
+    res.insert_header("content-type", "application/json");
+    if let Some(seconds) = reply.retry_after_s {
+        res.insert_header("retry-after", seconds.to_string());
+    }
+    if !whole {
+        // The rest of the body is not worth reading.
+        res.insert_header("connection", "close");
+    }
+    Ok(res)
+}
