--- /dev/null
+++ b/crates/net/src/stream.rs
@@ -0,0 +1,94 @@
+//! A TCP stream that can be shared and knows when it was last of use.
+
+use async_io::Async;
+use futures_lite::io::{AsyncRead, AsyncWrite};
+use std::io;
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+/// A cheap handle to one connection.
+#[derive(Clone)]
+pub(crate) struct Stream(Arc<Inner>);
+
+struct Inner {
+    tcp: Async<TcpStream>,
+    opened: Instant,
+    /// Milliseconds from `opened` to the last byte that moved.
+    moved_ms: AtomicU64,
+}
+
+impl Stream {
+    pub(crate) fn new(inner: Async<TcpStream>) -> Self {
+        // A request is written at once; waiting for more to send would only add a round trip.
+        let _ = inner.get_ref().set_nodelay(true);
+        Self(Arc::new(Inner {
+            tcp: inner,
+            opened: Instant::now(),
+            moved_ms: AtomicU64::new(0),
+        }))
+    }
+
+    pub(crate) async fn connect(addr: SocketAddr) -> io::Result<Self> {
+        Ok(Self::new(Async::<TcpStream>::connect(addr).await?))
+    }
+
+    /// How long nothing has moved.
+    pub(crate) fn idle_for(&self) -> Duration {
+        let moved = Duration::from_millis(self.0.moved_ms.load(Ordering::Relaxed));
+        self.0.opened.elapsed().saturating_sub(moved)
+    }
+
+    fn touch<T>(&self, moved: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        if let Poll::Ready(Ok(_)) = &moved {
+            let ms = self.0.opened.elapsed().as_millis() as u64;
+            self.0.moved_ms.store(ms, Ordering::Relaxed);
+        }
+        moved
+    }
+
+    /// Ends the connection, for all handles.
+    pub(crate) fn close(&self) {
+        let _ = self.0.tcp.get_ref().shutdown(Shutdown::Both);
+    }
+
+    /// Whether nothing has come in, not even an end: only then may the
+    /// connection serve another request.
+    pub(crate) fn is_quiet(&self) -> bool {
+        let mut byte = [0_u8; 1];
+        matches!(self.0.tcp.get_ref().peek(&mut byte), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut &self.0.tcp).poll_read(cx, buf);
+        self.touch(polled)
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut &self.0.tcp).poll_write(cx, buf);
+        self.touch(polled)
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut &self.0.tcp).poll_flush(cx)
+    }
+
+    fn poll_close(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut &self.0.tcp).poll_close(cx)
+    }
+}
--- /dev/null
+++ b/crates/sched/src/round.rs
@@ -0,0 +1,378 @@
+//! A round: waiting tasks are placed greedily, longest first.
+
+use crate::quota::Quota;
+use crate::resources::Resources;
+use crate::score::{choose, Candidate, Weights};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A machine as a round sees it: a local booking that shrinks with each choice.
+#[derive(Clone, Debug)]
+pub struct Host {
+    /// What is free.
+    pub free: Resources,
+    /// Type, as a number given by the caller.
+    pub machine_type: u16,
+    /// Zone, likewise.
+    pub zone: u16,
+    /// Whether the cloud may take it back.
+    pub spot: bool,
+    /// Price a second.
+    pub price: f64,
+    /// GB a second.
+    pub fetch_rate: f64,
+    /// Images that are there, or on their way.
+    pub images: BTreeSet<u32>,
+    /// Extra seconds before anything can start (a machine that still boots).
+    pub delay: f64,
+}
+
+/// A job's waiting tasks.
+#[derive(Clone, Debug)]
+pub struct Want {
+    /// What each task takes.
+    pub task: Resources,
+    /// Tasks that wait, at most as many as the round may place.
+    pub waiting: Vec<u32>,
+    /// All tasks of the job.
+    pub total: u32,
+    /// Place all of `waiting`, or none.
+    pub gang: bool,
+    /// Larger goes first; within a band, the longest estimate.
+    pub band: i32,
+    /// Predicted run time.
+    pub estimate: f64,
+    /// The team's place in the quotas.
+    pub team: usize,
+    /// Image, as a number given by the caller.
+    pub image: u32,
+    /// Its size.
+    pub image_gb: f64,
+    /// Allowed types; none: any.
+    pub types: Option<Vec<u16>>,
+    /// The only allowed zone.
+    pub zone: Option<u16>,
+    /// All tasks in one zone.
+    pub one_zone: bool,
+    /// At most half of the tasks, rounded up, in one zone.
+    pub spread: bool,
+    /// May use spot machines.
+    pub spot: bool,
+    /// Zones of the tasks that may be on machines.
+    pub zones: BTreeMap<u16, u32>,
+    /// Hosts that it is kept away from.
+    pub avoid: BTreeSet<usize>,
+}
+
+impl Want {
+    /// Whether a task may go to a zone, given the job's other tasks.
+    pub fn zone_allowed(&self, zone: u16) -> bool {
+        if self.zone.is_some_and(|z| z != zone) {
+            return false;
+        }
+        if self.one_zone && self.zones.iter().any(|(z, n)| *z != zone && *n > 0) {
+            return false;
+        }
+        let here = self.zones.get(&zone).copied().unwrap_or(0);
+        !self.spread || here < self.total.div_ceil(2)
+    }
+
+    /// Whether a task may go to such a machine at all.
+    pub fn allowed(&self, machine_type: u16, zone: u16, spot: bool) -> bool {
+        (self.spot || !spot)
+            && self
+                .types
+                .as_ref()
+                .is_none_or(|t| t.contains(&machine_type))
+            && self.zone_allowed(zone)
+    }
+}
+
+/// A task's place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Placement {
+    /// Index of the job.
+    pub want: usize,
+    /// The task's number.
+    pub task: u32,
+    /// Index of the host.
+    pub host: usize,
+}
+
+/// Places what has room. Placed tasks leave `waiting`; what has no room stays
+/// there for the next round.
+pub fn run_round(
+    wants: &mut [Want],
+    hosts: &mut [Host],
+    quotas: &mut [Quota],
+    weights: &Weights,
+) -> Vec<Placement> {
+    let mut order: Vec<usize> = (0..wants.len()).collect();
+    order.sort_by(|&a, &b| {
+        let key = |i: usize| Reverse(wants[i].band);
+        key(a)
+            .cmp(&key(b))
+            .then(wants[b].estimate.total_cmp(&wants[a].estimate))
+    });
+    let mut placed = Vec::new();
+    for i in order {
+        let want = &mut wants[i];
+        if want.gang {
+            placed.extend(place_gang(i, want, hosts, quotas, weights));
+            continue;
+        }
+        while let Some(&task) = want.waiting.first() {
+            let Some(host) = place_one(want, hosts, quotas, weights, None) else {
+                break;
+            };
+            want.waiting.remove(0);
+            placed.push(Placement {
+                want: i,
+                task,
+                host,
+            });
+        }
+    }
+    placed
+}
+
+/// Chooses a host for one task and books it.
+fn place_one(
+    want: &mut Want,
+    hosts: &mut [Host],
+    quotas: &mut [Quota],
+    weights: &Weights,
+    zone: Option<u16>,
+) -> Option<usize> {
+    if !quotas[want.team].allows(&want.task) {
+        return None;
+    }
+    let mut index = Vec::new();
+    let mut candidates = Vec::new();
+    for (i, host) in hosts.iter().enumerate() {
+        let fits = want.task.fits(&host.free)
+            && zone.is_none_or(|z| z == host.zone)
+            && want.allowed(host.machine_type, host.zone, host.spot)
+            && !want.avoid.contains(&i);
+        if !fits {
+            continue;
+        }
+        let fetch = if host.images.contains(&want.image) || host.fetch_rate <= 0.0 {
+            0.0
+        } else {
+            want.image_gb / host.fetch_rate
+        };
+        index.push(i);
+        candidates.push(Candidate {
+            free: host.free,
+            cost: host.price * want.estimate,
+            latency: host.delay + fetch,
+        });
+    }
+    let chosen = index[choose(&want.task, &candidates, weights)?];
+    let host = &mut hosts[chosen];
+    host.free -= want.task;
+    host.images.insert(want.image);
+    quotas[want.team].used += want.task;
+    *want.zones.entry(host.zone).or_default() += 1;
+    Some(chosen)
+}
+
+/// Places all waiting tasks of a gang, or undoes them together.
+fn place_gang(
+    index: usize,
+    want: &mut Want,
+    hosts: &mut [Host],
+    quotas: &mut [Quota],
+    weights: &Weights,
+) -> Vec<Placement> {
+    let zones: Vec<Option<u16>> = if want.one_zone {
+        let all: BTreeSet<u16> = hosts.iter().map(|h| h.zone).collect();
+        all.into_iter().map(Some).collect()
+    } else {
+        vec![None]
+    };
+    for zone in zones {
+        let before = (want.zones.clone(), quotas[want.team].used);
+        let mut booked: Vec<(usize, bool)> = Vec::new();
+        let mut placed = Vec::new();
+        for task in want.waiting.clone() {
+            let known: BTreeSet<usize> = hosts
+                .iter()
+                .enumerate()
+                .filter(|(_, h)| h.images.contains(&want.image))
+                .map(|(i, _)| i)
+                .collect();
+            let Some(host) = place_one(want, hosts, quotas, weights, zone) else {
+                break;
+            };
+            booked.push((host, known.contains(&host)));
+            placed.push(Placement {
+                want: index,
+                task,
+                host,
+            });
+        }
+        if placed.len() == want.waiting.len() {
+            want.waiting.clear();
+            return placed;
+        }
+        for (host, had_image) in booked.into_iter().rev() {
+            hosts[host].free += want.task;
+            if !had_image {
+                hosts[host].images.remove(&want.image);
+            }
+        }
+        (want.zones, quotas[want.team].used) = before;
+    }
+    Vec::new()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn host(gpus: f64, zone: u16) -> Host {
+        Host {
+            free: Resources::new(64.0, gpus, 256.0),
+            machine_type: 0,
+            zone,
+            spot: false,
+            price: 1.0,
+            fetch_rate: 1.0,
+            images: BTreeSet::new(),
+            delay: 0.0,
+        }
+    }
+
+    fn want(tasks: u32, gpus: f64) -> Want {
+        Want {
+            task: Resources::new(1.0, gpus, 1.0),
+            waiting: (0..tasks).collect(),
+            total: tasks,
+            gang: false,
+            band: 0,
+            estimate: 10.0,
+            team: 0,
+            image: 0,
+            image_gb: 1.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: true,
+            zones: BTreeMap::new(),
+            avoid: BTreeSet::new(),
+        }
+    }
+
+    fn quota(gpus: f64) -> Vec<Quota> {
+        vec![Quota {
+            limit: Resources::new(1000.0, gpus, 0.0),
+            ..Quota::default()
+        }]
+    }
+
+    fn run(wants: &mut [Want], hosts: &mut [Host], gpus: f64) -> Vec<Placement> {
+        run_round(wants, hosts, &mut quota(gpus), &Weights::default())
+    }
+
+    #[test]
+    fn the_longest_goes_first_within_its_band() {
+        let mut wants = [want(1, 8.0), want(1, 8.0), want(1, 8.0)];
+        wants[1].estimate = 20.0;
+        wants[2].band = 1;
+        wants[2].estimate = 1.0;
+        let mut hosts = [host(8.0, 0), host(8.0, 0)];
+        let placed = run(&mut wants, &mut hosts, 100.0);
+        let order: Vec<usize> = placed.iter().map(|p| p.want).collect();
+        assert_eq!(order, [2, 1]);
+        assert_eq!(wants[0].waiting, [0], "what has no room waits");
+    }
+
+    #[test]
+    fn each_choice_is_booked_before_the_next() {
+        let mut wants = [want(5, 4.0)];
+        let mut hosts = [host(8.0, 0), host(8.0, 0)];
+        assert_eq!(run(&mut wants, &mut hosts, 100.0).len(), 4);
+        assert!(hosts.iter().all(|h| h.free.gpus == 0));
+    }
+
+    #[test]
+    fn zones_are_kept_to() {
+        type Case = (&'static str, fn(&mut Want), usize);
+        let cases: [Case; 6] = [
+            ("anywhere", |_| (), 4),
+            ("one zone", |w| w.one_zone = true, 2),
+            (
+                "one zone, held to by a task that is there",
+                |w| {
+                    w.one_zone = true;
+                    w.zones.insert(7, 1);
+                },
+                0,
+            ),
+            ("spread", |w| w.spread = true, 4),
+            (
+                "spread, half of it is there already",
+                |w| {
+                    w.spread = true;
+                    w.zones.insert(0, 2);
+                },
+                2,
+            ),
+            ("a zone of its own", |w| w.zone = Some(1), 2),
+        ];
+        for (name, change, expected) in cases {
+            let mut wants = [want(4, 4.0)];
+            change(&mut wants[0]);
+            let mut hosts = [host(8.0, 0), host(8.0, 1)];
+            assert_eq!(run(&mut wants, &mut hosts, 100.0).len(), expected, "{name}");
+        }
+    }
+
+    #[test]
+    fn spread_of_one_task_is_one_zone() {
+        let mut wants = [want(1, 4.0)];
+        wants[0].spread = true;
+        assert_eq!(run(&mut wants, &mut [host(8.0, 0)], 100.0).len(), 1);
+    }
+
+    #[test]
+    fn a_gang_is_placed_whole_or_undone() {
+        let cases = [
+            (4, false, 100.0, 4),
+            (5, false, 100.0, 0),
+            (3, true, 100.0, 0),
+            (2, true, 100.0, 2),
+            (4, false, 15.0, 0),
+        ];
+        for (tasks, one_zone, limit, expected) in cases {
+            let mut wants = [want(tasks, 4.0)];
+            wants[0].gang = true;
+            wants[0].one_zone = one_zone;
+            let mut hosts = [host(8.0, 0), host(8.0, 1)];
+            let placed = run(&mut wants, &mut hosts, limit);
+            assert_eq!(placed.len(), expected, "{tasks} {one_zone}");
+            let free: i64 = hosts.iter().map(|h| h.free.gpus).sum();
+            assert_eq!(free, 16_000 - 4_000 * expected as i64);
+            if expected == 0 {
+                assert!(hosts.iter().all(|h| h.images.is_empty()));
+            }
+        }
+    }
+
+    #[test]
+    fn quotas_and_kinds_of_machines_are_kept_to() {
+        let mut wants = [want(4, 4.0)];
+        assert_eq!(run(&mut wants, &mut [host(16.0, 0)], 9.0).len(), 2);
+        let mut wants = [want(1, 4.0)];
+        wants[0].spot = false;
+        let mut spot = host(8.0, 0);
+        spot.spot = true;
+        assert!(run(&mut wants, &mut [spot], 100.0).is_empty());
+        let mut wants = [want(1, 4.0)];
+        wants[0].types = Some(vec![3]);
+        assert!(run(&mut wants, &mut [host(8.0, 0)], 100.0).is_empty());
+    }
+}
--- /dev/null
+++ b/crates/sched/src/score.rs
@@ -0,0 +1,139 @@
+//! The score of a machine for a task.
+
+use crate::resources::Resources;
+
+/// Weights of the score's terms; they sum to 1.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Weights {
+    /// Of fit.
+    pub fit: f64,
+    /// Of cost.
+    pub cost: f64,
+    /// Of latency.
+    pub latency: f64,
+}
+
+impl Default for Weights {
+    fn default() -> Self {
+        Self {
+            fit: 1.0 / 3.0,
+            cost: 1.0 / 3.0,
+            latency: 1.0 / 3.0,
+        }
+    }
+}
+
+/// What the score needs to know of a machine that has room for the task.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// What is free there.
+    pub free: Resources,
+    /// Price of the task's estimated run there.
+    pub cost: f64,
+    /// Seconds until its image is there.
+    pub latency: f64,
+}
+
+/// The average share of what is free that the task fills. A resource of which
+/// nothing is free says nothing about the fit and is left out.
+pub fn fit(task: &Resources, free: &Resources) -> f64 {
+    let pairs = [
+        (task.cpus, free.cpus),
+        (task.gpus, free.gpus),
+        (task.memory, free.memory),
+    ];
+    let (mut sum, mut n) = (0.0, 0);
+    for (part, whole) in pairs {
+        if whole > 0 {
+            sum += part as f64 / whole as f64;
+            n += 1;
+        }
+    }
+    if n == 0 {
+        0.0
+    } else {
+        sum / f64::from(n)
+    }
+}
+
+/// Index of the candidate with the highest score; of equals, the first.
+pub fn choose(task: &Resources, candidates: &[Candidate], w: &Weights) -> Option<usize> {
+    let most = |f: fn(&Candidate) -> f64| candidates.iter().map(f).fold(0.0, f64::max);
+    let (cost, latency) = (most(|c| c.cost), most(|c| c.latency));
+    // A maximum of zero zeroes its term.
+    let part = |x: f64, max: f64| if max > 0.0 { x / max } else { 0.0 };
+    let mut best: Option<(usize, f64)> = None;
+    for (i, c) in candidates.iter().enumerate() {
+        let score = w.fit * fit(task, &c.free)
+            - w.cost * part(c.cost, cost)
+            - w.latency * part(c.latency, latency);
+        if best.is_none_or(|(_, b)| score > b) {
+            best = Some((i, score));
+        }
+    }
+    best.map(|(i, _)| i)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn candidate(cpus: f64, cost: f64, latency: f64) -> Candidate {
+        Candidate {
+            free: Resources::new(cpus, 0.0, cpus),
+            cost,
+            latency,
+        }
+    }
+
+    #[test]
+    fn the_highest_score_wins() {
+        let task = Resources::new(4.0, 0.0, 4.0);
+        let w = Weights::default();
+        let cases: [(&str, Vec<Candidate>, Option<usize>); 6] = [
+            ("no candidates", vec![], None),
+            (
+                "zero maxima: fit decides",
+                vec![candidate(8.0, 0.0, 0.0), candidate(4.0, 0.0, 0.0)],
+                Some(1),
+            ),
+            (
+                "a tie goes to the first",
+                vec![candidate(8.0, 1.0, 1.0), candidate(8.0, 1.0, 1.0)],
+                Some(0),
+            ),
+            (
+                "cheaper wins at equal fit",
+                vec![candidate(8.0, 3.0, 0.0), candidate(8.0, 1.0, 0.0)],
+                Some(1),
+            ),
+            (
+                "a cached image wins at equal cost",
+                vec![candidate(8.0, 1.0, 7.0), candidate(8.0, 1.0, 0.0)],
+                Some(1),
+            ),
+            (
+                "fit enters raw: 1 against 1/2 outweighs a third of the cost",
+                vec![candidate(8.0, 2.0, 0.0), candidate(4.0, 3.0, 0.0)],
+                Some(1),
+            ),
+        ];
+        for (name, candidates, expected) in cases {
+            assert_eq!(choose(&task, &candidates, &w), expected, "{name}");
+        }
+    }
+
+    #[test]
+    fn fit_leaves_out_what_is_not_there() {
+        let cases = [
+            ((4.0, 0.0, 4.0), (8.0, 0.0, 16.0), 0.375),
+            ((4.0, 1.0, 4.0), (8.0, 2.0, 8.0), 0.5),
+            ((4.0, 0.0, 4.0), (8.0, 8.0, 8.0), 1.0 / 3.0),
+            ((0.0, 0.0, 0.0), (0.0, 0.0, 0.0), 0.0),
+        ];
+        for ((a, b, c), (x, y, z), expected) in cases {
+            let got = fit(&Resources::new(a, b, c), &Resources::new(x, y, z));
+            assert!((got - expected).abs() < 1e-9, "{a} {b} {c}: {got}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/users.rs
@@ -0,0 +1,257 @@
+//! Users and controllers: submissions and questions about them.
+
+use crate::ids::JobId;
+use serde::{Deserialize, Serialize};
+
+/// A job as its user submits it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    /// The job's id, chosen by its user.
+    #[serde(rename = "uid")]
+    pub id: JobId,
+    /// Class of jobs that it belongs to.
+    #[serde(rename = "roster")]
+    pub class: String,
+    /// Team that pays.
+    #[serde(rename = "crew")]
+    pub team: String,
+    /// Array, gang or service.
+    #[serde(rename = "shape")]
+    pub kind: JobKind,
+    /// Its priority.
+    #[serde(rename = "rank")]
+    pub priority: Priority,
+    /// Number of tasks.
+    #[serde(rename = "shifts")]
+    pub tasks: u32,
+    /// CPUs of each task.
+    pub cpus: f64,
+    /// GPUs of each task.
+    #[serde(rename = "accelerators")]
+    pub gpus: f64,
+    /// Memory of each task.
+    #[serde(rename = "mem_gb")]
+    pub memory_gb: f64,
+    /// The image that a machine needs first.
+    #[serde(rename = "kit")]
+    pub image: String,
+    /// The image's size.
+    pub image_gb: f64,
+    /// Allowed machine types; none: any.
+    #[serde(rename = "rigs", default)]
+    pub types: Option<Vec<String>>,
+    /// The only allowed zone.
+    #[serde(rename = "yard", default)]
+    pub zone: Option<String>,
+    /// All tasks in one zone.
+    #[serde(rename = "same_place")]
+    pub one_zone: bool,
+    /// At most half of the tasks, rounded up, in one zone.
+    #[serde(rename = "scatter")]
+    pub spread: bool,
+    /// May use spot machines.
+    #[serde(rename = "loaner")]
+    pub spot: bool,
+    /// The owner's estimate of a task's run time.
+    #[serde(rename = "expect_s")]
+    pub estimate_s: f64,
+    /// Progress after which a running task saves by itself; 0: never.
+    #[serde(rename = "bookmark_s")]
+    pub checkpoint_s: f64,
+    /// Time a task needs for saving when it is stopped.
+    #[serde(rename = "stow_s")]
+    pub save_s: f64,
+    /// When the job should be complete, from its submission on.
+    #[serde(rename = "due_s", default)]
+    pub deadline_s: Option<f64>,
+}
+
+/// The kinds of jobs.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum JobKind {
+    /// Independent tasks.
+    #[serde(rename = "batch")]
+    Array,
+    /// All tasks run at the same time, or none does.
+    #[serde(rename = "group")]
+    Gang,
+    /// Tasks run until the job is cancelled.
+    #[serde(rename = "standing")]
+    Service,
+}
+
+/// Priorities, the highest last.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Serialize, Deserialize)]
+pub enum Priority {
+    /// Waits for everything else.
+    #[serde(rename = "idle")]
+    Low,
+    /// The usual one.
+    #[serde(rename = "standard")]
+    Normal,
+    /// Before the usual one.
+    #[serde(rename = "urgent")]
+    High,
+    /// Before everything else.
+    #[serde(rename = "production")]
+    Production,
+}
+
+/// The most tasks that a job may have.
+pub const TASKS_MOST: u32 = 100_000;
+
+/// What a submission cannot be read for.
+#[derive(Debug, thiserror::Error)]
+pub enum BadSubmission {
+    /// Not the JSON that is expected.
+    #[error("not a submission: {0}")]
+    Json(#[from] serde_json::Error),
+    /// A field is out of its range.
+    #[error("`{0}` is out of its range")]
+    Range(&'static str),
+}
+
+impl JobSpec {
+    /// Reads a submission and checks every field.
+    pub fn parse(body: &[u8]) -> Result<Self, BadSubmission> {
+        let spec: Self = serde_json::from_slice(body)?;
+        spec.check()?;
+        Ok(spec)
+    }
+
+    fn check(&self) -> Result<(), BadSubmission> {
+        let amount = |x: f64| x.is_finite() && (0.0..1e9).contains(&x);
+        let text = |s: &str| !s.is_empty() && s.len() <= 200;
+        let rules: [(&'static str, bool); 14] = [
+            ("uid", JobId::parse(self.id.as_str()).is_some()),
+            ("roster", text(&self.class)),
+            ("crew", text(&self.team)),
+            ("shifts", (1..=TASKS_MOST).contains(&self.tasks)),
+            ("cpus", amount(self.cpus)),
+            ("accelerators", amount(self.gpus)),
+            ("mem_gb", amount(self.memory_gb)),
+            ("kit", text(&self.image)),
+            ("image_gb", amount(self.image_gb)),
+            ("expect_s", amount(self.estimate_s)),
+            ("bookmark_s", amount(self.checkpoint_s)),
+            ("stow_s", amount(self.save_s)),
+            ("due_s", self.deadline_s.is_none_or(amount)),
+            (
+                "rigs",
+                self.types
+                    .as_ref()
+                    .is_none_or(|t| !t.is_empty() && t.iter().all(|n| text(n))),
+            ),
+        ];
+        match rules.iter().find(|(_, good)| !good) {
+            Some((field, _)) => Err(BadSubmission::Range(field)),
+            None => Ok(()),
+        }
+    }
+}
+
+/// Where a job stands.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum JobStage {
+    /// Accepted; no task runs.
+    #[serde(rename = "pending")]
+    Queued,
+    /// Some task runs.
+    #[serde(rename = "running")]
+    Running,
+    /// All tasks are done.
+    #[serde(rename = "done")]
+    Done,
+    /// Cancelled by its user.
+    #[serde(rename = "aborted")]
+    Cancelled,
+}
+
+impl JobStage {
+    /// Whether this is the job's last stage.
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Done | Self::Cancelled)
+    }
+}
+
+/// Answer about a job.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct JobStatus {
+    /// The job.
+    #[serde(rename = "uid")]
+    pub id: JobId,
+    /// Where it stands.
+    pub stage: JobStage,
+    /// Tasks that are done.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub done: Option<u32>,
+    /// Tasks that run.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub running: Option<u32>,
+}
+
+/// Body of an answer that refuses.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Refusal {
+    /// Why.
+    pub error: String,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn sample() -> serde_json::Value {
+        json!({"uid":"j-000412","roster":"train","crew":"vision","shape":"group","rank":"urgent","shifts":16,
+            "cpus":8.0,"accelerators":1.0,"mem_gb":64.0,"kit":"img-07","image_gb":6.2,
+            "rigs":["g8"],"yard":null,"same_place":true,"scatter":false,"loaner":true,
+            "expect_s":240.0,"bookmark_s":30.0,"stow_s":4.0,"due_s":900.0,"later":[1]})
+    }
+
+    #[test]
+    fn submissions_are_checked_field_by_field() {
+        assert!(JobSpec::parse(sample().to_string().as_bytes()).is_ok());
+        let cases = [
+            ("uid", json!("x-1")),
+            ("uid", json!(7)),
+            ("shape", json!("heap")),
+            ("rank", json!("top")),
+            ("shifts", json!(0)),
+            ("shifts", json!(100_001)),
+            ("shifts", json!(1.5)),
+            ("cpus", json!(-1.0)),
+            ("cpus", json!("8")),
+            ("accelerators", json!(null)),
+            ("rigs", json!([])),
+            ("rigs", json!("g8")),
+            ("same_place", json!(0)),
+            ("due_s", json!(-2.0)),
+        ];
+        for (field, value) in cases {
+            let mut body = sample();
+            body[field] = value.clone();
+            let read = JobSpec::parse(body.to_string().as_bytes());
+            assert!(read.is_err(), "{field} = {value}");
+        }
+        for field in ["uid", "roster", "crew", "cpus", "loaner", "expect_s"] {
+            let mut body = sample();
+            body.as_object_mut().unwrap().remove(field);
+            assert!(
+                JobSpec::parse(body.to_string().as_bytes()).is_err(),
+                "{field}"
+            );
+        }
+        for field in ["rigs", "yard", "due_s"] {
+            let mut body = sample();
+            body.as_object_mut().unwrap().remove(field);
+            assert!(
+                JobSpec::parse(body.to_string().as_bytes()).is_ok(),
+                "{field}"
+            );
+        }
+        for body in ["", "[]", "nope", "{}", "null", "{\"uid\":"] {
+            assert!(JobSpec::parse(body.as_bytes()).is_err(), "{body:?}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/workers.rs
@@ -0,0 +1,201 @@
+//! Workers and controllers: reports, commands and their answers.
+
+use crate::ids::{MachineId, TaskRef};
+use serde::{Deserialize, Serialize};
+
+/// What a worker says of itself, unasked or in answer to commands.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Report {
+    /// The machine the worker runs on.
+    #[serde(rename = "berth")]
+    pub machine: MachineId,
+    /// Where the worker takes commands.
+    pub addr: String,
+    /// Type of the machine.
+    #[serde(rename = "rig")]
+    pub machine_type: String,
+    /// Zone of the machine.
+    #[serde(rename = "yard")]
+    pub zone: String,
+    /// Whether the cloud may take the machine back.
+    #[serde(rename = "loaner", default)]
+    pub spot: bool,
+    /// The worker's session; a new one begins when its lease runs out.
+    #[serde(rename = "watch")]
+    pub session: u64,
+    /// Orders the messages of one session.
+    #[serde(rename = "tally")]
+    pub seq: u64,
+    /// The highest token that the worker has seen.
+    #[serde(rename = "baton", default)]
+    pub token: u64,
+    /// Seconds until the cloud takes the machine away.
+    #[serde(rename = "recall_s", default)]
+    pub notice_s: Option<f64>,
+    /// All tasks on the machine.
+    #[serde(rename = "shifts", default)]
+    pub tasks: Vec<TaskReport>,
+}
+
+/// One task, as its worker sees it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct TaskReport {
+    /// The task.
+    #[serde(rename = "shift")]
+    pub task: TaskRef,
+    /// Its attempt.
+    #[serde(rename = "try")]
+    pub attempt: u64,
+    /// How far it is.
+    #[serde(rename = "stage")]
+    pub stage: TaskStage,
+    /// Why it ended.
+    #[serde(rename = "cause", default, skip_serializing_if = "Option::is_none")]
+    pub cause: Option<ExitCause>,
+    /// Whether its progress was saved.
+    #[serde(rename = "stored", default)]
+    pub saved: bool,
+}
+
+/// How far a task on a machine is.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum TaskStage {
+    /// Waits for its image.
+    #[serde(rename = "fetching")]
+    Fetching,
+    /// Waits for the other tasks of its gang.
+    #[serde(rename = "gathering")]
+    Gathering,
+    /// Runs.
+    #[serde(rename = "running")]
+    Running,
+    /// Was told to stop and saves.
+    #[serde(rename = "flushing")]
+    Saving,
+    /// Ended.
+    #[serde(rename = "exited")]
+    Exited,
+}
+
+/// Why a task ended.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum ExitCause {
+    /// Completed.
+    #[serde(rename = "done")]
+    Done,
+    /// Stopped by command.
+    #[serde(rename = "stopped")]
+    Stopped,
+    /// Another task of its gang is gone.
+    #[serde(rename = "peers")]
+    Peers,
+    /// Its gang was not complete in time.
+    #[serde(rename = "alone")]
+    Alone,
+    /// Failed.
+    #[serde(rename = "error")]
+    Error,
+    /// Refused: no room on the machine.
+    #[serde(rename = "full")]
+    Full,
+    /// Refused: the machine has another attempt of it.
+    #[serde(rename = "in_use")]
+    InUse,
+    /// Refused: no such job or task.
+    #[serde(rename = "no_such")]
+    NoSuch,
+}
+
+/// A command to a worker.
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+pub struct Order {
+    /// What is to be done.
+    pub verb: Verb,
+    /// To which task.
+    #[serde(rename = "shift")]
+    pub task: TaskRef,
+    /// In which attempt.
+    #[serde(rename = "try")]
+    pub attempt: u64,
+    /// Seconds a stopped task has for saving.
+    #[serde(rename = "leave_s", skip_serializing_if = "Option::is_none", default)]
+    pub grace_s: Option<f64>,
+}
+
+/// The commands.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum Verb {
+    /// Fetch the image and run.
+    #[serde(rename = "start")]
+    Start,
+    /// Save and exit.
+    #[serde(rename = "kill")]
+    Stop,
+    /// Leave the exited task out of the reports.
+    #[serde(rename = "forget")]
+    Forget,
+}
+
+/// Body of `POST /commands`.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Commands {
+    /// Token that entitles to give commands.
+    #[serde(rename = "baton")]
+    pub token: u64,
+    /// The session that the commands are meant for.
+    #[serde(rename = "watch")]
+    pub session: u64,
+    /// Executed in this order.
+    pub orders: Vec<Order>,
+}
+
+/// Answer to a report that is accepted.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ReportReply {
+    /// Token that entitles to give commands.
+    #[serde(rename = "baton")]
+    pub token: u64,
+    /// Executed in this order.
+    pub orders: Vec<Order>,
+}
+
+/// Answer to a report that another controller should get.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Redirect {
+    /// That controller, where it is known.
+    #[serde(rename = "foreman", skip_serializing_if = "Option::is_none", default)]
+    pub report_to: Option<String>,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_report_is_read_as_the_protocol_writes_it() {
+        let text = r#"{"berth":"host-000231","addr":"10.1.0.232:9000","rig":"g8","yard":"a","loaner":true,
+            "watch":1,"tally":88,"baton":41,"recall_s":null,"news":{"x":1},
+            "shifts":[{"shift":"j-000412/3","try":2,"stage":"running"},
+                      {"shift":"j-000398/0","try":1,"stage":"exited","cause":"stopped","stored":true}]}"#;
+        let report: Report = serde_json::from_str(text).unwrap();
+        assert_eq!((report.session, report.seq, report.token), (1, 88, 41));
+        assert!(report.spot && report.notice_s.is_none());
+        assert_eq!(report.tasks[0].stage, TaskStage::Running);
+        assert_eq!(report.tasks[1].cause, Some(ExitCause::Stopped));
+        assert!(report.tasks[1].saved);
+    }
+
+    #[test]
+    fn commands_are_written_in_the_platform_s_words() {
+        let order = Order {
+            verb: Verb::Stop,
+            task: "j-000377/1".parse().unwrap(),
+            attempt: 1,
+            grace_s: Some(10.0),
+        };
+        assert_eq!(
+            serde_json::to_value(&order).unwrap(),
+            serde_json::json!({"verb":"kill","shift":"j-000377/1","try":1,"leave_s":10.0})
+        );
+    }
+}
