--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -177,13 +177,20 @@
                 .values()
                 .filter(|m| m.heard.is_some())
                 .count();
+            let total: f64 = share.machines.values().map(|m| m.price).sum();
+            let used: f64 = share
+                .machines
+                .values()
+                .map(|m| m.price * m.used.largest_share(&m.total))
+                .sum();
             log::info!(
-                "share {}: {} jobs, {} tasks placed, {} of {} machines up, {} writes queued",
+                "share {}: {} jobs, {} tasks placed, {} of {} machines up, {:.0}% of their price in use, {} writes queued",
                 share.id(),
                 share.jobs.len(),
                 bound,
                 up,
                 share.machines.len(),
+                100.0 * used / total.max(1e-9),
                 self.ctx.store.len(),
             );
         }
--- /dev/null
+++ b/crates/daemon/build.rs
@@ -0,0 +1,11 @@
+//! Generates the types of the operators' settings.
+
+fn main() {
+    println!("cargo:rerun-if-changed=proto/operator.proto");
+    protobuf_codegen::Codegen::new()
+        .pure()
+        .include("proto")
+        .input("proto/operator.proto")
+        .cargo_out_dir("proto")
+        .run_from_script();
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,5 +1,6 @@
 //! The forkshift controller.
 
+mod operator;
 mod run;
 
 use clap::{Parser, Subcommand};
@@ -23,12 +24,18 @@
         /// The platform's settings (TOML).
         #[arg(long, value_name = "FILE")]
         config: PathBuf,
+        /// The operators' own settings (protobuf text format).
+        #[arg(long, value_name = "FILE")]
+        operator: Option<PathBuf>,
     },
     /// Read settings, say what is wrong with them, and exit.
     Check {
         /// The platform's settings (TOML).
         #[arg(long, value_name = "FILE")]
         config: PathBuf,
+        /// The operators' own settings (protobuf text format).
+        #[arg(long, value_name = "FILE")]
+        operator: Option<PathBuf>,
     },
 }
 
@@ -38,6 +45,8 @@
     Read(String, std::io::Error),
     #[error("{0}: {1}")]
     Settings(String, BadSettings),
+    #[error("{0}: {1}")]
+    Operator(String, operator::BadOperator),
     #[error("{0}")]
     Run(#[from] std::io::Error),
 }
@@ -45,8 +54,10 @@
 fn main() -> ExitCode {
     let args = Args::parse();
     let done = match args.command {
-        Command::Check { config } => load(&config).map(|_| println!("settings are good")),
-        Command::Serve { config } => serve(&config),
+        Command::Check { config, operator } => {
+            load(&config, operator.as_deref()).map(|_| println!("settings are good"))
+        }
+        Command::Serve { config, operator } => serve(&config, operator.as_deref()),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -57,16 +68,31 @@
     }
 }
 
-fn load(path: &Path) -> Result<Settings, Failure> {
+fn read(path: &Path) -> Result<(String, String), Failure> {
     let name = path.display().to_string();
-    let text = std::fs::read_to_string(path).map_err(|e| Failure::Read(name.clone(), e))?;
-    Settings::parse(&text).map_err(|e| Failure::Settings(name, e))
+    match std::fs::read_to_string(path) {
+        Ok(text) => Ok((name, text)),
+        Err(e) => Err(Failure::Read(name, e)),
+    }
+}
+
+fn load(config: &Path, operator: Option<&Path>) -> Result<(Settings, Operator), Failure> {
+    let (name, text) = read(config)?;
+    let settings = Settings::parse(&text).map_err(|e| Failure::Settings(name, e))?;
+    let ops = match operator {
+        None => Operator::default(),
+        Some(path) => {
+            let (name, text) = read(path)?;
+            operator::parse(&text).map_err(|e| Failure::Operator(name, e))?
+        }
+    };
+    Ok((settings, ops))
 }
 
-fn serve(path: &Path) -> Result<(), Failure> {
-    let settings = load(path)?;
+fn serve(config: &Path, operator: Option<&Path>) -> Result<(), Failure> {
+    let (settings, ops) = load(config, operator)?;
     start_log();
-    let config = Config::new(&settings, Operator::default());
+    let config = Config::new(&settings, ops);
     run::run(&settings, config)?;
     Ok(())
 }
--- /dev/null
+++ b/crates/daemon/src/operator.rs
@@ -0,0 +1,135 @@
+//! The operators' own settings, in protobuf text format.
+
+use forkshift_core::Operator;
+use forkshift_sched::Weights;
+
+#[allow(missing_docs, clippy::all, clippy::pedantic)]
+mod generated {
+    include!(concat!(env!("OUT_DIR"), "/proto/mod.rs"));
+}
+
+use generated::operator::Operator as Message;
+
+/// Why the operators' settings are refused.
+#[derive(Debug, thiserror::Error)]
+pub enum BadOperator {
+    /// Not text of the expected message.
+    #[error("{0}")]
+    Text(#[from] protobuf::text_format::ParseError),
+    /// A field is out of its range.
+    #[error("`{field}` must be {range}")]
+    Field {
+        /// The field.
+        field: &'static str,
+        /// What it must be.
+        range: &'static str,
+    },
+}
+
+/// Reads and checks the operators' settings; what they leave out keeps its default.
+pub fn parse(text: &str) -> Result<Operator, BadOperator> {
+    let message: Message = protobuf::text_format::parse_from_str(text)?;
+    let mut ops = Operator::default();
+    if let Some(w) = message.weights.as_ref() {
+        ops.weights = Weights {
+            fit: w.fit,
+            cost: w.cost,
+            latency: w.latency,
+        };
+    }
+    let fields = [
+        (message.round_s, &mut ops.round_s),
+        (message.round_gap_s, &mut ops.round_gap_s),
+        (message.assign_s, &mut ops.assign_s),
+        (message.spare, &mut ops.spare),
+        (message.idle_boots, &mut ops.idle_boots),
+        (message.silent_leases, &mut ops.silent_leases),
+    ];
+    for (given, field) in fields {
+        *field = given.unwrap_or(*field);
+    }
+    check(&ops)?;
+    Ok(ops)
+}
+
+fn check(ops: &Operator) -> Result<(), BadOperator> {
+    let w = &ops.weights;
+    let weights = [w.fit, w.cost, w.latency];
+    let unit = |x: &f64| (0.0..=1.0).contains(x);
+    let sums = (weights.iter().sum::<f64>() - 1.0).abs() < 1e-3;
+    let period = |x: f64| x > 0.0 && x <= 10.0;
+    let rules = [
+        (
+            "weights",
+            weights.iter().all(unit) && sums,
+            "parts from 0 to 1 that sum to 1",
+        ),
+        ("weights.fit", (w.fit - 1.0 / 3.0).abs() < 1e-3, "one third"),
+        ("round_s", period(ops.round_s), "above 0 and at most 10"),
+        (
+            "round_gap_s",
+            period(ops.round_gap_s),
+            "above 0 and at most 10",
+        ),
+        ("assign_s", period(ops.assign_s), "above 0 and at most 10"),
+        ("spare", (0.0..=10.0).contains(&ops.spare), "from 0 to 10"),
+        (
+            "idle_boots",
+            (0.0..=100.0).contains(&ops.idle_boots),
+            "from 0 to 100",
+        ),
+        (
+            "silent_leases",
+            (0.1..=10.0).contains(&ops.silent_leases),
+            "from 0.1 to 10",
+        ),
+    ];
+    match rules.into_iter().find(|(_, good, _)| !good) {
+        Some((field, _, range)) => Err(BadOperator::Field { field, range }),
+        None => Ok(()),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn settings_are_read_and_checked_field_by_field() {
+        let cases = [
+            ("", None),
+            ("round_s: 0.5 # quick", None),
+            ("weights { fit: 0.3333 cost: 0.2667 latency: 0.4 }", None),
+            (
+                "weights { fit: 0.3333 cost: 0.5 latency: 0.5 }",
+                Some("`weights`"),
+            ),
+            (
+                "weights { fit: 0.5 cost: 0.25 latency: 0.25 }",
+                Some("`weights.fit`"),
+            ),
+            (
+                "weights { fit: 0.3333 cost: -0.3333 latency: 1.0 }",
+                Some("`weights`"),
+            ),
+            ("round_s: 0", Some("`round_s`")),
+            ("round_gap_s: 11", Some("`round_gap_s`")),
+            ("assign_s: -1", Some("`assign_s`")),
+            ("spare: 11", Some("`spare`")),
+            ("idle_boots: -0.1", Some("`idle_boots`")),
+            ("silent_leases: 0", Some("`silent_leases`")),
+            ("speed: 1", Some("speed")),
+            ("round_s: {", Some("")),
+        ];
+        for (text, wrong) in cases {
+            match (parse(text), wrong) {
+                (Ok(_), None) => {}
+                (Err(e), Some(field)) => assert!(e.to_string().contains(field), "{text}: {e}"),
+                (Ok(_), Some(_)) => panic!("{text:?} was taken"),
+                (Err(e), None) => panic!("{text:?}: {e}"),
+            }
+        }
+        assert_eq!(parse("round_s: 0.5").unwrap().round_s, 0.5);
+        assert_eq!(parse("").unwrap().spare, Operator::default().spare);
+    }
+}
