--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -220,13 +220,17 @@
         let mut lacking = Vec::new();
         let now = ctx.now;
         let factor = ctx.cfg.ops.spare;
+        if self.counting_since.is_none() && self.machines.values().any(|m| m.heard.is_some()) {
+            self.counting_since = Some(now);
+        }
+        let elapsed = self.counting_since.map_or(0, |t| now - t);
         let mut classes: Vec<(f64, ShapeRec, f64)> = Vec::new();
         for (class, stats) in &mut self.classes {
             let Some(wait) = ctx.cfg.waits.get(class) else {
                 continue;
             };
             if *wait < boot_s {
-                classes.push((*wait, stats.last.clone(), stats.rate(now)));
+                classes.push((*wait, stats.last.clone(), stats.rate(now, elapsed)));
             }
         }
         classes.sort_by(|a, b| a.0.total_cmp(&b.0));
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -32,8 +32,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ClassStats {
     /// Tasks, fading out.
-    pub(crate) weight: f64,
-    pub(crate) at: Ms,
+    weight: f64,
+    at: Ms,
     pub(crate) last: ShapeRec,
 }
 
@@ -63,6 +63,9 @@
     pub(crate) last_round: Ms,
     pub(crate) next_progress: Ms,
     pub(crate) classes: BTreeMap<String, ClassStats>,
+    /// Since when arrivals are counted: jobs that were taken over, or came
+    /// before anything could run, are a backlog and tell of no rate.
+    pub(crate) counting_since: Option<Ms>,
     pub(crate) demand_at: Ms,
     pub(crate) demand_putting: bool,
     pub(crate) demand_shown: usize,
@@ -102,6 +105,7 @@
             last_round: 0,
             next_progress: 0,
             classes: BTreeMap::new(),
+            counting_since: None,
             demand_at: 0,
             demand_putting: false,
             demand_shown: 0,
@@ -221,7 +225,9 @@
             return;
         }
         let image = ctx.intern(&spec.image);
-        self.count_arrival(&spec, ctx.now);
+        if self.counting_since.is_some() {
+            self.count_arrival(&spec, ctx.now);
+        }
         let job = Job::new(spec, image, stamp, ctx.cfg.value_bytes, ctx.now);
         if ctx.cfg.waits.contains_key(&job.spec.class) {
             self.hurry(ctx);
@@ -515,10 +521,13 @@
         self.at = now;
     }
 
-    /// Tasks a second.
-    pub(crate) fn rate(&mut self, now: Ms) -> f64 {
+    /// Tasks a second, counted for `elapsed`. A short time is taken for
+    /// longer than it was, lest one arrival look like a rush.
+    pub(crate) fn rate(&mut self, now: Ms, elapsed: Ms) -> f64 {
         self.fade(now);
-        self.weight / (ARRIVALS_MS / 1000.0)
+        let elapsed = (elapsed as f64).max(ARRIVALS_MS / 3.0);
+        let seen = ARRIVALS_MS * (1.0 - (-elapsed / ARRIVALS_MS).exp());
+        self.weight / (seen / 1000.0)
     }
 }
 
