Empty machines that are hardly used by moving replicas

Cause: replicas run until cancelled, so machines with a few of them never went idle; cymru's fleet had 20-50% of its price in use in the last 300 s.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 mod commit;
 pub mod config;
 mod ctx;
+mod drain;
 mod evidence;
 mod job;
 mod leader;
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -62,6 +62,8 @@
     pub(crate) errors: BTreeSet<JobId>,
     /// Nothing more is placed here before this.
     pub(crate) full_until: Ms,
+    /// It is being emptied, to be returned.
+    pub(crate) draining: bool,
     /// Since when nothing has needed it.
     pub(crate) idle_since: Option<Ms>,
 }
--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -73,13 +73,15 @@
         self.lack(ctx, view, &usable, hosts, wants, quotas);
     }
 
+    /// The zone of every machine.
+    pub(crate) fn zones(&self) -> BTreeMap<MachineId, u16> {
+        let machines = self.machines.values();
+        machines.map(|m| (m.id.clone(), m.zone)).collect()
+    }
+
     /// What waits, as a round sees it.
     fn wants(&mut self, ctx: &mut Ctx, usable: &[MachineId]) -> (Vec<JobId>, Vec<Want>) {
-        let zones: BTreeMap<MachineId, u16> = self
-            .machines
-            .values()
-            .map(|m| (m.id.clone(), m.zone))
-            .collect();
+        let zones = self.zones();
         let boot_ms = self.machines.values().map(|m| m.boot_ms).max().unwrap_or(0);
         let mut ids = Vec::new();
         let mut wants = Vec::new();
@@ -87,43 +89,24 @@
             if ctx.now < job.not_before {
                 continue;
             }
-            let spec = job.spec.clone();
             let gang = job.is_gang();
             let waiting = job.waiting(if gang { usize::MAX } else { TASKS_A_ROUND });
             // What is left of a gang's last attempt must be gone first.
             if waiting.is_empty() || (gang && !job.bound.is_empty()) {
                 continue;
             }
-            let Some(&team) = self.teams.get(&spec.team) else {
+            let Some(&team) = self.teams.get(&job.spec.team) else {
                 continue;
             };
-            let mut at: BTreeMap<u16, u32> = BTreeMap::new();
-            for binding in job.bound.values() {
-                if let Some(zone) = zones.get(&binding.machine) {
-                    *at.entry(*zone).or_default() += 1;
-                }
-            }
-            let avoid = job.failed_on.iter();
-            wants.push(Want {
-                task: job.task,
-                band: band(job, &self.quotas[team], &waiting, ctx.now, boot_ms),
-                waiting,
-                total: spec.tasks,
-                gang,
-                estimate: spec.estimate_s,
-                team,
-                image: job.image,
-                image_gb: spec.image_gb,
-                types: names(ctx, spec.types.as_deref()),
-                zone: spec.zone.as_ref().map(|z| ctx.intern(z) as u16),
-                one_zone: spec.one_zone,
-                spread: spec.spread,
-                spot: spec.spot,
-                zones: at,
-                avoid: avoid
-                    .filter_map(|m| usable.iter().position(|u| u == m))
-                    .collect(),
-            });
+            let mut want = want_of(ctx, job, team, &zones);
+            want.band = band(job, &self.quotas[team], &waiting, ctx.now, boot_ms);
+            want.waiting = waiting;
+            want.avoid = job
+                .failed_on
+                .iter()
+                .filter_map(|m| usable.iter().position(|u| u == m))
+                .collect();
+            wants.push(want);
             ids.push(id.clone());
         }
         (ids, wants)
@@ -140,6 +123,13 @@
         mut wants: Vec<Want>,
         mut quotas: Vec<Quota>,
     ) {
+        let mut draining = Vec::new();
+        for machine in self.machines.values() {
+            if machine.draining {
+                draining.push(machine.id.clone());
+                hosts.push(host(machine));
+            }
+        }
         for machine in self.machines.values() {
             if machine.heard.is_none() && !machine.condemned {
                 hosts.push(coming(machine.total, machine, ctx.now));
@@ -150,7 +140,13 @@
             want.avoid.clear();
         }
         let weights = ctx.cfg.ops.weights;
-        run_round(&mut wants, &mut hosts, &mut quotas, &weights);
+        let booked = run_round(&mut wants, &mut hosts, &mut quotas, &weights);
+        for (i, id) in draining.iter().enumerate() {
+            // What is needed again is not emptied any further.
+            if booked.iter().any(|b| b.host == usable.len() + i) {
+                self.stop_draining(id);
+            }
+        }
         wants.sort_by_key(|w| std::cmp::Reverse(w.band));
         let mut shapes: Vec<ShapeRec> = Vec::new();
         let names: BTreeMap<u16, String> = type_names(ctx, view);
@@ -186,6 +182,10 @@
         shapes.extend(spare);
         shapes.truncate(SHAPES_MOST);
         self.note_idle(ctx, usable, &hosts);
+        if shapes.is_empty() {
+            hosts.truncate(usable.len());
+            self.drain(ctx, usable, &mut hosts);
+        }
         self.show_demand(ctx, view, shapes);
     }
 
@@ -263,6 +263,10 @@
 
     /// Notes since when a machine has been of no use.
     fn note_idle(&mut self, ctx: &Ctx, usable: &[MachineId], hosts: &[Host]) {
+        for machine in self.machines.values_mut().filter(|m| m.draining) {
+            let empty = machine.tasks.is_empty();
+            machine.idle_since = empty.then(|| machine.idle_since.unwrap_or(ctx.now));
+        }
         for (id, host) in usable.iter().zip(hosts) {
             let Some(machine) = self.machines.get_mut(id) else {
                 continue;
@@ -320,6 +324,40 @@
     }
 }
 
+/// A job as a round sees it, with no tasks that wait.
+pub(crate) fn want_of(
+    ctx: &mut Ctx,
+    job: &Job,
+    team: usize,
+    zones: &BTreeMap<MachineId, u16>,
+) -> Want {
+    let spec = &job.spec;
+    let mut at: BTreeMap<u16, u32> = BTreeMap::new();
+    for binding in job.bound.values() {
+        if let Some(zone) = zones.get(&binding.machine) {
+            *at.entry(*zone).or_default() += 1;
+        }
+    }
+    Want {
+        task: job.task,
+        band: 0,
+        waiting: Vec::new(),
+        total: spec.tasks,
+        gang: job.is_gang(),
+        estimate: spec.estimate_s,
+        team,
+        image: job.image,
+        image_gb: spec.image_gb,
+        types: names(ctx, spec.types.as_deref()),
+        zone: spec.zone.as_ref().map(|z| ctx.intern(z) as u16),
+        one_zone: spec.one_zone,
+        spread: spec.spread,
+        spot: spec.spot,
+        zones: at,
+        avoid: BTreeSet::new(),
+    }
+}
+
 fn add_shape(shapes: &mut Vec<ShapeRec>, shape: ShapeRec) {
     let same = |s: &&mut ShapeRec| {
         s.res == shape.res
@@ -333,7 +371,7 @@
     }
 }
 
-fn names(ctx: &mut Ctx, types: Option<&[String]>) -> Option<Vec<u16>> {
+pub(crate) fn names(ctx: &mut Ctx, types: Option<&[String]>) -> Option<Vec<u16>> {
     types.map(|t| t.iter().map(|name| ctx.intern(name) as u16).collect())
 }
 
@@ -362,6 +400,7 @@
     let fresh = m.heard.is_some_and(|t| ctx.now < t + ctx.cfg.report_ms * 3);
     fresh
         && !m.condemned
+        && !m.draining
         && m.taken_at.is_none()
         && m.errors.len() < 2
         && m.is_confirmed()
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -66,6 +66,7 @@
     /// Since when arrivals are counted: jobs that were taken over, or came
     /// before anything could run, are a backlog and tell of no rate.
     pub(crate) counting_since: Option<Ms>,
+    pub(crate) drained_at: Ms,
     pub(crate) demand_at: Ms,
     pub(crate) demand_putting: bool,
     pub(crate) demand_shown: usize,
@@ -106,6 +107,7 @@
             next_progress: 0,
             classes: BTreeMap::new(),
             counting_since: None,
+            drained_at: 0,
             demand_at: 0,
             demand_putting: false,
             demand_shown: 0,
@@ -367,6 +369,7 @@
             images: Vec::new(),
             errors: BTreeSet::new(),
             full_until: 0,
+            draining: false,
             idle_since: None,
         })
     }
