Lend free machines between shares

Cause: each share kept spare places of its own, and waited a boot while another had empty machines. A free machine now changes shares within about a second; its old holder writes the move, with the highest token it used.

--- a/crates/core/src/ctx.rs
+++ b/crates/core/src/ctx.rs
@@ -243,6 +243,7 @@
     pub(crate) refused: Vec<Pending>,
     next_call: CallId,
     interned: HashMap<String, u32>,
+    names: Vec<String>,
 }
 
 /// Time that the state service has for an answer.
@@ -262,6 +263,7 @@
             refused: Vec::new(),
             next_call: 0,
             interned: HashMap::new(),
+            names: Vec::new(),
         }
     }
 
@@ -272,9 +274,15 @@
         }
         let n = self.interned.len() as u32;
         self.interned.insert(name.to_owned(), n);
+        self.names.push(name.to_owned());
         n
     }
 
+    /// The name that a number stands for.
+    pub(crate) fn name_of(&self, n: u32) -> Option<String> {
+        self.names.get(n as usize).cloned()
+    }
+
     pub(crate) fn respond(&mut self, token: Token, reply: Reply) {
         self.out.push(Effect::Respond { token, reply });
     }
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -2,7 +2,8 @@
 
 use crate::ctx::{Ctx, Pending};
 use crate::records::{
-    charter_key, machine_key, share_key, type_key, CharterRec, MachineRec, ShareId, LEADER,
+    charter_key, machine_key, share_key, type_key, CharterRec, MachineRec, ShapeRec, ShareId,
+    LEADER,
 };
 use crate::share::hand_over;
 use crate::store::{Bucket, Urgency};
@@ -42,6 +43,9 @@
     deleting: BTreeSet<MachineId>,
     seen: HashMap<MachineId, Ms>,
     absent: HashMap<MachineId, u32>,
+    /// Machines asked of their shares, with the version that was asked.
+    lending: HashMap<MachineId, u64>,
+    lent_rev: u64,
     nodes: BTreeMap<NodeName, (u64, Ms)>,
     /// Kinds of machines that could not be had, until when they are left
     /// alone, and the last pause.
@@ -66,6 +70,8 @@
             deleting: BTreeSet::new(),
             seen: HashMap::new(),
             absent: HashMap::new(),
+            lending: HashMap::new(),
+            lent_rev: 0,
             nodes: BTreeMap::new(),
             refused: BTreeMap::new(),
         }
@@ -109,6 +115,10 @@
         self.renting.retain(|r| view.charters.contains_key(r));
         self.delete(ctx, view);
         self.rent(ctx, view);
+        if view.revision > self.lent_rev {
+            self.lent_rev = view.revision;
+            self.lend(ctx, view);
+        }
         self.charter(ctx, view);
         self.look(ctx);
     }
@@ -435,6 +445,92 @@
         }
     }
 
+    /// Moves free machines to shares with waiting tasks: what waits takes any
+    /// that is free, and spare places take what nobody else needs.
+    fn lend(&mut self, ctx: &mut Ctx, view: &View) {
+        self.lending
+            .retain(|id, v| view.machines.get(id).is_some_and(|m| m.version <= *v));
+        for (k, demand) in &view.demands {
+            let spare = demand.rec.shapes.iter().filter(|s| s.spare);
+            let wanted = demand.rec.now.iter().map(|s| (s, true));
+            let wanted: Vec<(&ShapeRec, bool)> = wanted.chain(spare.map(|s| (s, false))).collect();
+            let mut coming: Vec<Resources> = self
+                .lending
+                .keys()
+                .filter_map(|id| view.machines.get(id))
+                .filter(|m| m.rec.want == Some(*k))
+                .filter_map(|m| total_of(view, &m.rec.machine_type))
+                .collect();
+            for (shape, waits) in wanted {
+                let task = resources_of(shape);
+                let mut left = shape.n;
+                for room in &mut coming {
+                    left -= book(room, &task, left);
+                }
+                while left > 0 {
+                    let Some(id) = self.lendable(view, *k, shape, waits) else {
+                        break;
+                    };
+                    let Some(machine) = view.machines.get(&id) else {
+                        break;
+                    };
+                    let mut room = total_of(view, &machine.rec.machine_type).unwrap_or_default();
+                    left -= book(&mut room, &task, left);
+                    coming.push(room);
+                    log::info!(
+                        "machine {id}: asked of share {} for share {k}",
+                        machine.rec.share
+                    );
+                    let mut rec = machine.rec.clone();
+                    rec.want = Some(*k);
+                    let key = machine_key(&id);
+                    let txn = Txn {
+                        conds: self.conds(view, key.clone(), machine.version),
+                        writes: vec![Write::put(key, to_value(rec).unwrap_or_default())],
+                    };
+                    self.lending.insert(id, machine.version);
+                    ctx.txn(Urgency::Work, &txn, Pending::Housekeeping);
+                }
+            }
+        }
+    }
+
+    /// A free machine of another share that a shape may use.
+    fn lendable(
+        &self,
+        view: &View,
+        k: ShareId,
+        shape: &ShapeRec,
+        waits: bool,
+    ) -> Option<MachineId> {
+        let others = view.demands.iter().filter(|(j, _)| **j != k);
+        let lists = others.flat_map(|(j, d)| {
+            // A share that has waiting tasks itself gives nothing away.
+            let keeps = waits && !d.rec.now.is_empty();
+            let free = d.rec.free.iter().filter(move |_| waits && !keeps);
+            d.rec.surplus.iter().chain(free).map(move |id| (j, id))
+        });
+        lists
+            .filter_map(|(j, id)| Some((j, id, view.machines.get(id)?)))
+            .filter(|(j, id, m)| {
+                let rec = &m.rec;
+                rec.share == **j
+                    && rec.want.is_none()
+                    && rec.condemned.is_none()
+                    && !self.lending.contains_key(*id)
+                    && (shape.spot || !rec.spot)
+                    && shape
+                        .types
+                        .as_ref()
+                        .is_none_or(|t| t.contains(&rec.machine_type))
+                    && shape.zones.as_ref().is_none_or(|z| z.contains(&rec.zone))
+                    && total_of(view, &rec.machine_type)
+                        .is_some_and(|total| resources_of(shape).fits(&total))
+            })
+            .map(|(_, id, _)| id.clone())
+            .next()
+    }
+
     /// Turns what shares lack into rental intents.
     fn charter(&mut self, ctx: &mut Ctx, view: &View) {
         for (k, demand) in &view.demands {
@@ -452,11 +548,7 @@
                 .shapes
                 .iter()
                 .map(|s| Shape {
-                    task: Resources {
-                        cpus: s.res.0,
-                        gpus: s.res.1,
-                        memory: s.res.2,
-                    },
+                    task: resources_of(s),
                     count: s.n,
                     types: s
                         .types
@@ -629,7 +721,9 @@
                 spot: rec.spot,
                 addr: None,
                 condemned: None,
+                want: None,
                 floor: 0,
+                images: Vec::new(),
             };
             txn.conds.push(Cond {
                 key: key.clone(),
@@ -652,6 +746,29 @@
     }
 }
 
+fn resources_of(shape: &ShapeRec) -> Resources {
+    Resources {
+        cpus: shape.res.0,
+        gpus: shape.res.1,
+        memory: shape.res.2,
+    }
+}
+
+fn total_of(view: &View, machine_type: &str) -> Option<Resources> {
+    let t = &view.types.get(machine_type)?.rec;
+    Some(Resources::new(t.cpus, t.gpus, t.memory_gb))
+}
+
+/// Books up to `most` tasks, and says how many.
+fn book(room: &mut Resources, task: &Resources, most: u32) -> u32 {
+    let mut n = 0;
+    while n < most && task.fits(room) && !task.is_zero() {
+        *room -= *task;
+        n += 1;
+    }
+    n
+}
+
 fn zone_names(view: &View) -> Vec<String> {
     view.zones().into_iter().map(str::to_owned).collect()
 }
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -62,6 +62,9 @@
     pub(crate) errors: BTreeSet<JobId>,
     /// Nothing more is placed here before this.
     pub(crate) full_until: Ms,
+    /// It is being given to another share: nothing is placed here unless its
+    /// record comes back changed, and still ours.
+    pub(crate) leaving: Option<u64>,
     /// It is being emptied, to be returned.
     pub(crate) draining: bool,
     /// Since when nothing has needed it.
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -129,9 +129,15 @@
     /// It is to be returned, and never used again.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub condemned: Option<String>,
+    /// The share that it should go to, if it is free.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub want: Option<ShareId>,
     /// Tokens of its present share are above this.
     #[serde(default)]
     pub floor: u64,
+    /// Images that were there when it last changed shares, with their sizes.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub images: Vec<(String, f64)>,
 }
 
 /// A rental intent, written before the request.
@@ -155,8 +161,18 @@
 pub struct DemandRec {
     /// Revision that the share's holder had seen.
     pub rev: u64,
-    /// Tasks without a place, the most urgent first.
+    /// Tasks without a place even on machines that are to come, and spare
+    /// places that are lacking, the most urgent first.
     pub shapes: Vec<ShapeRec>,
+    /// Tasks that wait for a place now.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub now: Vec<ShapeRec>,
+    /// Empty machines, kept as spare.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub free: Vec<MachineId>,
+    /// Empty machines that nothing needs.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub surplus: Vec<MachineId>,
 }
 
 /// Tasks of one shape.
@@ -175,6 +191,9 @@
     /// May use spot machines.
     #[serde(default)]
     pub spot: bool,
+    /// Nothing waits for it yet.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub spare: bool,
 }
 
 /// A job, for ever.
--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -123,6 +123,8 @@
         mut wants: Vec<Want>,
         mut quotas: Vec<Quota>,
     ) {
+        wants.sort_by_key(|w| std::cmp::Reverse(w.band));
+        let now = self.shapes_of(ctx, view, &wants, &mut quotas.clone());
         let mut draining = Vec::new();
         for machine in self.machines.values() {
             if machine.draining {
@@ -148,6 +150,38 @@
             }
         }
         wants.sort_by_key(|w| std::cmp::Reverse(w.band));
+        let mut shapes = self.shapes_of(ctx, view, &wants, &mut quotas);
+        let spare = self.spare(ctx, &mut hosts);
+        shapes.extend(spare);
+        shapes.truncate(SHAPES_MOST);
+        self.note_idle(ctx, usable, &hosts);
+        if shapes.is_empty() {
+            hosts.truncate(usable.len());
+            self.drain(ctx, usable, &mut hosts);
+        }
+        let empty = usable.iter().filter_map(|id| self.machines.get(id));
+        let empty = empty.filter(|m| m.tasks.is_empty() && !m.calling && m.exited.is_empty());
+        let (surplus, free): (Vec<&Machine>, Vec<&Machine>) =
+            empty.partition(|m| m.idle_since.is_some());
+        let ids = |list: Vec<&Machine>| list.into_iter().map(|m| m.id.clone()).collect();
+        let rec = DemandRec {
+            rev: view.revision,
+            shapes,
+            now,
+            free: ids(free),
+            surplus: ids(surplus),
+        };
+        self.show_demand(ctx, view, rec);
+    }
+
+    /// The tasks that wait, as shapes, as far as the quotas allow.
+    fn shapes_of(
+        &self,
+        ctx: &mut Ctx,
+        view: &View,
+        wants: &[Want],
+        quotas: &mut [Quota],
+    ) -> Vec<ShapeRec> {
         let mut shapes: Vec<ShapeRec> = Vec::new();
         let names: BTreeMap<u16, String> = type_names(ctx, view);
         let zone_names: BTreeMap<u16, String> = view
@@ -155,7 +189,7 @@
             .into_iter()
             .map(|z| (ctx.intern(z) as u16, z.to_owned()))
             .collect();
-        for want in &wants {
+        for want in wants {
             let mut n = 0;
             while n < want.waiting.len() && quotas[want.team].allows(&want.task) {
                 quotas[want.team].used += want.task;
@@ -175,18 +209,12 @@
                     types: types.map(|t| t.iter().filter_map(|t| names.get(t).cloned()).collect()),
                     zones: (allowed.len() < zone_names.len()).then_some(allowed),
                     spot: want.spot,
+                    spare: false,
                 },
             );
         }
-        let spare = self.spare(ctx, &mut hosts);
-        shapes.extend(spare);
         shapes.truncate(SHAPES_MOST);
-        self.note_idle(ctx, usable, &hosts);
-        if shapes.is_empty() {
-            hosts.truncate(usable.len());
-            self.drain(ctx, usable, &mut hosts);
-        }
-        self.show_demand(ctx, view, shapes);
+        shapes
     }
 
     fn push_charters(&self, ctx: &mut Ctx, view: &View, hosts: &mut Vec<Host>) {
@@ -289,26 +317,22 @@
             .collect()
     }
 
-    fn show_demand(&mut self, ctx: &mut Ctx, view: &View, shapes: Vec<ShapeRec>) {
-        let known = view.demands.get(&self.id);
-        let shown = known.map(|d| d.rec.shapes.as_slice()).unwrap_or_default();
-        let stale = !shapes.is_empty() && known.is_none_or(|d| d.rec.rev < view.revision);
-        let changed = shown != shapes.as_slice();
-        // The first word of a lack goes out at once, the rest now and then.
-        let pause = if shown.is_empty() { 300 } else { 1_500 };
+    fn show_demand(&mut self, ctx: &mut Ctx, view: &View, rec: DemandRec) {
+        let none = DemandRec::default();
+        let shown = view.demands.get(&self.id).map_or(&none, |d| &d.rec);
+        let stale = !rec.shapes.is_empty() && shown.rev < view.revision;
+        let waits = shown.now != rec.now;
+        let changed = DemandRec {
+            rev: shown.rev,
+            ..rec.clone()
+        } != *shown;
+        // What waits now goes out at once, the rest now and then.
+        let pause = if waits { 300 } else { 1_500 };
         if self.demand_putting || ctx.now < self.demand_at + pause || !(changed || stale) {
             return;
         }
         self.demand_putting = true;
         self.demand_at = ctx.now;
-        if shapes.len() != self.demand_shown {
-            log::debug!("share {}: lacks {} shapes", self.id, shapes.len());
-            self.demand_shown = shapes.len();
-        }
-        let rec = DemandRec {
-            rev: view.revision,
-            shapes,
-        };
         let txn = Txn {
             conds: vec![Cond {
                 key: share_key(self.id),
@@ -401,6 +425,7 @@
     fresh
         && !m.condemned
         && !m.draining
+        && m.leaving.is_none()
         && m.taken_at.is_none()
         && m.errors.len() < 2
         && m.is_confirmed()
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -69,7 +69,6 @@
     pub(crate) drained_at: Ms,
     pub(crate) demand_at: Ms,
     pub(crate) demand_putting: bool,
-    pub(crate) demand_shown: usize,
     pub(crate) reload: bool,
 }
 
@@ -110,7 +109,6 @@
             drained_at: 0,
             demand_at: 0,
             demand_putting: false,
-            demand_shown: 0,
             reload: false,
         };
         share.list(ctx, "");
@@ -297,6 +295,7 @@
             if let Some(machine) = self.machines.get_mut(id) {
                 if machine.version != stamped.version {
                     machine.version = stamped.version;
+                    machine.leaving = None;
                     machine.condemned = stamped.rec.condemned.is_some();
                     machine.addr = stamped.rec.addr.clone().or(machine.addr.take());
                 }
@@ -366,9 +365,14 @@
             orphans: Vec::new(),
             exited: Vec::new(),
             fates: BTreeMap::new(),
-            images: Vec::new(),
+            images: rec
+                .images
+                .iter()
+                .map(|(name, gb)| (ctx.intern(name), *gb))
+                .collect(),
             errors: BTreeSet::new(),
             full_until: 0,
+            leaving: None,
             draining: false,
             idle_since: None,
         })
@@ -388,6 +392,54 @@
         self.hurry(ctx);
     }
 
+    /// Gives machines that the leader asks for to other shares, if they are
+    /// free. From the moment the write is sent nothing is placed there until
+    /// the record has changed: a write without an answer may land late, and
+    /// the other share then owns whatever is on the machine.
+    pub(crate) fn give_away(&mut self, ctx: &mut Ctx, view: &View) {
+        let asked: Vec<(MachineId, ShareId)> = self
+            .machines
+            .keys()
+            .filter_map(|id| Some((id.clone(), view.machines.get(id)?.rec.want?)))
+            .collect();
+        for (id, to) in asked {
+            let names = self.image_names(ctx, &id);
+            let Some(machine) = self.machines.get_mut(&id) else {
+                continue;
+            };
+            if machine.putting || to == self.id {
+                continue;
+            }
+            let free = machine.tasks.is_empty()
+                && machine.exited.is_empty()
+                && machine.orphans.is_empty()
+                && !machine.calling
+                && !machine.unanswered
+                && !machine.condemned
+                && machine.is_confirmed();
+            let floor = machine.token;
+            if free || machine.leaving.is_some() {
+                machine.leaving = Some(machine.version);
+                self.put_machine(ctx, view, &id, |rec| {
+                    rec.share = to;
+                    rec.want = None;
+                    rec.floor = floor;
+                    rec.images = names;
+                });
+            } else {
+                self.put_machine(ctx, view, &id, |rec| rec.want = None);
+            }
+        }
+    }
+
+    fn image_names(&self, ctx: &Ctx, id: &MachineId) -> Vec<(String, f64)> {
+        let images = self.machines.get(id).map(|m| m.images.as_slice());
+        let images = images.unwrap_or_default().iter();
+        images
+            .filter_map(|(i, gb)| Some((ctx.name_of(*i)?, *gb)))
+            .collect()
+    }
+
     /// Writes a machine's record, on condition that it and the share are as we know them.
     pub(crate) fn put_machine(
         &mut self,
@@ -499,6 +551,7 @@
             types: spec.types.clone(),
             zones: None,
             spot: spec.spot,
+            spare: true,
         };
         let stats = self
             .classes
--- a/crates/core/src/tend.rs
+++ b/crates/core/src/tend.rs
@@ -17,6 +17,7 @@
         self.stop_cancelled();
         self.note_addresses(ctx, view);
         self.give_up(ctx, view);
+        self.give_away(ctx, view);
         self.round(ctx, view);
         let progress = ctx.now >= self.next_progress;
         if progress {
