--- /dev/null
+++ b/crates/testkit/src/cloud.rs
@@ -0,0 +1,167 @@
+//! A stand-in for the cloud.
+
+use crate::Ms;
+use forkshift_wire::cloud::{Machines, Rent};
+use forkshift_wire::MachineId;
+use rand::rngs::StdRng;
+use rand::Rng;
+use serde_json::{json, Value};
+use std::collections::{BTreeMap, VecDeque};
+
+/// A rented machine.
+#[derive(Clone, Debug)]
+pub(crate) struct Rented {
+    pub(crate) machine_type: String,
+    pub(crate) zone: String,
+    pub(crate) spot: bool,
+    rented: Ms,
+    pub(crate) up_at: Ms,
+    pub(crate) failed: bool,
+}
+
+pub(crate) struct Cloud {
+    pub(crate) machines: BTreeMap<MachineId, Rented>,
+    requests: BTreeMap<String, Vec<MachineId>>,
+    next: u32,
+    lists: VecDeque<(Ms, Value)>,
+    pub(crate) down: bool,
+    /// Machines of each zone and kind.
+    pub(crate) capacity: u32,
+    /// Machines that came to an end since this was last looked at.
+    pub(crate) ended: Vec<MachineId>,
+}
+
+/// How far the list lags.
+const LIST_LAG: Ms = 4_000;
+/// Boot time of every type, nominally.
+pub(crate) const BOOT_MS: Ms = 10_000;
+
+impl Cloud {
+    pub(crate) fn new(capacity: u32) -> Self {
+        Self {
+            machines: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            next: 0,
+            lists: VecDeque::new(),
+            down: false,
+            capacity,
+            ended: Vec::new(),
+        }
+    }
+
+    pub(crate) fn handle(
+        &mut self,
+        now: Ms,
+        path: &str,
+        body: &[u8],
+        rng: &mut StdRng,
+    ) -> (u16, Value) {
+        if self.down {
+            return (503, json!({"error": "trouble"}));
+        }
+        match path.split('?').next().unwrap_or_default() {
+            "/catalog" => (200, catalog()),
+            "/machines/delete" => {
+                let names: Machines = serde_json::from_slice(body).unwrap_or_default();
+                for id in names.machines {
+                    self.end(&id);
+                }
+                (200, json!({}))
+            }
+            "/machines" if !body.is_empty() => match serde_json::from_slice::<Rent>(body) {
+                Ok(rent) => self.rent(now, rent, rng),
+                Err(e) => (400, json!({"error": e.to_string()})),
+            },
+            "/machines" => {
+                let lag = rng.random_range(LIST_LAG / 2..LIST_LAG * 2);
+                let old = self.lists.iter().rev().find(|(t, _)| t + lag <= now);
+                let list = old.map_or(json!([]), |(_, l)| l.clone());
+                (200, json!({"berths": list, "has_next": false}))
+            }
+            _ => (400, json!({})),
+        }
+    }
+
+    /// A machine is no more.
+    pub(crate) fn end(&mut self, id: &MachineId) {
+        if self.machines.remove(id).is_some() {
+            self.ended.push(id.clone());
+        }
+    }
+
+    fn rent(&mut self, now: Ms, rent: Rent, rng: &mut StdRng) -> (u16, Value) {
+        if let Some(known) = self.requests.get(&rent.request) {
+            return (200, json!({"berths": known}));
+        }
+        let there = self.machines.values().filter(|m| {
+            m.machine_type == rent.machine_type && m.zone == rent.zone && m.spot == rent.spot
+        });
+        let most = if rent.spot {
+            self.capacity / 2
+        } else {
+            self.capacity
+        };
+        let n = rent.count.min(most.saturating_sub(there.count() as u32));
+        if n == 0 {
+            return (503, json!({"error": "no capacity"}));
+        }
+        let mut ids = Vec::new();
+        for _ in 0..n {
+            self.next += 1;
+            let id = MachineId::new(&format!("host-{:06}", self.next));
+            let boot = match rng.random_range(0..20) {
+                0 => Ms::MAX / 2,
+                1 => 500,
+                2 => BOOT_MS * 4,
+                _ => rng.random_range(BOOT_MS * 6 / 10..BOOT_MS * 15 / 10),
+            };
+            let machine = Rented {
+                machine_type: rent.machine_type.clone(),
+                zone: rent.zone.clone(),
+                spot: rent.spot,
+                rented: now,
+                up_at: now.saturating_add(boot),
+                failed: false,
+            };
+            self.machines.insert(id.clone(), machine);
+            ids.push(id);
+        }
+        self.requests.insert(rent.request, ids.clone());
+        (200, json!({"berths": ids}))
+    }
+
+    /// Notes how things are, for lists that lag.
+    pub(crate) fn tick(&mut self, now: Ms) {
+        if self.lists.back().is_some_and(|(t, _)| t + 500 > now) {
+            return;
+        }
+        let list: Vec<Value> = self
+            .machines
+            .iter()
+            .map(|(id, m)| {
+                let stage = match (m.failed, now >= m.up_at) {
+                    (true, _) => "failed",
+                    (_, true) => "running",
+                    _ => "booting",
+                };
+                json!({"uid": id, "addr": id.as_str(), "rig": m.machine_type, "yard": m.zone,
+                       "loaner": m.spot, "stage": stage, "held_s": (now - m.rented) as f64 / 1000.0})
+            })
+            .collect();
+        self.lists.push_back((now, json!(list)));
+        while self.lists.len() > 40 {
+            self.lists.pop_front();
+        }
+    }
+}
+
+/// Two types, in three zones.
+pub(crate) fn catalog() -> Value {
+    let zones = json!(["a", "b", "c"]);
+    json!({"rigs": [
+        {"name": "g8", "cpus": 64, "accelerators": 8, "mem_gb": 256, "cache_gb": 200, "pull_gb_per_s": 4.0,
+         "hourly": 16.0, "market_price": 5.0, "boot_s": BOOT_MS as f64 / 1000.0, "yards": zones},
+        {"name": "c8", "cpus": 8, "accelerators": 0, "mem_gb": 32, "cache_gb": 50, "pull_gb_per_s": 1.0,
+         "hourly": 0.5, "market_price": 0.2, "boot_s": BOOT_MS as f64 / 1000.0, "yards": zones}
+    ]})
+}
--- /dev/null
+++ b/crates/testkit/src/faults.rs
@@ -0,0 +1,144 @@
+//! Faults, and schedules of them drawn from a seed.
+
+use crate::Ms;
+use rand::rngs::StdRng;
+use rand::Rng;
+
+/// What goes wrong.
+#[derive(Clone, Debug)]
+pub enum FaultKind {
+    /// A controller ends, and is started again after a while.
+    Crash {
+        /// Which; the others are counted from there.
+        node: usize,
+        /// How many.
+        count: usize,
+        /// Until they are back.
+        back: Ms,
+    },
+    /// A controller reaches some others no more.
+    Cut {
+        /// Which.
+        node: usize,
+        /// The state service.
+        state: bool,
+        /// The workers.
+        workers: bool,
+        /// The cloud.
+        cloud: bool,
+        /// For how long.
+        time: Ms,
+        /// Messages are held back and delivered afterwards.
+        hold: bool,
+    },
+    /// The state service refuses one controller.
+    Refuse {
+        /// Which.
+        node: usize,
+        /// For how long.
+        time: Ms,
+    },
+    /// The state service is down.
+    Outage(Ms),
+    /// The cloud is down.
+    CloudTrouble(Ms),
+    /// A controller's timers fire late.
+    Slow {
+        /// Which.
+        node: usize,
+        /// For how long.
+        time: Ms,
+    },
+    /// A machine stops with all that is on it.
+    Die,
+    /// A machine stands still, and goes on.
+    Hang(Ms),
+    /// A machine loses the network; held back messages come later.
+    MachineCut(Ms),
+    /// What is sent to a machine does not reach it.
+    Deaf(Ms),
+    /// A machine fails what it starts.
+    Sick(Ms),
+    /// Spot machines are taken.
+    Taken {
+        /// One in so many stays.
+        notice: Ms,
+    },
+    /// Copies of reports come late.
+    LateCopies(Ms),
+    /// Answers get lost now and then.
+    LostAnswers(Ms),
+}
+
+/// Something that goes wrong at some time.
+#[derive(Clone, Debug)]
+pub struct Fault {
+    /// When.
+    pub at: Ms,
+    /// What.
+    pub kind: FaultKind,
+}
+
+/// A schedule of faults between two times.
+pub fn random_faults(rng: &mut StdRng, from: Ms, to: Ms, n: usize) -> Vec<Fault> {
+    let mut faults: Vec<Fault> = (0..n)
+        .map(|_| Fault {
+            at: rng.random_range(from..to),
+            kind: random_kind(rng),
+        })
+        .collect();
+    faults.sort_by_key(|f| f.at);
+    faults
+}
+
+fn random_kind(rng: &mut StdRng) -> FaultKind {
+    let node = rng.random_range(0..3);
+    let time = rng.random_range(2_000..25_000);
+    match rng.random_range(0..16) {
+        0 | 1 => FaultKind::Crash {
+            node,
+            count: rng.random_range(1..=3),
+            back: *[50, 300, 3_000, 6_000]
+                .get(rng.random_range(0..4))
+                .unwrap_or(&50),
+        },
+        2 => FaultKind::Cut {
+            node,
+            state: true,
+            workers: false,
+            cloud: false,
+            time,
+            hold: rng.random(),
+        },
+        3 => FaultKind::Cut {
+            node,
+            state: false,
+            workers: true,
+            cloud: false,
+            time,
+            hold: rng.random(),
+        },
+        4 => FaultKind::Cut {
+            node,
+            state: true,
+            workers: true,
+            cloud: true,
+            time,
+            hold: rng.random(),
+        },
+        5 => FaultKind::Refuse { node, time },
+        6 => FaultKind::Outage(time),
+        7 => FaultKind::CloudTrouble(time),
+        8 => FaultKind::Slow { node, time },
+        9 => FaultKind::Die,
+        10 => FaultKind::Hang(time),
+        11 => FaultKind::MachineCut(time),
+        12 => FaultKind::Deaf(time),
+        13 => FaultKind::Sick(time),
+        14 => FaultKind::Taken {
+            notice: if rng.random() { 0 } else { 4_000 },
+        },
+        15 if rng.random() => FaultKind::LostAnswers(time),
+        _ => FaultKind::LateCopies(time),
+    }
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -1,2 +1,19 @@
-//! Stand-ins for workers, cloud and state service, and a clock of their own,
-//! to drive controllers in virtual time with faults injected.
+//! Stand-ins for workers, cloud, state service and users, and a clock of
+//! their own, to drive controllers in virtual time with faults injected.
+//!
+//! [`World`] plays them all; [`Checker`] watches what truly happens and knows
+//! nothing of how the controllers work.
+
+mod check;
+mod cloud;
+mod faults;
+mod state;
+mod worker;
+mod world;
+
+pub use check::{Checker, Rule};
+pub use faults::{random_faults, Fault, FaultKind};
+pub use world::{settings, Plan, World};
+
+/// Milliseconds of virtual time.
+pub type Ms = u64;
--- /dev/null
+++ b/crates/testkit/src/state.rs
@@ -0,0 +1,275 @@
+//! A stand-in for the state service.
+
+use crate::Ms;
+use forkshift_wire::state::{Txn, Write};
+use serde_json::{json, Value};
+use std::collections::{BTreeMap, VecDeque};
+
+struct Entry {
+    value: Value,
+    version: u64,
+    lease: Option<u64>,
+}
+
+/// A watch that waits for a change.
+pub(crate) struct Waiting<W> {
+    pub(crate) who: W,
+    prefix: String,
+    from: u64,
+    until: Ms,
+}
+
+/// The store; `W` names those who wait at a watch.
+pub(crate) struct State<W> {
+    entries: BTreeMap<String, Entry>,
+    revision: u64,
+    leases: BTreeMap<u64, (Ms, Ms)>,
+    next_lease: u64,
+    log: VecDeque<(u64, String, Option<Value>)>,
+    waiting: Vec<Waiting<W>>,
+    pub(crate) down: bool,
+    /// Puts and deletes so far.
+    pub(crate) writes: u64,
+}
+
+/// Changes that are kept for watches.
+const LOG_MOST: usize = 10_000;
+
+fn query<'a>(path: &'a str, name: &str) -> Option<&'a str> {
+    let (_, query) = path.split_once('?')?;
+    let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
+    pairs.find(|(n, _)| *n == name).map(|(_, v)| v)
+}
+
+impl<W> State<W> {
+    pub(crate) fn new() -> Self {
+        Self {
+            entries: BTreeMap::new(),
+            revision: 0,
+            leases: BTreeMap::new(),
+            next_lease: 0,
+            log: VecDeque::new(),
+            waiting: Vec::new(),
+            down: false,
+            writes: 0,
+        }
+    }
+
+    /// An outage begins or ends. After it every lease has its full time.
+    pub(crate) fn set_down(&mut self, down: bool, now: Ms) {
+        self.down = down;
+        for (ttl, until) in self.leases.values_mut() {
+            *until = now + *ttl;
+        }
+    }
+
+    /// Answers a request; none if the answer is still to come, or never comes.
+    pub(crate) fn handle(
+        &mut self,
+        now: Ms,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        who: W,
+    ) -> Option<(u16, Value)> {
+        if self.down {
+            let watch = path.starts_with("/changes");
+            return (!watch).then(|| (503, json!({"error": "outage"})));
+        }
+        let bare = path.split('?').next().unwrap_or_default();
+        let parts: Vec<&str> = bare.trim_start_matches('/').split('/').collect();
+        let (status, value) = match (method, parts.as_slice()) {
+            ("GET", ["kv"]) => self.list(path),
+            ("GET", ["kv", ..]) => self.get(&bare["/kv/".len()..]),
+            ("POST", ["txn"]) => match serde_json::from_slice(body) {
+                Ok(txn) => self.txn(txn),
+                Err(e) => (400, json!({"error": e.to_string()})),
+            },
+            ("POST", ["grants"]) => {
+                let body: Value = serde_json::from_slice(body).unwrap_or_default();
+                let ttl = body["life_ms"].as_u64().unwrap_or(1_000);
+                self.next_lease += 1;
+                self.leases.insert(self.next_lease, (ttl, now + ttl));
+                (200, json!({"hold": self.next_lease}))
+            }
+            ("POST", ["grants", id, "extend"]) => {
+                let id: u64 = id.parse().unwrap_or(0);
+                match self.leases.get_mut(&id) {
+                    Some((ttl, until)) => {
+                        *until = now + *ttl;
+                        (200, json!({"hold": id}))
+                    }
+                    None => (404, json!({})),
+                }
+            }
+            ("GET", ["changes"]) => {
+                let prefix = query(path, "starts").unwrap_or_default().to_owned();
+                let from: u64 = query(path, "from")
+                    .and_then(|v| v.parse().ok())
+                    .unwrap_or(0);
+                let wait: u64 = query(path, "wait_ms")
+                    .and_then(|v| v.parse().ok())
+                    .unwrap_or(0);
+                if self.log.front().is_some_and(|(r, _, _)| *r > from + 1)
+                    && self.log.len() >= LOG_MOST
+                {
+                    (410, json!({}))
+                } else if wait > 0 && self.changes(&prefix, from).is_empty() {
+                    let until = now + wait;
+                    self.waiting.push(Waiting {
+                        who,
+                        prefix,
+                        from,
+                        until,
+                    });
+                    return None;
+                } else {
+                    (200, self.changes_reply(&prefix, from))
+                }
+            }
+            _ => (400, json!({"error": "malformed"})),
+        };
+        Some((status, value))
+    }
+
+    fn get(&self, key: &str) -> (u16, Value) {
+        match self.entries.get(key) {
+            Some(e) => (
+                200,
+                json!({"key": key, "data": e.value, "stamp": e.version, "hold": e.lease}),
+            ),
+            None => (404, json!({"ledger_rev": self.revision})),
+        }
+    }
+
+    fn list(&self, path: &str) -> (u16, Value) {
+        let prefix = query(path, "starts").unwrap_or_default();
+        let from = query(path, "from").unwrap_or_default();
+        let most: usize = query(path, "most")
+            .and_then(|v| v.parse().ok())
+            .unwrap_or(1_000);
+        // Small pages, so that paging is exercised.
+        let most = most.min(40);
+        let mut found = self
+            .entries
+            .iter()
+            .filter(|(k, _)| k.starts_with(prefix) && k.as_str() > from);
+        let items: Vec<Value> = found
+            .by_ref()
+            .take(most)
+            .map(|(k, e)| json!({"key": k, "data": e.value, "stamp": e.version}))
+            .collect();
+        let more = found.next().is_some();
+        (
+            200,
+            json!({"items": items, "has_next": more, "ledger_rev": self.revision}),
+        )
+    }
+
+    fn txn(&mut self, txn: Txn) -> (u16, Value) {
+        for write in &txn.writes {
+            if let Write::Put {
+                lease: Some(lease), ..
+            } = write
+            {
+                if !self.leases.contains_key(lease) {
+                    return (400, json!({"error": "no such lease"}));
+                }
+            }
+        }
+        let version = |key: &str| self.entries.get(key).map_or(0, |e| e.version);
+        let failed: Vec<&str> = txn
+            .conds
+            .iter()
+            .filter(|c| version(&c.key) != c.version)
+            .map(|c| c.key.as_str())
+            .collect();
+        if !failed.is_empty() {
+            return (409, json!({"failed": failed, "ledger_rev": self.revision}));
+        }
+        self.writes += txn.writes.len() as u64;
+        if !txn.writes.is_empty() {
+            self.revision += 1;
+        }
+        for write in txn.writes {
+            match write {
+                Write::Put { put, value, lease } => {
+                    self.log
+                        .push_back((self.revision, put.clone(), Some(value.clone())));
+                    let version = self.revision;
+                    self.entries.insert(
+                        put,
+                        Entry {
+                            value,
+                            version,
+                            lease,
+                        },
+                    );
+                }
+                Write::Remove { remove } => self.remove(remove),
+            }
+        }
+        while self.log.len() > LOG_MOST {
+            self.log.pop_front();
+        }
+        (200, json!({"ledger_rev": self.revision}))
+    }
+
+    fn remove(&mut self, key: String) {
+        if self.entries.remove(&key).is_some() {
+            self.log.push_back((self.revision, key, None));
+        }
+    }
+
+    fn changes(&self, prefix: &str, from: u64) -> Vec<Value> {
+        let log = self.log.iter();
+        log.filter(|(r, k, _)| *r > from && k.starts_with(prefix))
+            .map(|(r, k, v)| match v {
+                Some(v) => json!({"put": k, "data": v, "stamp": r}),
+                None => json!({"remove": k, "stamp": r}),
+            })
+            .collect()
+    }
+
+    fn changes_reply(&self, prefix: &str, from: u64) -> Value {
+        json!({"ledger_rev": self.revision, "news": self.changes(prefix, from)})
+    }
+
+    /// Ends leases that ran out, and returns watches that have an answer.
+    pub(crate) fn tick(&mut self, now: Ms) -> Vec<(W, Value)> {
+        if self.down {
+            return Vec::new();
+        }
+        let over: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (_, t))| now > *t)
+            .map(|(l, _)| *l)
+            .collect();
+        for lease in over {
+            self.leases.remove(&lease);
+            let keys: Vec<String> = self
+                .entries
+                .iter()
+                .filter(|(_, e)| e.lease == Some(lease))
+                .map(|(k, _)| k.clone())
+                .collect();
+            if !keys.is_empty() {
+                self.revision += 1;
+            }
+            for key in keys {
+                self.remove(key);
+            }
+        }
+        let mut ready = Vec::new();
+        for w in std::mem::take(&mut self.waiting) {
+            if now >= w.until || !self.changes(&w.prefix, w.from).is_empty() {
+                let reply = self.changes_reply(&w.prefix, w.from);
+                ready.push((w.who, reply));
+            } else {
+                self.waiting.push(w);
+            }
+        }
+        ready
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/worker.rs
@@ -0,0 +1,331 @@
+//! A stand-in for a worker.
+
+use crate::check::{Checker, Place};
+use crate::Ms;
+use forkshift_wire::users::{JobKind, JobSpec};
+use forkshift_wire::workers::{Commands, ExitCause, Order, Report, TaskReport, TaskStage, Verb};
+use forkshift_wire::{JobId, MachineId, TaskRef};
+use std::collections::BTreeMap;
+
+/// A job as it truly is.
+#[derive(Clone, Debug)]
+pub(crate) struct Truth {
+    pub(crate) spec: JobSpec,
+    pub(crate) run_ms: Ms,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct OnMachine {
+    pub(crate) stage: TaskStage,
+    cause: Option<ExitCause>,
+    saved: bool,
+    /// When its present stage ends by itself.
+    pub(crate) until: Ms,
+}
+
+/// What a worker needs to know of the world.
+pub(crate) struct Around<'a> {
+    pub(crate) now: Ms,
+    pub(crate) truths: &'a BTreeMap<JobId, Truth>,
+    pub(crate) check: &'a mut Checker,
+    pub(crate) lease_ms: Ms,
+}
+
+pub(crate) struct Worker {
+    pub(crate) id: MachineId,
+    pub(crate) machine_type: String,
+    pub(crate) zone: String,
+    pub(crate) spot: bool,
+    room: (f64, f64, f64),
+    fetch_rate: f64,
+    pub(crate) session: u64,
+    seq: u64,
+    pub(crate) token: u64,
+    pub(crate) tasks: BTreeMap<(TaskRef, u64), OnMachine>,
+    images: Vec<String>,
+    /// The node that it reports to.
+    pub(crate) node: usize,
+    pub(crate) next_report: Ms,
+    /// The report under way: its number, session, and when it was sent.
+    pub(crate) open: Option<(u64, u64, Ms)>,
+    pub(crate) answered: Ms,
+    pub(crate) sick_until: Ms,
+    pub(crate) hung_until: Ms,
+    /// What others send does not reach it until then.
+    pub(crate) deaf_until: Ms,
+    pub(crate) cut_until: Ms,
+    pub(crate) taken_at: Option<Ms>,
+}
+
+impl Worker {
+    pub(crate) fn new(id: MachineId, machine_type: &str, zone: &str, spot: bool, now: Ms) -> Self {
+        let (room, fetch_rate) = match machine_type {
+            "g8" => ((64.0, 8.0, 256.0), 4.0),
+            _ => ((8.0, 0.0, 32.0), 1.0),
+        };
+        Self {
+            id,
+            machine_type: machine_type.to_owned(),
+            zone: zone.to_owned(),
+            spot,
+            room,
+            fetch_rate,
+            session: 1,
+            seq: 0,
+            token: 0,
+            tasks: BTreeMap::new(),
+            images: Vec::new(),
+            node: 0,
+            next_report: now,
+            open: None,
+            answered: now,
+            sick_until: 0,
+            hung_until: 0,
+            deaf_until: 0,
+            cut_until: 0,
+            taken_at: None,
+        }
+    }
+
+    pub(crate) fn report(&mut self, now: Ms) -> Report {
+        self.seq += 1;
+        Report {
+            machine: self.id.clone(),
+            addr: self.id.to_string(),
+            machine_type: self.machine_type.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: self.taken_at.map(|t| t.saturating_sub(now) as f64 / 1000.0),
+            tasks: self
+                .tasks
+                .iter()
+                .map(|((task, attempt), t)| TaskReport {
+                    task: task.clone(),
+                    attempt: *attempt,
+                    stage: t.stage,
+                    cause: t.cause,
+                    saved: t.saved,
+                })
+                .collect(),
+        }
+    }
+
+    /// `POST /commands`.
+    pub(crate) fn commands(&mut self, a: &mut Around, body: &[u8]) -> (u16, Vec<u8>) {
+        let Ok(commands) = serde_json::from_slice::<Commands>(body) else {
+            return (400, Vec::new());
+        };
+        let good = commands.token >= self.token && commands.session == self.session;
+        if good {
+            self.token = commands.token;
+            self.execute(a, &commands.orders);
+        }
+        let report = serde_json::to_vec(&self.report(a.now)).unwrap_or_default();
+        (if good { 200 } else { 409 }, report)
+    }
+
+    /// A 200 to the report under way.
+    pub(crate) fn replied(&mut self, a: &mut Around, token: u64, orders: &[Order]) {
+        let Some((_, session, sent)) = self.open.take() else {
+            return;
+        };
+        if session != self.session || token < self.token {
+            return;
+        }
+        self.token = token;
+        self.answered = sent;
+        self.execute(a, orders);
+    }
+
+    fn execute(&mut self, a: &mut Around, orders: &[Order]) {
+        let before = self.tasks.len();
+        for order in orders {
+            let key = (order.task.clone(), order.attempt);
+            match order.verb {
+                Verb::Start => self.start(a, key),
+                Verb::Stop => self.stop(a, &key, order.grace_s.unwrap_or(0.0)),
+                Verb::Forget => {
+                    let exited = self
+                        .tasks
+                        .get(&key)
+                        .is_some_and(|t| t.stage == TaskStage::Exited);
+                    if exited {
+                        self.tasks.remove(&key);
+                    }
+                }
+            }
+        }
+        if before != self.tasks.len() {
+            self.next_report = self.next_report.min(a.now + 500);
+        }
+    }
+
+    fn start(&mut self, a: &mut Around, key: (TaskRef, u64)) {
+        if self.tasks.contains_key(&key) {
+            return;
+        }
+        let Some(truth) = a
+            .truths
+            .get(&key.0.job)
+            .filter(|t| key.0.index < t.spec.tasks)
+        else {
+            self.refuse(key, ExitCause::NoSuch);
+            return;
+        };
+        let here = |t: &OnMachine| t.stage != TaskStage::Exited;
+        if self
+            .tasks
+            .iter()
+            .any(|((task, _), t)| *task == key.0 && here(t))
+        {
+            self.refuse(key, ExitCause::InUse);
+            return;
+        }
+        let mut used = (0.0, 0.0, 0.0);
+        for ((task, _), _) in self.tasks.iter().filter(|(_, t)| here(t)) {
+            let s = &a.truths[&task.job].spec;
+            used = (used.0 + s.cpus, used.1 + s.gpus, used.2 + s.memory_gb);
+        }
+        let s = &truth.spec;
+        let fits = used.0 + s.cpus <= self.room.0 + 1e-6
+            && used.1 + s.gpus <= self.room.1 + 1e-6
+            && used.2 + s.memory_gb <= self.room.2 + 1e-6;
+        if !fits {
+            self.refuse(key, ExitCause::Full);
+            return;
+        }
+        let fetch = if self.images.contains(&s.image) {
+            0
+        } else {
+            (s.image_gb / self.fetch_rate * 1000.0) as Ms
+        };
+        let task = OnMachine {
+            stage: TaskStage::Fetching,
+            cause: None,
+            saved: false,
+            until: a.now + fetch,
+        };
+        self.tasks.insert(key, task);
+    }
+
+    fn refuse(&mut self, key: (TaskRef, u64), cause: ExitCause) {
+        let task = OnMachine {
+            stage: TaskStage::Exited,
+            cause: Some(cause),
+            saved: false,
+            until: 0,
+        };
+        self.tasks.insert(key, task);
+    }
+
+    fn stop(&mut self, a: &mut Around, key: &(TaskRef, u64), grace_s: f64) {
+        let Some(task) = self.tasks.get_mut(key) else {
+            return;
+        };
+        let spec = &a.truths[&key.0.job].spec;
+        let saves = spec.checkpoint_s > 0.0 && grace_s >= spec.save_s;
+        match task.stage {
+            TaskStage::Exited => {}
+            TaskStage::Running if saves => {
+                task.stage = TaskStage::Saving;
+                task.until = a.now + (spec.save_s * 1000.0) as Ms;
+            }
+            TaskStage::Saving if grace_s > 0.0 => {}
+            _ => self.exit(a, key, ExitCause::Stopped),
+        }
+    }
+
+    pub(crate) fn exit(&mut self, a: &mut Around, key: &(TaskRef, u64), cause: ExitCause) {
+        let Some(task) = self.tasks.get_mut(key) else {
+            return;
+        };
+        if matches!(
+            task.stage,
+            TaskStage::Gathering | TaskStage::Running | TaskStage::Saving
+        ) {
+            a.check.ended(&key.0, &self.id);
+        }
+        task.saved = task.stage == TaskStage::Saving && cause == ExitCause::Stopped;
+        task.stage = TaskStage::Exited;
+        task.cause = Some(cause);
+        self.next_report = self.next_report.min(a.now + 100);
+    }
+
+    /// Kills and forgets all tasks.
+    pub(crate) fn wipe(&mut self, check: &mut Checker) {
+        for ((task, _), t) in std::mem::take(&mut self.tasks) {
+            if !matches!(t.stage, TaskStage::Fetching | TaskStage::Exited) {
+                check.ended(&task, &self.id);
+            }
+        }
+    }
+
+    /// Lets time pass.
+    pub(crate) fn tick(&mut self, a: &mut Around) {
+        if a.now > self.answered + a.lease_ms {
+            self.wipe(a.check);
+            self.session += 1;
+            self.answered = a.now;
+            self.open = None;
+        }
+        let due: Vec<(TaskRef, u64)> = self
+            .tasks
+            .iter()
+            .filter(|(_, t)| a.now >= t.until && t.stage != TaskStage::Exited)
+            .map(|(k, _)| k.clone())
+            .collect();
+        for key in due {
+            let stage = self.tasks[&key].stage;
+            match stage {
+                TaskStage::Fetching => self.has_image(a, &key),
+                TaskStage::Saving => self.exit(a, &key, ExitCause::Stopped),
+                TaskStage::Running => {
+                    a.check.completed(&key.0);
+                    self.exit(a, &key, ExitCause::Done);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn has_image(&mut self, a: &mut Around, key: &(TaskRef, u64)) {
+        let truth = &a.truths[&key.0.job];
+        if !self.images.contains(&truth.spec.image) {
+            self.images.push(truth.spec.image.clone());
+        }
+        if a.now < self.sick_until {
+            let task = self.tasks.get_mut(key);
+            if let Some(task) = task {
+                task.stage = TaskStage::Exited;
+                task.cause = Some(ExitCause::Error);
+            }
+            return;
+        }
+        let place = Place {
+            machine: self.id.clone(),
+            machine_type: self.machine_type.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+        };
+        a.check.started(a.now, &key.0, place);
+        let gang = truth.spec.kind == JobKind::Gang;
+        let until = match truth.spec.kind {
+            JobKind::Service => Ms::MAX,
+            JobKind::Gang => Ms::MAX,
+            JobKind::Array if a.check.is_completed(&key.0) => a.now,
+            JobKind::Array => a.now + truth.run_ms,
+        };
+        if let Some(task) = self.tasks.get_mut(key) {
+            task.stage = if gang {
+                TaskStage::Gathering
+            } else {
+                TaskStage::Running
+            };
+            task.until = until;
+        }
+        self.next_report = self.next_report.min(a.now + 500);
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/world.rs
@@ -0,0 +1,946 @@
+//! The world around the controllers, in virtual time.
+
+use crate::check::Checker;
+use crate::cloud::Cloud;
+use crate::faults::{Fault, FaultKind};
+use crate::state::State;
+use crate::worker::{Around, Truth, Worker};
+use crate::Ms;
+use forkshift_core::{Config, Effect, Input, Node, Operator, Target, Token};
+use forkshift_wire::settings::Settings;
+use forkshift_wire::users::{JobKind, JobSpec, JobStage, JobStatus, Priority};
+use forkshift_wire::workers::{ExitCause, Redirect, ReportReply, TaskStage};
+use forkshift_wire::{JobId, MachineId, TaskRef};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// Time passes in steps of this.
+const STEP: Ms = 10;
+/// A controller that nothing wakes looks at the clock this often.
+const IDLE: Ms = 50;
+const REPORT_MS: Ms = 1_000;
+const LEASE_MS: Ms = 10_000;
+const CANCEL_MS: Ms = 35_000;
+const GANG_WAIT_MS: Ms = 20_000;
+const GANG_PEER_MS: Ms = 3_000;
+
+/// The settings of one of three controllers.
+pub fn settings(node: usize) -> String {
+    let peers: String = (0..3)
+        .filter(|n| *n != node)
+        .map(|n| {
+            format!("[[peers]]\nhost_name = \"berth-{n}\"\ndomain = \"a\"\nendpoint = \"10.0.0.{}:8081\"\n", n + 1)
+        })
+        .collect();
+    let teams: String = (0..4)
+        .map(|t| format!("[[cluster.teams]]\nname = \"team-{t}\"\ngpus = 8.0\ngpus_max = 24.0\ncpus = 16.0\ncpus_max = 96.0\n"))
+        .collect();
+    format!(
+        "host_name = \"berth-{node}\"\ndomain = \"a\"\nbind = \"10.0.0.{0}:8080\"\ncluster_listen = \"10.0.0.{0}:8081\"\n\
+         {peers}\n[external]\ncloud = \"10.2.0.2:8443\"\nstate = \"10.2.0.1:2379\"\n\
+         [cluster]\ninitial_size = 3\nzones = [\"a\", \"b\", \"c\"]\ntime_bound_ms = 250.0\n{teams}\
+         [[cluster.objectives]]\nkind = \"wait\"\nclass = \"serve\"\nwithin_s = 8.0\nshare = 0.9\n\
+         [cluster.workers]\nreport_s = 1.0\nlease_s = 10.0\ngang_wait_s = 20.0\ngang_peer_s = 3.0\ncancel_s = 35.0\n\
+         [cluster.state]\nrps = 200.0\nwrite_rps = 80.0\nvalue_kb = 8.0\ntxn_ops = 12\n\
+         [cluster.cloud]\nrps = 5.0\nlist_lag_s = 4.0\n\
+         [cluster.limits]\ncpu = 0.12\nmem_mb = 40.0\nsockets = 600\n",
+        node + 1
+    )
+}
+
+/// A job that a user will submit.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// When.
+    pub at: Ms,
+    /// What.
+    pub spec: JobSpec,
+    /// How long each task truly runs.
+    pub run_ms: Ms,
+    /// When the user wants it cancelled.
+    pub cancel_at: Option<Ms>,
+}
+
+impl Plan {
+    /// A job drawn at random.
+    pub fn random(rng: &mut StdRng, n: u32, at: Ms) -> Self {
+        let kind = match rng.random_range(0..5) {
+            0 | 1 => JobKind::Array,
+            2 => JobKind::Gang,
+            _ => JobKind::Service,
+        };
+        let tasks = match kind {
+            JobKind::Array => rng.random_range(1..12),
+            _ => rng.random_range(1..4),
+        };
+        let gpus = *[0.0, 1.0, 2.0, 4.0]
+            .get(rng.random_range(0..4))
+            .unwrap_or(&0.0);
+        let run_ms = rng.random_range(2_000..15_000);
+        let one_zone = rng.random_range(0..4) == 0;
+        let saves = kind == JobKind::Gang && rng.random();
+        let spec = JobSpec {
+            id: JobId::new(&format!("j-{n:06}")),
+            class: if kind == JobKind::Service {
+                "serve"
+            } else {
+                "work"
+            }
+            .to_owned(),
+            team: format!("team-{}", rng.random_range(0..4)),
+            kind,
+            priority: if kind == JobKind::Service {
+                Priority::Production
+            } else {
+                Priority::Normal
+            },
+            tasks,
+            cpus: rng.random_range(1..5).into(),
+            gpus,
+            memory_gb: 4.0,
+            image: format!("img-{}", rng.random_range(0..4)),
+            image_gb: 4.0,
+            types: (gpus > 0.0 && rng.random()).then(|| vec!["g8".to_owned()]),
+            zone: (rng.random_range(0..8) == 0).then(|| "b".to_owned()),
+            one_zone,
+            spread: !one_zone && kind == JobKind::Service && rng.random(),
+            spot: kind != JobKind::Service && rng.random(),
+            estimate_s: if kind == JobKind::Service {
+                0.0
+            } else {
+                run_ms as f64 / 1000.0
+            },
+            checkpoint_s: if saves { 3.0 } else { 0.0 },
+            save_s: if saves { 1.0 } else { 0.0 },
+            deadline_s: None,
+        };
+        let spec = JobSpec {
+            zone: if spec.spread { None } else { spec.zone.clone() },
+            ..spec
+        };
+        let cancels = kind == JobKind::Service || rng.random_range(0..4) == 0;
+        let cancel_at = cancels.then(|| at + rng.random_range(1_000..60_000));
+        Self {
+            at,
+            spec,
+            run_ms,
+            cancel_at,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Origin {
+    Node { node: usize, start: u64, call: u64 },
+    Worker { id: MachineId, report: u64 },
+    User { user: usize, op: u64 },
+    Nobody,
+}
+
+#[derive(Clone, Debug)]
+enum Dest {
+    State,
+    Cloud,
+    Worker(MachineId),
+    Node(usize),
+}
+
+#[derive(Clone, Debug)]
+struct Message {
+    origin: Origin,
+    dest: Dest,
+    method: String,
+    path: String,
+    body: Vec<u8>,
+}
+
+enum Event {
+    Arrive(Message),
+    Answer {
+        to: Origin,
+        status: u16,
+        body: Vec<u8>,
+    },
+    Restart(usize),
+    Taken(MachineId),
+}
+
+#[derive(Default, Clone, Copy)]
+struct Cuts {
+    state: Ms,
+    workers: Ms,
+    cloud: Ms,
+    refuse: Ms,
+    slow: Ms,
+    hold: bool,
+}
+
+struct Host {
+    node: Option<Node>,
+    start: u64,
+    inbox: Vec<Input>,
+    stepped: Ms,
+    /// Calls whose end has not been told.
+    open: BTreeSet<u64>,
+    /// Requests that wait for an answer.
+    requests: HashMap<Token, Origin>,
+    next_token: u64,
+    cuts: Cuts,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Aim {
+    Submit,
+    Poll,
+    Cancel,
+    Over,
+}
+
+struct User {
+    plan: Plan,
+    aim: Aim,
+    next: Ms,
+    op: u64,
+    open: bool,
+    sent: Ms,
+}
+
+/// All of it.
+pub struct World {
+    now: Ms,
+    rng: StdRng,
+    hosts: Vec<Host>,
+    state: State<Origin>,
+    cloud: Cloud,
+    workers: BTreeMap<MachineId, Worker>,
+    truths: BTreeMap<JobId, Truth>,
+    users: Vec<User>,
+    faults: Vec<Fault>,
+    events: BTreeMap<(Ms, u64), Event>,
+    next_event: u64,
+    late_copies: Ms,
+    lost_answers: Ms,
+    cloud_until: Ms,
+    outage_until: Ms,
+    starts: u64,
+    gangs: BTreeMap<(JobId, u64), Ms>,
+    /// Watches what truly happens.
+    pub check: Checker,
+}
+
+impl World {
+    /// A world with three controllers that are about to start.
+    pub fn new(seed: u64, plans: Vec<Plan>, faults: Vec<Fault>) -> Self {
+        let limits = (0..4)
+            .map(|t| (format!("team-{t}"), (96.0, 24.0)))
+            .collect();
+        let mut world = Self {
+            now: 0,
+            rng: StdRng::seed_from_u64(seed),
+            hosts: Vec::new(),
+            state: State::new(),
+            cloud: Cloud::new(5),
+            workers: BTreeMap::new(),
+            truths: BTreeMap::new(),
+            users: plans
+                .into_iter()
+                .map(|plan| User {
+                    next: plan.at,
+                    plan,
+                    aim: Aim::Submit,
+                    op: 0,
+                    open: false,
+                    sent: 0,
+                })
+                .collect(),
+            faults,
+            events: BTreeMap::new(),
+            next_event: 0,
+            late_copies: 0,
+            lost_answers: 0,
+            cloud_until: 0,
+            outage_until: 0,
+            starts: 0,
+            gangs: BTreeMap::new(),
+            check: Checker::new(limits, CANCEL_MS),
+        };
+        for n in 0..3 {
+            world.hosts.push(Host {
+                node: None,
+                start: 0,
+                inbox: Vec::new(),
+                stepped: 0,
+                open: BTreeSet::new(),
+                requests: HashMap::new(),
+                next_token: 0,
+                cuts: Cuts::default(),
+            });
+            world.start(n);
+        }
+        world
+    }
+
+    fn start(&mut self, n: usize) {
+        let settings = Settings::parse(&settings(n)).unwrap_or_else(|e| panic!("settings: {e}"));
+        self.starts += 1;
+        let seed = self.rng.random();
+        let host = &mut self.hosts[n];
+        host.start = self.starts;
+        host.inbox.clear();
+        host.open.clear();
+        host.requests.clear();
+        host.node = Some(Node::new(
+            Config::new(&settings, Operator::default()),
+            self.starts,
+            seed,
+        ));
+    }
+
+    fn at(&mut self, time: Ms, event: Event) {
+        self.next_event += 1;
+        self.events
+            .insert((time.max(self.now + 1), self.next_event), event);
+    }
+
+    fn delay(&mut self) -> Ms {
+        match self.rng.random_range(0..100) {
+            0 => self.rng.random_range(100..400),
+            _ => self.rng.random_range(2..15),
+        }
+    }
+
+    /// Until when two ends are cut off from each other, and whether messages are held.
+    fn cut(&self, origin: &Origin, dest: &Dest) -> (Ms, bool) {
+        let node = |n: usize| self.hosts[n].cuts;
+        let worker = |id: &MachineId| {
+            self.workers
+                .get(id)
+                .map_or(0, |w| w.cut_until.max(w.hung_until))
+        };
+        match (origin, dest) {
+            (Origin::Node { node: n, .. }, Dest::State) => (node(*n).state, node(*n).hold),
+            (Origin::Node { node: n, .. }, Dest::Cloud) => (node(*n).cloud, node(*n).hold),
+            (Origin::Node { node: n, .. }, Dest::Worker(id)) => {
+                let deaf = self.workers.get(id).map_or(0, |w| w.deaf_until);
+                (node(*n).workers.max(worker(id)).max(deaf), true)
+            }
+            (Origin::Worker { id, .. }, Dest::Node(n)) => {
+                (node(*n).workers.max(worker(id)), node(*n).hold)
+            }
+            _ => (0, false),
+        }
+    }
+
+    fn send(&mut self, message: Message) {
+        let delay = self.delay();
+        let (until, hold) = self.cut(&message.origin, &message.dest);
+        let mut time = self.now + delay;
+        if until > self.now {
+            if !hold {
+                return;
+            }
+            time = until + self.rng.random_range(1..30_000);
+        }
+        if matches!(message.dest, Dest::Node(_))
+            && self.now < self.late_copies
+            && self.rng.random_range(0..4) == 0
+        {
+            if let Origin::Worker { .. } = message.origin {
+                let copy = Message {
+                    origin: Origin::Nobody,
+                    ..message.clone()
+                };
+                let late = self.now + self.rng.random_range(1_000..LEASE_MS * 4);
+                self.at(late, Event::Arrive(copy));
+            }
+        }
+        self.at(time, Event::Arrive(message));
+    }
+
+    fn reply(&mut self, from: &Dest, to: Origin, status: u16, body: Vec<u8>) {
+        let (until, _) = self.cut(&to, from);
+        let lost = self.now < self.lost_answers && self.rng.random_range(0..20) == 0;
+        let deaf = match &to {
+            Origin::Worker { id, .. } => self
+                .workers
+                .get(id)
+                .is_some_and(|w| w.deaf_until > self.now),
+            _ => false,
+        };
+        if until > self.now || lost || deaf {
+            return;
+        }
+        let time = self.now + self.delay();
+        self.at(time, Event::Answer { to, status, body });
+    }
+
+    /// Plays until a time.
+    pub fn run_until(&mut self, end: Ms) {
+        while self.now < end {
+            self.now += STEP;
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        while self.faults.first().is_some_and(|f| f.at <= self.now) {
+            let fault = self.faults.remove(0);
+            self.inject(fault.kind);
+        }
+        while let Some(entry) = self.events.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let event = entry.remove();
+            self.happen(event);
+        }
+        if self.cloud.down && self.now >= self.cloud_until {
+            self.cloud.down = false;
+        }
+        if self.state.down && self.now >= self.outage_until {
+            self.state.set_down(false, self.now);
+        }
+        for (to, value) in self.state.tick(self.now) {
+            let body = value.to_string().into_bytes();
+            self.reply(&Dest::State, to, 200, body);
+        }
+        self.cloud.tick(self.now);
+        self.boot();
+        self.tick_workers();
+        self.tick_gangs();
+        self.tick_users();
+        for n in 0..self.hosts.len() {
+            self.step_node(n);
+        }
+        if self.now % 500 == 0 {
+            self.check.tick(self.now);
+        }
+    }
+
+    fn inject(&mut self, kind: FaultKind) {
+        let now = self.now;
+        let pick = |world: &mut Self| {
+            let ids: Vec<MachineId> = world.workers.keys().cloned().collect();
+            (!ids.is_empty()).then(|| ids[world.rng.random_range(0..ids.len())].clone())
+        };
+        match kind {
+            FaultKind::Crash { node, count, back } => {
+                for n in (0..count).map(|i| (node + i) % 3) {
+                    self.hosts[n].node = None;
+                    self.at(now + back, Event::Restart(n));
+                }
+            }
+            FaultKind::Cut {
+                node,
+                state,
+                workers,
+                cloud,
+                time,
+                hold,
+            } => {
+                let cuts = &mut self.hosts[node].cuts;
+                cuts.hold = hold;
+                for (on, until) in [
+                    (state, &mut cuts.state),
+                    (workers, &mut cuts.workers),
+                    (cloud, &mut cuts.cloud),
+                ] {
+                    if on {
+                        *until = now + time;
+                    }
+                }
+            }
+            FaultKind::Refuse { node, time } => self.hosts[node].cuts.refuse = now + time,
+            FaultKind::Slow { node, time } => self.hosts[node].cuts.slow = now + time,
+            FaultKind::Outage(time) => {
+                self.state.set_down(true, now);
+                self.outage_until = now + time;
+            }
+            FaultKind::CloudTrouble(time) => {
+                self.cloud.down = true;
+                self.cloud_until = now + time;
+            }
+            FaultKind::LateCopies(time) => self.late_copies = now + time,
+            FaultKind::LostAnswers(time) => self.lost_answers = now + time,
+            FaultKind::Die => {
+                if let Some(id) = pick(self) {
+                    self.end_worker(&id);
+                    if let Some(m) = self.cloud.machines.get_mut(&id) {
+                        m.failed = true;
+                    }
+                }
+            }
+            FaultKind::Taken { notice } => {
+                let ids: Vec<MachineId> = self
+                    .workers
+                    .values()
+                    .filter(|w| w.spot)
+                    .map(|w| w.id.clone())
+                    .collect();
+                for id in ids {
+                    if let Some(w) = self.workers.get_mut(&id) {
+                        w.taken_at = (notice > 0).then_some(now + notice);
+                    }
+                    self.at(now + notice, Event::Taken(id));
+                }
+            }
+            FaultKind::Hang(time)
+            | FaultKind::MachineCut(time)
+            | FaultKind::Deaf(time)
+            | FaultKind::Sick(time) => {
+                let id = pick(self);
+                let Some(w) = id.and_then(|id| self.workers.get_mut(&id)) else {
+                    return;
+                };
+                match kind {
+                    FaultKind::Hang(_) => w.hung_until = now + time,
+                    FaultKind::MachineCut(_) => w.cut_until = now + time,
+                    FaultKind::Deaf(_) => w.deaf_until = now + time,
+                    _ => w.sick_until = now + time,
+                }
+            }
+        }
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Arrive(message) => self.arrive(message),
+            Event::Answer { to, status, body } => self.answered(to, status, body),
+            Event::Restart(n) => {
+                if self.hosts[n].node.is_none() {
+                    self.start(n);
+                }
+            }
+            Event::Taken(id) => {
+                self.end_worker(&id);
+                self.cloud.end(&id);
+            }
+        }
+    }
+
+    fn end_worker(&mut self, id: &MachineId) {
+        if let Some(mut w) = self.workers.remove(id) {
+            w.wipe(&mut self.check);
+        }
+    }
+
+    fn boot(&mut self) {
+        for id in std::mem::take(&mut self.cloud.ended) {
+            self.end_worker(&id);
+        }
+        for (id, m) in &self.cloud.machines {
+            if !m.failed && self.now >= m.up_at && !self.workers.contains_key(id) {
+                let mut w = Worker::new(id.clone(), &m.machine_type, &m.zone, m.spot, self.now);
+                w.node = self.rng.random_range(0..3);
+                self.workers.insert(id.clone(), w);
+            }
+        }
+    }
+
+    fn tick_workers(&mut self) {
+        let now = self.now;
+        let mut reports = Vec::new();
+        for w in self.workers.values_mut() {
+            if w.hung_until > now {
+                continue;
+            }
+            let mut around = Around {
+                now,
+                truths: &self.truths,
+                check: &mut self.check,
+                lease_ms: LEASE_MS,
+            };
+            w.tick(&mut around);
+            if w.open.is_some_and(|(_, _, sent)| now >= sent + 4_000) {
+                w.open = None;
+                w.node = (w.node + 1) % 3;
+                w.next_report = now + 1_000;
+            }
+            if w.open.is_none() && now >= w.next_report {
+                let report = w.report(now);
+                w.open = Some((report.seq, report.session, now));
+                w.next_report = now + REPORT_MS;
+                let body = serde_json::to_vec(&report).unwrap_or_default();
+                reports.push(Message {
+                    origin: Origin::Worker {
+                        id: w.id.clone(),
+                        report: report.seq,
+                    },
+                    dest: Dest::Node(w.node),
+                    method: "POST".to_owned(),
+                    path: "/v1/report".to_owned(),
+                    body,
+                });
+            }
+        }
+        for report in reports {
+            self.send(report);
+        }
+    }
+
+    /// Gangs start together, end together, and notice that one is gone.
+    fn tick_gangs(&mut self) {
+        let mut attempts: BTreeMap<(JobId, u64), Vec<(MachineId, TaskRef, TaskStage)>> =
+            BTreeMap::new();
+        for w in self.workers.values() {
+            for ((task, attempt), t) in &w.tasks {
+                let gang = self
+                    .truths
+                    .get(&task.job)
+                    .is_some_and(|t| t.spec.kind == JobKind::Gang);
+                if gang && matches!(t.stage, TaskStage::Gathering | TaskStage::Running) {
+                    let key = (task.job.clone(), *attempt);
+                    attempts
+                        .entry(key)
+                        .or_default()
+                        .push((w.id.clone(), task.clone(), t.stage));
+                }
+            }
+        }
+        for ((job, attempt), members) in attempts {
+            let truth = &self.truths[&job];
+            let whole = members.len() as u32 == truth.spec.tasks;
+            let began = self.gangs.get(&(job.clone(), attempt)).copied();
+            let done = (0..truth.spec.tasks).all(|index| {
+                self.check.is_completed(&TaskRef {
+                    job: job.clone(),
+                    index,
+                })
+            });
+            let waits = members.iter().any(|(_, _, s)| *s == TaskStage::Gathering);
+            let cause = match began {
+                None if whole && waits => {
+                    self.gangs.insert((job.clone(), attempt), self.now);
+                    for (m, task, _) in &members {
+                        let w = self.workers.get_mut(m);
+                        if let Some(t) = w.and_then(|w| w.tasks.get_mut(&(task.clone(), attempt))) {
+                            t.stage = TaskStage::Running;
+                        }
+                    }
+                    None
+                }
+                _ if done => Some(ExitCause::Done),
+                Some(t) if whole && self.now >= t + truth.run_ms => Some(ExitCause::Done),
+                Some(_) if !whole => Some(ExitCause::Peers),
+                _ => None,
+            };
+            let Some(cause) = cause else { continue };
+            for (m, task, _) in &members {
+                let mut around = Around {
+                    now: self.now,
+                    truths: &self.truths,
+                    check: &mut self.check,
+                    lease_ms: LEASE_MS,
+                };
+                if cause == ExitCause::Done {
+                    around.check.completed(task);
+                }
+                if let Some(w) = self.workers.get_mut(m).filter(|w| w.hung_until <= self.now) {
+                    w.exit(&mut around, &(task.clone(), attempt), cause);
+                }
+            }
+        }
+    }
+
+    fn tick_users(&mut self) {
+        for i in 0..self.users.len() {
+            let user = &mut self.users[i];
+            if user.open && self.now >= user.sent + 5_000 {
+                user.open = false;
+                user.next = self.now + 1_000;
+            }
+            if user.open || user.aim == Aim::Over || self.now < user.next {
+                continue;
+            }
+            if user.aim == Aim::Poll && user.plan.cancel_at.is_some_and(|t| self.now >= t) {
+                user.aim = Aim::Cancel;
+            }
+            user.op += 1;
+            user.open = true;
+            user.sent = self.now;
+            let id = user.plan.spec.id.clone();
+            let (method, path, body) = match user.aim {
+                Aim::Submit => {
+                    self.check.submitted(&user.plan.spec);
+                    let truth = Truth {
+                        spec: user.plan.spec.clone(),
+                        run_ms: user.plan.run_ms,
+                    };
+                    self.truths.insert(id.clone(), truth);
+                    let body = serde_json::to_vec(&user.plan.spec).unwrap_or_default();
+                    ("POST", "/submissions".to_owned(), body)
+                }
+                Aim::Cancel => {
+                    self.check.asked_cancel(&id);
+                    ("POST", format!("/submissions/{id}/abort"), Vec::new())
+                }
+                _ => ("GET", format!("/submissions/{id}"), Vec::new()),
+            };
+            let message = Message {
+                origin: Origin::User {
+                    user: i,
+                    op: user.op,
+                },
+                dest: Dest::Node(self.rng.random_range(0..3)),
+                method: method.to_owned(),
+                path,
+                body,
+            };
+            self.send(message);
+        }
+    }
+
+    fn arrive(&mut self, m: Message) {
+        let now = self.now;
+        match m.dest.clone() {
+            Dest::State => {
+                let refused = match &m.origin {
+                    Origin::Node { node, .. } => self.hosts[*node].cuts.refuse > now,
+                    _ => false,
+                };
+                let answer = if refused {
+                    let watch = m.path.starts_with("/changes");
+                    (!watch).then(|| (503, serde_json::json!({"error": "refused"})))
+                } else {
+                    self.state
+                        .handle(now, &m.method, &m.path, &m.body, m.origin.clone())
+                };
+                if let Some((status, value)) = answer {
+                    self.reply(&m.dest, m.origin, status, value.to_string().into_bytes());
+                }
+            }
+            Dest::Cloud => {
+                let (status, value) = self.cloud.handle(now, &m.path, &m.body, &mut self.rng);
+                // What the cloud deleted is gone by the time it answers.
+                self.boot();
+                self.reply(&m.dest, m.origin, status, value.to_string().into_bytes());
+            }
+            Dest::Worker(id) => {
+                let Some(w) = self.workers.get_mut(&id) else {
+                    return;
+                };
+                if w.hung_until > now {
+                    let until = w.hung_until;
+                    self.at(until, Event::Arrive(m));
+                    return;
+                }
+                let mut around = Around {
+                    now,
+                    truths: &self.truths,
+                    check: &mut self.check,
+                    lease_ms: LEASE_MS,
+                };
+                let (status, body) = w.commands(&mut around, &m.body);
+                self.reply(&m.dest, m.origin, status, body);
+            }
+            Dest::Node(n) => {
+                let host = &mut self.hosts[n];
+                if host.node.is_none() {
+                    self.reply(&m.dest, m.origin, 0, Vec::new());
+                    return;
+                }
+                let token = Token(host.next_token);
+                host.next_token += 1;
+                host.requests.insert(token, m.origin);
+                host.inbox.push(Input::Request {
+                    token,
+                    method: m.method,
+                    path: m.path,
+                    body: Some(m.body),
+                });
+            }
+        }
+    }
+
+    fn answered(&mut self, to: Origin, status: u16, body: Vec<u8>) {
+        match to {
+            Origin::Nobody => {}
+            Origin::Node { node, start, call } => {
+                let host = &mut self.hosts[node];
+                if host.start == start && host.open.remove(&call) {
+                    host.inbox.push(Input::Answer { call, status, body });
+                }
+            }
+            Origin::Worker { id, report } => self.worker_answered(&id, report, status, &body),
+            Origin::User { user, op } => self.user_answered(user, op, status, &body),
+        }
+    }
+
+    fn worker_answered(&mut self, id: &MachineId, report: u64, status: u16, body: &[u8]) {
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(id).filter(|w| w.hung_until <= now) else {
+            return;
+        };
+        if w.open.is_none_or(|(seq, _, _)| seq != report) {
+            return;
+        }
+        if status == 200 {
+            if let Ok(reply) = serde_json::from_slice::<ReportReply>(body) {
+                let mut around = Around {
+                    now,
+                    truths: &self.truths,
+                    check: &mut self.check,
+                    lease_ms: LEASE_MS,
+                };
+                w.replied(&mut around, reply.token, &reply.orders);
+                return;
+            }
+        }
+        w.open = None;
+        let redirect: Redirect = serde_json::from_slice(body).unwrap_or_default();
+        let to = redirect
+            .report_to
+            .and_then(|n| n.strip_prefix("berth-").and_then(|n| n.parse().ok()));
+        match to {
+            Some(n) if status == 421 && n != w.node && n < 3 => {
+                w.node = n;
+                w.next_report = now + 100;
+            }
+            _ => {
+                w.node = (w.node + 1) % 3;
+                w.next_report = now + 1_000;
+            }
+        }
+    }
+
+    fn user_answered(&mut self, i: usize, op: u64, status: u16, body: &[u8]) {
+        let now = self.now;
+        let user = &mut self.users[i];
+        if user.op != op || !user.open {
+            return;
+        }
+        user.open = false;
+        let answer: Option<JobStatus> = serde_json::from_slice(body).ok();
+        let stage = answer.map(|a| a.stage);
+        let id = user.plan.spec.id.clone();
+        let submission = user.aim == Aim::Submit;
+        if status > 0 {
+            self.check.answered(now, &id, submission, status, stage);
+        }
+        let good = matches!(status, 200 | 201);
+        let last = stage.is_some_and(JobStage::is_final);
+        (user.aim, user.next) = match user.aim {
+            Aim::Submit if good => (Aim::Poll, now + 2_000),
+            Aim::Submit if matches!(status, 400 | 422) => (Aim::Over, now),
+            Aim::Cancel if good => (Aim::Poll, now + 3_000),
+            // A final state is asked for again, to see that it stays.
+            Aim::Poll if good && last => (Aim::Poll, now + 20_000),
+            aim => (aim, now + 1_500),
+        };
+        if good && last {
+            user.plan.cancel_at = None;
+        }
+    }
+
+    fn step_node(&mut self, n: usize) {
+        let now = self.now;
+        let host = &mut self.hosts[n];
+        let Some(node) = host.node.as_mut() else {
+            return;
+        };
+        let pause = if host.cuts.slow > now { 1_500 } else { 0 };
+        let due = now >= host.stepped + IDLE || !host.inbox.is_empty();
+        if !due || now < host.stepped + pause {
+            return;
+        }
+        host.stepped = now;
+        let start = host.start;
+        let inbox = std::mem::take(&mut host.inbox);
+        let mut late = Vec::new();
+        let mut sends = Vec::new();
+        let mut replies = Vec::new();
+        for effect in node.step(now, inbox) {
+            match effect {
+                Effect::Respond { token, reply } => {
+                    if let Some(origin) = host.requests.remove(&token) {
+                        replies.push((origin, reply.status, reply.body));
+                    }
+                }
+                Effect::Call {
+                    id,
+                    target,
+                    method,
+                    path,
+                    body,
+                    timeout,
+                } => {
+                    host.open.insert(id);
+                    let origin = Origin::Node {
+                        node: n,
+                        start,
+                        call: id,
+                    };
+                    late.push((now + timeout, origin.clone()));
+                    let dest = match target {
+                        Target::State => Dest::State,
+                        Target::Cloud => Dest::Cloud,
+                        Target::Worker(addr) => Dest::Worker(MachineId::new(&addr)),
+                    };
+                    sends.push(Message {
+                        origin,
+                        dest,
+                        method: method.to_owned(),
+                        path,
+                        body: body.unwrap_or_default(),
+                    });
+                }
+            }
+        }
+        for (time, to) in late {
+            self.at(
+                time,
+                Event::Answer {
+                    to,
+                    status: 0,
+                    body: Vec::new(),
+                },
+            );
+        }
+        for message in sends {
+            self.send(message);
+        }
+        for (to, status, body) in replies {
+            self.reply(&Dest::Node(n), to, status, body);
+        }
+    }
+
+    /// What a quiet end must show: everything accepted is done, or runs.
+    pub fn unserved(&self) -> Vec<String> {
+        let mut left = Vec::new();
+        for user in &self.users {
+            let spec = &user.plan.spec;
+            if user.aim == Aim::Submit {
+                left.push(format!("{}: not accepted", spec.id));
+            }
+            if user.aim != Aim::Poll
+                || user.plan.cancel_at.is_none() && spec.kind == JobKind::Service
+            {
+                continue;
+            }
+            let tasks = (0..spec.tasks).map(|index| TaskRef {
+                job: spec.id.clone(),
+                index,
+            });
+            let cancelled = self.check.was_cancelled(&spec.id);
+            let done = tasks.clone().all(|t| self.check.is_completed(&t));
+            if !cancelled && !done && spec.kind != JobKind::Service {
+                left.push(format!(
+                    "{}: {:?} of {} tasks is not done",
+                    spec.id, spec.kind, spec.tasks
+                ));
+            }
+        }
+        left
+    }
+
+    /// Puts and deletes that the state service has carried out.
+    pub fn writes(&self) -> u64 {
+        self.state.writes
+    }
+
+    /// Constants that the workers live by, for tests that need them.
+    pub fn times() -> (Ms, Ms) {
+        (GANG_WAIT_MS, GANG_PEER_MS)
+    }
+}
