--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -89,7 +89,7 @@
         if let Some(stage) = self.finals.get(&id) {
             return Some(Reply::json(200, &status(&id, stage)));
         }
-        if self.member.has_right(&self.ctx) {
+        if self.member.has_right(&self.ctx, &self.view) {
             if let Some(share) = self.share_of(&id) {
                 return share.jobs.get(&id).map(|j| Reply::json(200, &j.status()));
             }
@@ -221,7 +221,7 @@
         if let Some(stage) = self.finals.get(&id) {
             return Some(Reply::json(200, &status(&id, stage)));
         }
-        if self.member.has_right(&self.ctx) {
+        if self.member.has_right(&self.ctx, &self.view) {
             if let Some(share) = self.share_of(&id) {
                 return share.jobs.get(&id).map(|j| Reply::json(200, &j.status()));
             }
--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -4,7 +4,7 @@
 //! to a user, a start command, a `forget`) compares the version it needs with
 //! the version that is known to be written.
 
-use crate::ctx::{Ctx, JobWrite, Pending, Reply};
+use crate::ctx::{Ctx, JobWrite, Pending, Reply, Token};
 use crate::job::Job;
 use crate::node::Finals;
 use crate::records::{abort_key, job_key, live_key, share_key, JobRec};
@@ -87,7 +87,6 @@
             txn.writes.extend(part.writes);
             if let Some(job) = self.jobs.get_mut(&part.write.id) {
                 job.writing = true;
-                job.last_sent |= part.write.last;
             }
             jobs.push(part.write);
         }
@@ -114,9 +113,10 @@
                 continue;
             }
             job.retry_at = ctx.now + RETRY;
-            if status != 409 {
-                // Perhaps it was carried out, perhaps it will be. Writing
-                // again on the same conditions is safe either way.
+            // Without an answer, perhaps it was carried out, perhaps it will
+            // be. Writing again on the same conditions is safe either way. If
+            // the share's record has changed, the view will tell whose it is.
+            if status != 409 || reply.failed.contains(&share_key(self.id)) {
                 continue;
             }
             for block in &write.blocks {
@@ -143,7 +143,6 @@
     pub(crate) fn on_fix(
         &mut self,
         ctx: &mut Ctx,
-        finals: &mut Finals,
         id: &JobId,
         block: u32,
         status: u16,
@@ -160,15 +159,14 @@
                     block.stamp = item.version;
                 }
             }
-            (404, _) if job.last_sent && block == 0 => {
-                let write = JobWrite {
-                    id: id.clone(),
-                    version: job.version,
-                    blocks: vec![0],
-                    last: true,
-                    cancel: job.cancelled,
-                };
-                self.written(ctx, finals, &write, u64::MAX);
+            (404, _) if block == 0 => {
+                // The job is over, by our own last write or by that of a new
+                // holder of the share, whose outcome may differ from ours.
+                job.writing = true;
+                let (share, epoch, id) = (self.id, self.epoch, id.clone());
+                let path = format!("/kv/{}", job_key(&id));
+                let pending = Pending::JobFinal { share, epoch, id };
+                ctx.read(Urgency::Work, path, pending);
             }
             (404, _) => {
                 if let Some(block) = job.blocks.get_mut(&block) {
@@ -179,6 +177,33 @@
         }
     }
 
+    /// What became of a job whose live record is gone.
+    pub(crate) fn on_final(
+        &mut self,
+        ctx: &mut Ctx,
+        finals: &mut Finals,
+        id: &JobId,
+        status: u16,
+        body: &[u8],
+    ) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.writing = false;
+        job.retry_at = ctx.now + RETRY;
+        let item: Option<Item> = serde_json::from_slice(body).ok().filter(|_| status == 200);
+        let Some(item) = item else { return };
+        let Ok(rec) = serde_json::from_value::<JobRec>(item.value) else {
+            return;
+        };
+        if rec.stage.is_final() && job.bound.is_empty() {
+            finals.insert(id.clone(), rec.stage);
+            let waiters = std::mem::take(&mut job.cancel_waiters);
+            answer(ctx, waiters, id, rec.stage);
+            self.forget_job(id, item.version);
+        }
+    }
+
     fn written(&mut self, ctx: &mut Ctx, finals: &mut Finals, write: &JobWrite, revision: u64) {
         let Some(job) = self.jobs.get_mut(&write.id) else {
             return;
@@ -196,16 +221,7 @@
         if write.last || write.cancel {
             finals.insert(write.id.clone(), stage);
             let waiters = std::mem::take(&mut job.cancel_waiters);
-            for token in waiters {
-                let id = write.id.clone();
-                let status = JobStatus {
-                    id,
-                    stage,
-                    done: None,
-                    running: None,
-                };
-                ctx.respond(token, Reply::json(200, &status));
-            }
+            answer(ctx, waiters, &write.id, stage);
         }
         if write.last {
             log::info!(
@@ -227,6 +243,19 @@
     }
 }
 
+/// Tells users who wait for a cancellation how the job ended.
+fn answer(ctx: &mut Ctx, waiters: Vec<Token>, id: &JobId, stage: JobStage) {
+    for token in waiters {
+        let status = JobStatus {
+            id: id.clone(),
+            stage,
+            done: None,
+            running: None,
+        };
+        ctx.respond(token, Reply::json(200, &status));
+    }
+}
+
 /// A job's part of the next transaction, if it has any.
 fn part(share: &Share, job: &Job, ctx: &Ctx, view: &View, progress: bool) -> Option<Part> {
     let id = &job.spec.id;
--- a/crates/core/src/ctx.rs
+++ b/crates/core/src/ctx.rs
@@ -167,6 +167,11 @@
         id: JobId,
         block: u32,
     },
+    JobFinal {
+        share: ShareId,
+        epoch: u64,
+        id: JobId,
+    },
     MachinePut(MachineId),
     Demand {
         share: ShareId,
--- a/crates/core/src/drain.rs
+++ b/crates/core/src/drain.rs
@@ -30,7 +30,7 @@
         let draining: Vec<MachineId> = self
             .machines
             .values()
-            .filter(|m| m.draining && !m.condemned)
+            .filter(|m| m.draining && m.condemned.is_none())
             .map(|m| m.id.clone())
             .collect();
         if draining.is_empty() {
--- a/crates/core/src/evidence.rs
+++ b/crates/core/src/evidence.rs
@@ -123,7 +123,6 @@
         if gone {
             log::debug!("{task}: not on {} any more", report.machine);
             self.unbind(&task.job, task.index);
-            self.gang_broken(ctx, &task.job);
             self.hurry(ctx);
         } else if !machine.calling && report.token >= machine.token {
             // It was told, or should have been, and is not there: a newer
@@ -168,7 +167,6 @@
                 "{task}: {cause:?} on {machine} after {} ms",
                 ctx.now - binding.since
             );
-            self.gang_broken(ctx, &task.job);
         }
         self.hurry(ctx);
     }
@@ -198,7 +196,7 @@
 
     /// Stops what is left of a gang's attempt: the next one begins when all
     /// of it is gone.
-    fn gang_broken(&mut self, _ctx: &Ctx, id: &JobId) {
+    pub(crate) fn gang_broken(&mut self, id: &JobId) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -81,8 +81,6 @@
     /// A write is under way.
     pub(crate) writing: bool,
     pub(crate) retry_at: Ms,
-    /// Its last write was sent, and may have been carried out.
-    pub(crate) last_sent: bool,
     /// When this holder learnt of it.
     pub(crate) since: Ms,
     /// Nothing of it is placed before this.
@@ -119,7 +117,6 @@
             cancel_waiters: Vec::new(),
             writing: false,
             retry_at: 0,
-            last_sent: false,
             since: now,
             not_before: 0,
             failed_on: BTreeSet::new(),
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -17,7 +17,8 @@
     pub(crate) cache_gb: f64,
     pub(crate) boot_ms: Ms,
     pub(crate) addr: Option<String>,
-    pub(crate) condemned: bool,
+    /// Why it is given up, if it is; the record follows.
+    pub(crate) condemned: Option<String>,
     /// Version of its record.
     pub(crate) version: u64,
     /// A write of its record is under way.
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -5,7 +5,7 @@
 use crate::store::Urgency;
 use crate::view::View;
 use crate::Ms;
-use forkshift_wire::state::{Cond, LeaseReply, LeaseRequest, Txn, Write};
+use forkshift_wire::state::{Cond, LeaseReply, LeaseRequest, Txn, TxnReply, Write};
 use serde::Serialize;
 use serde_json::to_value;
 
@@ -21,6 +21,8 @@
     electing: bool,
     /// Our record is on our lease.
     registered: bool,
+    /// The revision that put it there.
+    registered_at: u64,
 }
 
 impl Member {
@@ -33,9 +35,19 @@
         self.extended + ttl - ttl / 500
     }
 
-    /// Whether this controller may answer from memory.
-    pub(crate) fn has_right(&self, ctx: &Ctx) -> bool {
-        self.registered && self.lease.is_some() && ctx.now < self.right_until(ctx)
+    /// Whether this controller may answer from memory. A lease that was lost
+    /// and replaced gives no right until the view has caught up with our new
+    /// record: while we had no lease, our shares may have been given away.
+    pub(crate) fn has_right(&self, ctx: &Ctx, view: &View) -> bool {
+        self.registered
+            && self.lease.is_some()
+            && ctx.now < self.right_until(ctx)
+            && !self.is_behind(view)
+    }
+
+    /// Whether the view is older than our own record.
+    pub(crate) fn is_behind(&self, view: &View) -> bool {
+        self.registered && view.revision < self.registered_at
     }
 
     pub(crate) fn is_registered(&self) -> bool {
@@ -138,7 +150,9 @@
     pub(crate) fn on_node_put(&mut self, status: u16, body: &[u8]) {
         self.putting = false;
         if status == 200 {
+            let reply: TxnReply = serde_json::from_slice(body).unwrap_or_default();
             self.registered = true;
+            self.registered_at = reply.revision;
         } else if is_lease_gone(status, body) {
             self.lease = None;
         }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -177,6 +177,7 @@
                 .values()
                 .filter(|m| m.heard.is_some())
                 .count();
+            share.explain();
             let total: f64 = share.machines.values().map(|m| m.price).sum();
             let used: f64 = share
                 .machines
@@ -201,7 +202,8 @@
         let wanting = self
             .shares
             .values()
-            .any(|s| matches!(s.phase, Phase::Waiting(r) if r > self.view.revision));
+            .any(|s| matches!(s.phase, Phase::Waiting(r) if r > self.view.revision))
+            || self.member.is_behind(&self.view) && self.ctx.now >= self.watch_at;
         if !self.listing && ((!self.view.ready && self.ctx.now >= self.watch_at) || wanting) {
             self.listing = true;
             self.listed.clear();
@@ -266,8 +268,9 @@
         for (k, stamped) in &self.view.shares {
             let rec = &stamped.rec;
             if rec.holder != node || rec.inc != inc {
-                if self.shares.remove(k).is_some() {
+                if let Some(share) = self.shares.remove(k) {
                     log::info!("share {k}: now with {}", rec.holder);
+                    share.let_go(&mut self.ctx);
                 }
                 continue;
             }
@@ -282,7 +285,9 @@
                     continue;
                 }
             }
-            self.shares.remove(k);
+            if let Some(share) = self.shares.remove(k) {
+                share.let_go(&mut self.ctx);
+            }
             let used = self.used.get(k).copied().unwrap_or(0);
             if rec.epoch > used {
                 self.used.insert(*k, rec.epoch);
@@ -302,7 +307,9 @@
             self.moving.insert(k, self.ctx.now + 1_000);
             // From here on we answer for the share no more, whatever becomes
             // of the request.
-            self.shares.remove(&k);
+            if let Some(share) = self.shares.remove(&k) {
+                share.let_go(&mut self.ctx);
+            }
             hand_over(&mut self.ctx, &self.view, k, &to);
         }
     }
@@ -347,7 +354,12 @@
                 block,
             } => {
                 if let Some(s) = self.shares.get_mut(&share).filter(|s| s.epoch == epoch) {
-                    s.on_fix(&mut self.ctx, &mut self.finals, &id, block, status, body);
+                    s.on_fix(&mut self.ctx, &id, block, status, body);
+                }
+            }
+            Pending::JobFinal { share, epoch, id } => {
+                if let Some(s) = self.shares.get_mut(&share).filter(|s| s.epoch == epoch) {
+                    s.on_final(&mut self.ctx, &mut self.finals, &id, status, body);
                 }
             }
             Pending::MachinePut(id) => self.on_machine_put(&id),
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -121,7 +121,7 @@
         let Some(machine) = self.machines.get(id) else {
             return Vec::new();
         };
-        if machine.condemned || !machine.is_confirmed() {
+        if machine.condemned.is_some() || !machine.is_confirmed() {
             return Vec::new();
         }
         let (token, session) = (machine.token, machine.session);
--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -133,7 +133,7 @@
             }
         }
         for machine in self.machines.values() {
-            if machine.heard.is_none() && !machine.condemned {
+            if machine.heard.is_none() && machine.condemned.is_none() {
                 hosts.push(coming(machine.total, machine, ctx.now));
             }
         }
@@ -311,7 +311,7 @@
             .values()
             .filter(|m| {
                 let keep = (m.boot_ms as f64 * idle) as Ms;
-                !m.condemned && m.idle_since.is_some_and(|t| ctx.now >= t + keep)
+                m.condemned.is_none() && m.idle_since.is_some_and(|t| ctx.now >= t + keep)
             })
             .map(|m| m.id.clone())
             .collect()
@@ -423,7 +423,7 @@
 fn is_usable(m: &Machine, ctx: &Ctx) -> bool {
     let fresh = m.heard.is_some_and(|t| ctx.now < t + ctx.cfg.report_ms * 3);
     fresh
-        && !m.condemned
+        && m.condemned.is_none()
         && !m.draining
         && m.leaving.is_none()
         && m.taken_at.is_none()
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -1,7 +1,7 @@
 //! A share that this controller holds: its jobs and its machines.
 
-use crate::ctx::{Ctx, Pending};
-use crate::job::{Binding, Job};
+use crate::ctx::{Ctx, Pending, Reply};
+use crate::job::{Binding, Job, Sent, Stop};
 use crate::machine::Machine;
 use crate::records::{
     live_prefix, machine_key, node_key, share_key, BlockRec, HeadRec, MachineRec, ShapeRec,
@@ -296,7 +296,9 @@
                 if machine.version != stamped.version {
                     machine.version = stamped.version;
                     machine.leaving = None;
-                    machine.condemned = stamped.rec.condemned.is_some();
+                    if stamped.rec.condemned.is_some() {
+                        machine.condemned = stamped.rec.condemned.clone();
+                    }
                     machine.addr = stamped.rec.addr.clone().or(machine.addr.take());
                 }
                 continue;
@@ -345,7 +347,7 @@
             cache_gb: of_type.cache_gb,
             boot_ms: crate::ms(of_type.boot_s),
             addr: rec.addr.clone(),
-            condemned: rec.condemned.is_some(),
+            condemned: rec.condemned.clone(),
             version,
             putting: false,
             session: 0,
@@ -415,7 +417,7 @@
                 && machine.orphans.is_empty()
                 && !machine.calling
                 && !machine.unanswered
-                && !machine.condemned
+                && machine.condemned.is_none()
                 && machine.is_confirmed();
             let floor = machine.token;
             if free || machine.leaving.is_some() {
@@ -477,21 +479,92 @@
 
     /// Gives a machine up: nothing more is placed there, and the leader
     /// deletes it once the record says so.
-    pub(crate) fn condemn(&mut self, ctx: &mut Ctx, view: &View, id: &MachineId, why: &str) {
-        let Some(machine) = self.machines.get(id) else {
+    pub(crate) fn condemn(&mut self, id: &MachineId, why: &str) {
+        let Some(machine) = self.machines.get_mut(id) else {
             return;
         };
-        if machine.condemned || machine.putting {
+        if machine.condemned.is_none() {
+            log::info!(
+                "machine {id}: condemned, {why}, {} tasks",
+                machine.tasks.len()
+            );
+            machine.condemned = Some(why.to_owned());
+        }
+    }
+
+    /// Writes which machines are given up, until the records say so, and
+    /// takes away from them what was never sent there.
+    pub(crate) fn record_condemned(&mut self, ctx: &mut Ctx, view: &View) {
+        let condemned: Vec<(MachineId, String)> = self
+            .machines
+            .values()
+            .filter_map(|m| Some((m.id.clone(), m.condemned.clone()?)))
+            .collect();
+        for (id, why) in condemned {
+            let tasks: Vec<TaskRef> = self.machines[&id].tasks.iter().cloned().collect();
+            for task in tasks {
+                let binding = self
+                    .jobs
+                    .get_mut(&task.job)
+                    .and_then(|j| j.bound.get_mut(&task.index));
+                if let Some(binding) = binding.filter(|b| b.sent == Sent::No) {
+                    binding.stop = Some(Stop {
+                        grace_s: 0.0,
+                        told: None,
+                    });
+                    self.drop_unsent(&task.job);
+                }
+            }
+            let recorded = view
+                .machines
+                .get(&id)
+                .is_none_or(|m| m.rec.condemned.is_some());
+            if !recorded {
+                self.put_machine(ctx, view, &id, |rec| rec.condemned = Some(why));
+            }
+        }
+    }
+
+    /// Says at debug level what every task that is not running waits for.
+    pub(crate) fn explain(&self) {
+        if !log::log_enabled!(log::Level::Debug) {
             return;
         }
-        log::info!(
-            "machine {id}: condemned, {why}, {} tasks",
-            machine.tasks.len()
-        );
-        let why = why.to_owned();
-        self.put_machine(ctx, view, id, |rec| rec.condemned = Some(why));
-        if let Some(machine) = self.machines.get_mut(id) {
-            machine.condemned = true;
+        for job in self.jobs.values() {
+            for (index, b) in &job.bound {
+                if b.running_since.is_none() || b.stop.is_some() {
+                    let durable = job.is_durable(*index, b.version);
+                    log::debug!(
+                        "{}/{index}: {:?} on {}, sent {:?}, stop {:?}, durable {durable}",
+                        job.spec.id,
+                        b.stage,
+                        b.machine,
+                        b.sent,
+                        b.stop
+                    );
+                }
+            }
+        }
+        for m in self.machines.values().filter(|m| !m.tasks.is_empty()) {
+            log::debug!(
+                "machine {}: session {}, echo {} of {}, calling {}, unanswered {}, exited {}, condemned {}",
+                m.id,
+                m.session,
+                m.echo,
+                m.token,
+                m.calling,
+                m.unanswered,
+                m.exited.len(),
+                m.condemned.is_some()
+            );
+        }
+    }
+
+    /// The share is not ours any more: users who wait ask whoever has it.
+    pub(crate) fn let_go(self, ctx: &mut Ctx) {
+        let waiters = self.jobs.into_values().flat_map(|j| j.cancel_waiters);
+        for token in waiters {
+            ctx.respond(token, Reply::later("try again"));
         }
     }
 
--- a/crates/core/src/tend.rs
+++ b/crates/core/src/tend.rs
@@ -3,7 +3,7 @@
 use crate::ctx::Ctx;
 use crate::share::Share;
 use crate::view::View;
-use forkshift_wire::MachineId;
+use forkshift_wire::{JobId, MachineId};
 
 /// A machine that may hold a task of a cancelled job is given up after this
 /// part of the time in which the task must be gone.
@@ -15,6 +15,7 @@
 impl Share {
     pub(crate) fn tend(&mut self, ctx: &mut Ctx, view: &View) {
         self.stop_cancelled();
+        self.stop_broken_gangs();
         self.note_addresses(ctx, view);
         self.give_up(ctx, view);
         self.give_away(ctx, view);
@@ -27,6 +28,21 @@
         self.send_orders(ctx);
     }
 
+    /// A gang that has lost a task, also one that an earlier holder knew of,
+    /// begins anew when the rest is gone.
+    fn stop_broken_gangs(&mut self) {
+        let broken: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.is_gang() && !j.bound.is_empty())
+            .filter(|(_, j)| (j.bound.len() as u32) + j.done.len() < j.spec.tasks)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in broken {
+            self.gang_broken(&id);
+        }
+    }
+
     /// Whether nothing is under way that a new holder would have to wait for.
     pub(crate) fn is_quiet(&self) -> bool {
         let calling = self.machines.values().any(|m| m.calling);
@@ -41,7 +57,7 @@
         let new: Vec<(MachineId, String)> = self
             .machines
             .values()
-            .filter(|m| !m.putting && !m.condemned && m.heard.is_some())
+            .filter(|m| !m.putting && m.condemned.is_none() && m.heard.is_some())
             .filter(|m| {
                 view.machines
                     .get(&m.id)
@@ -58,7 +74,7 @@
     fn give_up(&mut self, ctx: &mut Ctx, view: &View) {
         let silent = ctx.silent_ms();
         let mut give_up: Vec<(MachineId, &str)> = Vec::new();
-        for m in self.machines.values().filter(|m| !m.condemned) {
+        for m in self.machines.values().filter(|m| m.condemned.is_none()) {
             let known = m.addr.is_some() || m.heard.is_some();
             let last = m.heard.unwrap_or(0).max(self.active_since).max(m.since);
             let quiet = ctx.now.saturating_sub(last);
@@ -83,7 +99,8 @@
             give_up.push((id, "it is not needed"));
         }
         for (id, why) in give_up {
-            self.condemn(ctx, view, &id, why);
+            self.condemn(&id, why);
         }
+        self.record_condemned(ctx, view);
     }
 }
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -21,6 +21,8 @@
     saved: bool,
     /// When its present stage ends by itself.
     pub(crate) until: Ms,
+    /// Since when it has had its image.
+    since: Ms,
 }
 
 /// What a worker needs to know of the world.
@@ -207,6 +209,7 @@
             cause: None,
             saved: false,
             until: a.now + fetch,
+            since: a.now + fetch,
         };
         self.tasks.insert(key, task);
     }
@@ -217,6 +220,7 @@
             cause: Some(cause),
             saved: false,
             until: 0,
+            since: 0,
         };
         self.tasks.insert(key, task);
     }
@@ -263,6 +267,21 @@
         }
     }
 
+    /// Tasks whose gang has not become complete in time give up.
+    pub(crate) fn give_up_waiting(&mut self, now: Ms, check: &mut Checker, wait: Ms) {
+        if self.hung_until > now {
+            return;
+        }
+        for ((task, _), t) in &mut self.tasks {
+            if t.stage == TaskStage::Gathering && now >= t.since + wait {
+                check.ended(task, &self.id);
+                t.stage = TaskStage::Exited;
+                t.cause = Some(ExitCause::Alone);
+                self.next_report = self.next_report.min(now + 100);
+            }
+        }
+    }
+
     /// Lets time pass.
     pub(crate) fn tick(&mut self, a: &mut Around) {
         if a.now > self.answered + a.lease_ms {
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -23,7 +23,6 @@
 const LEASE_MS: Ms = 10_000;
 const CANCEL_MS: Ms = 35_000;
 const GANG_WAIT_MS: Ms = 20_000;
-const GANG_PEER_MS: Ms = 3_000;
 
 /// The settings of one of three controllers.
 pub fn settings(node: usize) -> String {
@@ -583,6 +582,9 @@
     fn tick_gangs(&mut self) {
         let mut attempts: BTreeMap<(JobId, u64), Vec<(MachineId, TaskRef, TaskStage)>> =
             BTreeMap::new();
+        for w in self.workers.values_mut() {
+            w.give_up_waiting(self.now, &mut self.check, GANG_WAIT_MS);
+        }
         for w in self.workers.values() {
             for ((task, attempt), t) in &w.tasks {
                 let gang = self
@@ -938,9 +940,4 @@
     pub fn writes(&self) -> u64 {
         self.state.writes
     }
-
-    /// Constants that the workers live by, for tests that need them.
-    pub fn times() -> (Ms, Ms) {
-        (GANG_WAIT_MS, GANG_PEER_MS)
-    }
 }
