--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -92,6 +92,9 @@
             log::info!("leader from now on");
             *self = Self {
                 nodes: std::mem::take(&mut self.nodes),
+                // A controller that leads for a second time must not use a
+                // request's name again: the cloud would repeat its old answer.
+                charters: self.charters,
                 active: true,
                 ..Self::new(ctx.cfg.cloud_rps)
             };
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -412,7 +412,7 @@
         for n in 0..self.hosts.len() {
             self.step_node(n);
         }
-        if self.now % 500 == 0 {
+        if self.now.is_multiple_of(500) {
             self.check.tick(self.now);
         }
     }
@@ -580,8 +580,8 @@
 
     /// Gangs start together, end together, and notice that one is gone.
     fn tick_gangs(&mut self) {
-        let mut attempts: BTreeMap<(JobId, u64), Vec<(MachineId, TaskRef, TaskStage)>> =
-            BTreeMap::new();
+        type Member = (MachineId, TaskRef, TaskStage);
+        let mut attempts: BTreeMap<(JobId, u64), Vec<Member>> = BTreeMap::new();
         for w in self.workers.values_mut() {
             w.give_up_waiting(self.now, &mut self.check, GANG_WAIT_MS);
         }
--- /dev/null
+++ b/crates/testkit/tests/days.rs
@@ -0,0 +1,226 @@
+//! Days in virtual time, each with the faults that once broke a rule or left
+//! a job unserved, and some random ones from fixed seeds.
+
+use forkshift_testkit::{random_faults, Fault, FaultKind, Plan, World};
+use forkshift_wire::users::{JobKind, JobSpec, Priority};
+use forkshift_wire::JobId;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Plays a day and checks that no rule was broken and nobody left unserved.
+fn play(name: &str, seed: u64, plans: Vec<Plan>, faults: Vec<Fault>, end: u64) -> World {
+    let mut world = World::new(seed, plans, faults);
+    world.run_until(end);
+    assert!(world.check.starts > 0, "{name}: nothing ran");
+    assert_eq!(world.check.broken, vec![], "{name}: rules broken");
+    assert_eq!(world.unserved(), Vec::<String>::new(), "{name}: unserved");
+    world
+}
+
+fn random_plans(rng: &mut StdRng, n: u32) -> Vec<Plan> {
+    let one = |n| {
+        let at = rng.random_range(2_000..90_000);
+        Plan::random(rng, n, at)
+    };
+    (0..n).map(one).collect()
+}
+
+fn random_day(seed: u64, faults: usize) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let plans = random_plans(&mut rng, 30);
+    let faults = random_faults(&mut rng, 15_000, 110_000, faults);
+    play(&format!("seed {seed}"), seed, plans, faults, 260_000);
+}
+
+#[test]
+fn random_days_keep_the_rules() {
+    for (seed, faults) in [
+        (1, 0),
+        (2, 4),
+        (3, 8),
+        (4, 8),
+        (5, 8),
+        (6, 14),
+        (7, 14),
+        (8, 20),
+    ] {
+        random_day(seed, faults);
+    }
+}
+
+/// Seeds that showed a failure when it was found.
+#[test]
+fn days_that_once_failed() {
+    // What each showed is told where the code guards against it.
+    for (seed, faults) in [
+        (1123, 8),
+        (1058, 8),
+        (1089, 8),
+        (1095, 8),
+        (5030, 14),
+        (5101, 14),
+        (9085, 4),
+    ] {
+        random_day(seed, faults);
+    }
+}
+
+#[test]
+fn every_kind_of_fault_alone() {
+    let node = 0;
+    let (time, hold) = (15_000, true);
+    let kinds = [
+        FaultKind::Crash {
+            node,
+            count: 1,
+            back: 50,
+        },
+        FaultKind::Crash {
+            node,
+            count: 1,
+            back: 6_000,
+        },
+        FaultKind::Crash {
+            node,
+            count: 2,
+            back: 3_000,
+        },
+        FaultKind::Crash {
+            node,
+            count: 3,
+            back: 300,
+        },
+        FaultKind::Crash {
+            node,
+            count: 3,
+            back: 6_000,
+        },
+        FaultKind::Cut {
+            node,
+            state: true,
+            workers: false,
+            cloud: false,
+            time,
+            hold,
+        },
+        FaultKind::Cut {
+            node,
+            state: false,
+            workers: true,
+            cloud: false,
+            time,
+            hold,
+        },
+        FaultKind::Cut {
+            node,
+            state: true,
+            workers: true,
+            cloud: true,
+            time,
+            hold,
+        },
+        FaultKind::Refuse { node, time },
+        FaultKind::Outage(time),
+        FaultKind::CloudTrouble(time),
+        FaultKind::Slow { node, time },
+        FaultKind::Die,
+        FaultKind::Hang(time),
+        FaultKind::MachineCut(time),
+        FaultKind::Deaf(time),
+        FaultKind::Sick(time),
+        FaultKind::Taken { notice: 0 },
+        FaultKind::Taken { notice: 4_000 },
+        FaultKind::LateCopies(time),
+        FaultKind::LostAnswers(time),
+    ];
+    for (i, kind) in kinds.into_iter().enumerate() {
+        let seed = 100 + i as u64;
+        let name = format!("{kind:?}");
+        let plans = random_plans(&mut StdRng::seed_from_u64(seed), 20);
+        let fault = Fault { at: 40_000, kind };
+        play(&name, seed, plans, vec![fault], 200_000);
+    }
+}
+
+#[test]
+fn all_controllers_restart_within_an_outage() {
+    let plans = random_plans(&mut StdRng::seed_from_u64(77), 25);
+    let crash = FaultKind::Crash {
+        node: 0,
+        count: 3,
+        back: 2_000,
+    };
+    let faults = vec![
+        Fault {
+            at: 40_000,
+            kind: FaultKind::Outage(20_000),
+        },
+        Fault {
+            at: 50_000,
+            kind: crash,
+        },
+    ];
+    play("restart within an outage", 77, plans, faults, 240_000);
+}
+
+#[test]
+fn a_roll_of_all_controllers() {
+    let plans = random_plans(&mut StdRng::seed_from_u64(78), 25);
+    let crash = |node| FaultKind::Crash {
+        node,
+        count: 1,
+        back: 3_000,
+    };
+    let faults = (0..3).map(|node| Fault {
+        at: 40_000 + 15_000 * node as u64,
+        kind: crash(node),
+    });
+    play("roll", 78, plans, faults.collect(), 240_000);
+}
+
+/// A leader that loses its key and leads again must not reuse the names of
+/// its requests: the cloud would repeat old answers, and nothing would be rented.
+#[test]
+fn a_controller_that_leads_twice_still_rents() {
+    let job = |n: u32, at: u64| Plan {
+        at,
+        run_ms: 5_000,
+        cancel_at: None,
+        spec: JobSpec {
+            id: JobId::new(&format!("j-{n}")),
+            class: "work".to_owned(),
+            team: "team-0".to_owned(),
+            kind: JobKind::Array,
+            priority: Priority::Normal,
+            tasks: 2,
+            cpus: 2.0,
+            gpus: 4.0,
+            memory_gb: 4.0,
+            image: "img".to_owned(),
+            image_gb: 1.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: false,
+            estimate_s: 5.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        },
+    };
+    let refuse = |node, at, time| Fault {
+        at,
+        kind: FaultKind::Refuse { node, time },
+    };
+    let faults = vec![
+        refuse(0, 30_000, 15_000),
+        refuse(1, 60_000, 15_000),
+        refuse(2, 90_000, 15_000),
+        refuse(0, 120_000, 15_000),
+        refuse(1, 150_000, 15_000),
+    ];
+    let plans = (0..8).map(|n| job(n, 2_000 + 30_000 * u64::from(n)));
+    let world = play("leads twice", 5, plans.collect(), faults, 330_000);
+    assert!(world.check.starts >= 16);
+}
