--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -154,6 +154,7 @@
         let head = HeadRec {
             spec: spec.clone(),
             cancelled: false,
+            at: self.ctx.wall,
             block: BlockRec::default(),
         };
         let key = job_key(&spec.id);
@@ -187,7 +188,8 @@
                 let reply: TxnReply = serde_json::from_slice(body).unwrap_or_default();
                 let ours = self.shares.get_mut(&share);
                 if let Some(share) = ours.filter(|s| s.phase == Phase::Active) {
-                    share.add_job(&mut self.ctx, spec, reply.revision);
+                    let at = self.ctx.wall;
+                    share.add_job(&mut self.ctx, spec, at, reply.revision);
                 }
                 let reply = Reply::json(201, &status(&id, JobStage::Queued));
                 self.ctx.respond(token, reply);
--- a/crates/core/src/ctx.rs
+++ b/crates/core/src/ctx.rs
@@ -238,6 +238,7 @@
 /// Time, settings, and a way out.
 pub(crate) struct Ctx {
     pub(crate) now: Ms,
+    pub(crate) wall: Ms,
     pub(crate) cfg: Rc<Config>,
     pub(crate) inc: u64,
     pub(crate) out: Vec<Effect>,
@@ -259,6 +260,7 @@
         let n = cfg.nodes.len() as f64;
         Self {
             now: 0,
+            wall: 0,
             store: Store::new(cfg.state_rps / n, cfg.write_rps / n),
             cfg,
             inc,
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -81,7 +81,10 @@
     /// A write is under way.
     pub(crate) writing: bool,
     pub(crate) retry_at: Ms,
-    /// When this holder learnt of it.
+    /// Time of day at which it was submitted.
+    pub(crate) at: Ms,
+    /// How long it had waited when this holder learnt of it, and when that was.
+    pub(crate) waited: Ms,
     pub(crate) since: Ms,
     /// Nothing of it is placed before this.
     pub(crate) not_before: Ms,
@@ -117,6 +120,8 @@
             cancel_waiters: Vec::new(),
             writing: false,
             retry_at: 0,
+            at: 0,
+            waited: 0,
             since: now,
             not_before: 0,
             failed_on: BTreeSet::new(),
@@ -262,6 +267,7 @@
         HeadRec {
             spec: (*self.spec).clone(),
             cancelled: self.cancelled,
+            at: self.at,
             block: self.block_rec(0),
         }
     }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -91,9 +91,12 @@
         }
     }
 
-    /// Takes in a batch, and says what is to be done.
-    pub fn step(&mut self, now: Ms, inputs: Vec<Input>) -> Vec<Effect> {
+    /// Takes in a batch, and says what is to be done. `now` is the steady
+    /// clock, `wall` the time of day, which may be off by some and is used
+    /// only to tell how long ago a job was submitted.
+    pub fn step(&mut self, now: Ms, wall: Ms, inputs: Vec<Input>) -> Vec<Effect> {
         self.ctx.now = self.ctx.now.max(now);
+        self.ctx.wall = wall;
         for input in inputs {
             match input {
                 Input::Request {
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -215,6 +215,9 @@
     /// Its user was told that it is cancelled.
     #[serde(default)]
     pub cancelled: bool,
+    /// Time of day at which it was submitted, in milliseconds.
+    #[serde(default)]
+    pub at: u64,
     /// Its first tasks.
     #[serde(default)]
     pub block: BlockRec,
--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -99,7 +99,8 @@
                 continue;
             };
             let mut want = want_of(ctx, job, team, &zones);
-            want.band = band(job, &self.quotas[team], &waiting, ctx.now, boot_ms);
+            want.reserves = is_aged(job, ctx.now, boot_ms);
+            want.band = band(job, &self.quotas[team], &waiting, want.reserves);
             want.waiting = waiting;
             want.avoid = job
                 .failed_on
@@ -124,6 +125,9 @@
         mut quotas: Vec<Quota>,
     ) {
         wants.sort_by_key(|w| std::cmp::Reverse(w.band));
+        for host in &mut hosts {
+            host.held = false;
+        }
         let now = self.shapes_of(ctx, view, &wants, &mut quotas.clone());
         let mut draining = Vec::new();
         for machine in self.machines.values() {
@@ -189,7 +193,15 @@
             .into_iter()
             .map(|z| (ctx.intern(z) as u16, z.to_owned()))
             .collect();
+        let mut held = BTreeSet::new();
         for want in wants {
+            // What a round keeps from being placed needs no machine either.
+            if held.contains(&want.team) {
+                continue;
+            }
+            if want.reserves && !want.waiting.is_empty() && !quotas[want.team].allows(&want.task) {
+                held.insert(want.team);
+            }
             let mut n = 0;
             while n < want.waiting.len() && quotas[want.team].allows(&want.task) {
                 quotas[want.team].used += want.task;
@@ -229,12 +241,14 @@
             for _ in 0..charter.count {
                 hosts.push(Host {
                     free: Resources::new(t.cpus, t.gpus, t.memory_gb),
+                    total: Resources::new(t.cpus, t.gpus, t.memory_gb),
                     machine_type: ctx.intern(&charter.machine_type) as u16,
                     zone: ctx.intern(&charter.zone) as u16,
                     spot: charter.spot,
                     price: t.price / 3600.0,
                     fetch_rate: t.fetch_gb_per_s,
                     images: BTreeSet::new(),
+                    held: false,
                     delay: t.boot_s,
                 });
             }
@@ -333,6 +347,12 @@
         }
         self.demand_putting = true;
         self.demand_at = ctx.now;
+        log::debug!(
+            "share {}: lacks {:?}, {:?} wait now",
+            self.id,
+            rec.shapes,
+            rec.now
+        );
         let txn = Txn {
             conds: vec![Cond {
                 key: share_key(self.id),
@@ -365,6 +385,7 @@
     Want {
         task: job.task,
         band: 0,
+        reserves: false,
         waiting: Vec::new(),
         total: spec.tasks,
         gang: job.is_gang(),
@@ -404,8 +425,16 @@
     types.map(|t| (ctx.intern(t) as u16, t.clone())).collect()
 }
 
+/// Whether a job has waited for so long that it goes before all others.
+fn is_aged(job: &Job, now: Ms, boot_ms: Ms) -> bool {
+    job.spec.kind != JobKind::Service
+        && job.bound.is_empty()
+        && boot_ms > 0
+        && (job.waited + now.saturating_sub(job.since)) as f64 > AGED_BOOTS * boot_ms as f64
+}
+
 /// Priority, the guarantee, and for how long a job has waited.
-fn band(job: &Job, quota: &Quota, waiting: &[u32], now: Ms, boot_ms: Ms) -> i32 {
+fn band(job: &Job, quota: &Quota, waiting: &[u32], aged: bool) -> i32 {
     let priority = match job.spec.priority {
         Priority::Low => 0,
         Priority::Normal => 1,
@@ -413,9 +442,6 @@
         Priority::Production => 3,
     };
     let guaranteed = quota.guarantees(&job.task.times(waiting.len() as i64));
-    let aged = job.spec.kind != JobKind::Service
-        && job.bound.is_empty()
-        && now.saturating_sub(job.since) as f64 > AGED_BOOTS * boot_ms as f64;
     priority + if guaranteed { 4 } else { 0 } + if aged { 8 } else { 0 }
 }
 
@@ -436,12 +462,14 @@
 fn host(m: &Machine) -> Host {
     Host {
         free: m.free(),
+        total: m.total,
         machine_type: m.machine_type,
         zone: m.zone,
         spot: m.spot,
         price: m.price,
         fetch_rate: m.fetch_rate,
         images: m.images.iter().map(|(i, _)| *i).collect(),
+        held: false,
         delay: 0.0,
     }
 }
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -192,7 +192,7 @@
             }
         };
         let id = head.spec.id.clone();
-        self.add_job(ctx, head.spec, stamp);
+        self.add_job(ctx, head.spec, head.at, stamp);
         self.restore(ctx, &id, 0, head.block, stamp);
         if head.cancelled {
             if let Some(job) = self.jobs.get_mut(&id) {
@@ -219,7 +219,7 @@
     }
 
     /// Takes a new job on, unless it is known or over.
-    pub(crate) fn add_job(&mut self, ctx: &mut Ctx, spec: JobSpec, stamp: u64) {
+    pub(crate) fn add_job(&mut self, ctx: &mut Ctx, spec: JobSpec, at: Ms, stamp: u64) {
         let over = self.gone.get(&spec.id).is_some_and(|rev| stamp <= *rev);
         if over || self.jobs.contains_key(&spec.id) || !self.teams.contains_key(&spec.team) {
             return;
@@ -228,7 +228,9 @@
         if self.counting_since.is_some() {
             self.count_arrival(&spec, ctx.now);
         }
-        let job = Job::new(spec, image, stamp, ctx.cfg.value_bytes, ctx.now);
+        let mut job = Job::new(spec, image, stamp, ctx.cfg.value_bytes, ctx.now);
+        job.at = at;
+        job.waited = ctx.wall.saturating_sub(at);
         if ctx.cfg.waits.contains_key(&job.spec.class) {
             self.hurry(ctx);
         }
@@ -531,6 +533,20 @@
             return;
         }
         for job in self.jobs.values() {
+            let waiting = job.waiting(1_000).len();
+            if waiting > 0 || job.is_over() {
+                let quota = self.teams.get(&job.spec.team).map(|t| self.quotas[*t].used);
+                log::debug!(
+                    "{} of {}: {waiting} wait, {} done, cancelled {}, over {}, not before {}, {:?}",
+                    job.spec.id,
+                    job.spec.team,
+                    job.done.len(),
+                    job.cancelled,
+                    job.is_over(),
+                    job.not_before,
+                    quota
+                );
+            }
             for (index, b) in &job.bound {
                 if b.running_since.is_none() || b.stop.is_some() {
                     let durable = job.is_durable(*index, b.version);
@@ -608,7 +624,7 @@
                 continue;
             }
             if let Ok(head) = from_value::<HeadRec>(value) {
-                self.add_job(ctx, head.spec, version);
+                self.add_job(ctx, head.spec, head.at, version);
             }
         }
         self.live_rev = self.live_rev.max(changes.revision);
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -13,7 +13,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// The largest body of a request.
 const BODY_MOST: usize = 64 * 1024;
@@ -137,7 +137,9 @@
                 batch.push(input);
             }
             let now = self.started.elapsed().as_millis() as u64;
-            for effect in self.node.step(now, batch) {
+            let wall = SystemTime::now().duration_since(UNIX_EPOCH);
+            let wall = wall.map_or(0, |t| t.as_millis() as u64);
+            for effect in self.node.step(now, wall, batch) {
                 self.carry_out(effect);
             }
             if swept.elapsed() > Duration::from_secs(5) {
--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -11,6 +11,8 @@
 pub struct Host {
     /// What is free.
     pub free: Resources,
+    /// What it has.
+    pub total: Resources,
     /// Type, as a number given by the caller.
     pub machine_type: u16,
     /// Zone, likewise.
@@ -23,6 +25,8 @@
     pub fetch_rate: f64,
     /// Images that are there, or on their way.
     pub images: BTreeSet<u32>,
+    /// Kept for a task that has waited for long.
+    pub held: bool,
     /// Extra seconds before anything can start (a machine that still boots).
     pub delay: f64,
 }
@@ -40,6 +44,9 @@
     pub gang: bool,
     /// Larger goes first; within a band, the longest estimate.
     pub band: i32,
+    /// It has waited for so long that nothing behind it may take what it
+    /// waits for: its team's quota, or a machine that could hold it.
+    pub reserves: bool,
     /// Predicted run time.
     pub estimate: f64,
     /// The team's place in the quotas.
@@ -115,27 +122,68 @@
             .then(wants[b].estimate.total_cmp(&wants[a].estimate))
     });
     let mut placed = Vec::new();
+    let mut held: BTreeSet<usize> = BTreeSet::new();
     for i in order {
         let want = &mut wants[i];
+        if held.contains(&want.team) {
+            continue;
+        }
         if want.gang {
             placed.extend(place_gang(i, want, hosts, quotas, weights));
-            continue;
         }
-        while let Some(&task) = want.waiting.first() {
-            let Some(host) = place_one(want, hosts, quotas, weights, None) else {
-                break;
-            };
-            want.waiting.remove(0);
-            placed.push(Placement {
-                want: i,
-                task,
-                host,
-            });
+        while !want.gang && place_next(i, want, hosts, quotas, weights, &mut placed) {}
+        if want.reserves && !want.waiting.is_empty() {
+            let team = &quotas[want.team];
+            let n = if want.gang { want.waiting.len() } else { 1 };
+            if !team.allows(&want.task.times(n as i64)) {
+                held.insert(want.team);
+            } else {
+                hold_host(want, hosts);
+            }
         }
     }
     placed
 }
 
+/// Keeps the machine that comes closest to having room for a task that has
+/// waited for long from being filled up by what is behind it.
+fn hold_host(want: &Want, hosts: &mut [Host]) {
+    let fits =
+        |h: &&mut Host| want.task.fits(&h.total) && want.allowed(h.machine_type, h.zone, h.spot);
+    let free = |h: &Host| 1.0 - (h.total - h.free).largest_share(&h.total);
+    let best = hosts
+        .iter_mut()
+        .filter(fits)
+        .max_by(|a, b| free(a).total_cmp(&free(b)));
+    if let Some(host) = best {
+        host.held = true;
+    }
+}
+
+/// Places the next task of a job, if there is one that has room.
+fn place_next(
+    index: usize,
+    want: &mut Want,
+    hosts: &mut [Host],
+    quotas: &mut [Quota],
+    weights: &Weights,
+    placed: &mut Vec<Placement>,
+) -> bool {
+    let Some(&task) = want.waiting.first() else {
+        return false;
+    };
+    let Some(host) = place_one(want, hosts, quotas, weights, None) else {
+        return false;
+    };
+    want.waiting.remove(0);
+    placed.push(Placement {
+        want: index,
+        task,
+        host,
+    });
+    true
+}
+
 /// Chooses a host for one task and books it.
 fn place_one(
     want: &mut Want,
@@ -150,7 +198,8 @@
     let mut index = Vec::new();
     let mut candidates = Vec::new();
     for (i, host) in hosts.iter().enumerate() {
-        let fits = want.task.fits(&host.free)
+        let fits = !host.held
+            && want.task.fits(&host.free)
             && zone.is_none_or(|z| z == host.zone)
             && want.allowed(host.machine_type, host.zone, host.spot)
             && !want.avoid.contains(&i);
@@ -235,12 +284,14 @@
     fn host(gpus: f64, zone: u16) -> Host {
         Host {
             free: Resources::new(64.0, gpus, 256.0),
+            total: Resources::new(64.0, gpus, 256.0),
             machine_type: 0,
             zone,
             spot: false,
             price: 1.0,
             fetch_rate: 1.0,
             images: BTreeSet::new(),
+            held: false,
             delay: 0.0,
         }
     }
@@ -252,6 +303,7 @@
             total: tasks,
             gang: false,
             band: 0,
+            reserves: false,
             estimate: 10.0,
             team: 0,
             image: 0,
@@ -338,6 +390,29 @@
         assert_eq!(run(&mut wants, &mut [host(8.0, 0)], 100.0).len(), 1);
     }
 
+    /// Small tasks once kept taking the last of a team's limit, and a large
+    /// one of the same team waited for nine minutes.
+    #[test]
+    fn what_has_waited_long_is_not_overtaken() {
+        let cases = [
+            ("quota, fresh", false, 11.0, 8.0, 1),
+            ("quota, aged", true, 11.0, 8.0, 0),
+            ("room, fresh", false, 100.0, 6.0, 2),
+            ("room, aged", true, 100.0, 6.0, 0),
+        ];
+        for (name, aged, limit, free, small) in cases {
+            let mut wants = [want(1, 8.0), want(2, 2.0)];
+            wants[0].band = 1;
+            wants[0].reserves = aged;
+            let mut hosts = [host(8.0, 0)];
+            hosts[0].free.gpus = (free * 1000.0) as i64;
+            let mut quotas = quota(limit);
+            quotas[0].used = Resources::new(0.0, limit.min(8.0), 0.0);
+            let placed = run_round(&mut wants, &mut hosts, &mut quotas, &Weights::default());
+            assert_eq!(placed.len(), small, "{name}");
+        }
+    }
+
     #[test]
     fn a_gang_is_placed_whole_or_undone() {
         let cases = [
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -21,6 +21,8 @@
 const IDLE: Ms = 50;
 const REPORT_MS: Ms = 1_000;
 const LEASE_MS: Ms = 10_000;
+/// Time of day when the world begins.
+const WALL_OFF: Ms = 1_000_000;
 const CANCEL_MS: Ms = 35_000;
 const GANG_WAIT_MS: Ms = 20_000;
 
@@ -852,7 +854,7 @@
         let mut late = Vec::new();
         let mut sends = Vec::new();
         let mut replies = Vec::new();
-        for effect in node.step(now, inbox) {
+        for effect in node.step(now, now + WALL_OFF, inbox) {
             match effect {
                 Effect::Respond { token, reply } => {
                     if let Some(origin) = host.requests.remove(&token) {
