--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -19,6 +19,8 @@
 const TASKS_A_ROUND: usize = 256;
 /// Most shapes in what a share says that it lacks.
 const SHAPES_MOST: usize = 24;
+/// A machine that is not up after this many boots is not waited for.
+const OVERDUE_BOOTS: f64 = 1.5;
 /// Jobs that waited this many boots go before all others, so that large ones
 /// do not starve.
 const AGED_BOOTS: f64 = 2.0;
@@ -137,7 +139,10 @@
             }
         }
         for machine in self.machines.values() {
-            if machine.heard.is_none() && machine.condemned.is_none() {
+            // One that is overdue may come much later, or never.
+            let overdue = (machine.boot_ms as f64 * OVERDUE_BOOTS) as Ms;
+            let due = ctx.now < machine.since + overdue;
+            if machine.heard.is_none() && machine.condemned.is_none() && due {
                 hosts.push(coming(machine.total, machine, ctx.now));
             }
         }
