--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -7,7 +7,7 @@
 };
 use crate::share::hand_over;
 use crate::store::{Bucket, Urgency};
-use crate::view::View;
+use crate::view::{Stamped, View};
 use crate::Ms;
 use forkshift_sched::{plan, Offer, Resources, Shape};
 use forkshift_wire::cloud::{
@@ -38,7 +38,7 @@
     renting: BTreeSet<String>,
     /// Charters that the view must show before a share's demand is looked at again.
     acted: BTreeMap<ShareId, u64>,
-    chartering: BTreeMap<String, ShareId>,
+    chartering: BTreeMap<String, Vec<ShareId>>,
     charters: u64,
     deleting: BTreeSet<MachineId>,
     seen: HashMap<MachineId, Ms>,
@@ -534,17 +534,24 @@
             .next()
     }
 
-    /// Turns what shares lack into rental intents.
+    /// Turns what shares lack into rental intents. The cloud takes few calls
+    /// a second: no intent is made while others wait to be carried out, so
+    /// that what shares lack meanwhile comes together in larger ones.
     fn charter(&mut self, ctx: &mut Ctx, view: &View) {
+        let under_way = view.charters.len() + self.chartering.len();
+        if under_way as f64 >= ctx.cfg.cloud_rps.ceil() {
+            return;
+        }
+        let kinds: Vec<String> = view.types.keys().cloned().collect();
+        let zones = zone_names(view);
+        let mut together: BTreeMap<(u16, u16, bool), Vec<(ShareId, u32)>> = BTreeMap::new();
         for (k, demand) in &view.demands {
             let seen = self.acted.get(k).copied().unwrap_or(0);
-            let busy = self.chartering.values().any(|s| s == k);
-            if demand.rec.shapes.is_empty() || demand.rec.rev < seen || busy {
+            if demand.rec.shapes.is_empty() || demand.rec.rev < seen {
                 continue;
             }
-            let (offers, kinds) = self.offers(ctx, view, *k);
+            let offers = self.offers(ctx, view, *k);
             let type_no = |name: &String| kinds.iter().position(|t| t == name).map(|i| i as u16);
-            let zones = zone_names(view);
             let zone_no = |name: &String| zones.iter().position(|z| z == name).map(|i| i as u16);
             let shapes: Vec<Shape> = demand
                 .rec
@@ -564,32 +571,37 @@
                     spot: s.spot,
                 })
                 .collect();
-            let most = (ctx.cfg.txn_ops as u32 - 2).min(RENT_MOST);
+            let anywhere = shapes.iter().all(|s| s.zones.is_none());
+            let offers = if anywhere { few_zones(offers) } else { offers };
             for rental in plan(&shapes, &offers, RENT_MOST) {
-                let offer = &offers[rental.offer];
-                let rec = CharterRec {
-                    share: *k,
-                    machine_type: kinds[offer.machine_type as usize].clone(),
-                    zone: zones[offer.zone as usize].clone(),
-                    spot: offer.spot,
-                    count: rental.count.min(most),
-                };
-                self.charters += 1;
-                let request = format!("r-{:x}-{}", ctx.inc, self.charters);
-                let key = charter_key(&request);
-                let txn = Txn {
-                    conds: self.conds(view, key.clone(), 0),
-                    writes: vec![Write::put(key, to_value(&rec).unwrap_or_default())],
-                };
-                self.chartering.insert(request.clone(), *k);
-                ctx.txn(Urgency::Work, &txn, Pending::CharterPut { request });
+                let o = &offers[rental.offer];
+                let key = (o.machine_type, o.zone, o.spot);
+                together.entry(key).or_default().push((*k, rental.count));
             }
         }
+        let most = (ctx.cfg.txn_ops as u32 - 2).min(RENT_MOST);
+        for ((machine_type, zone, spot), parts) in together {
+            let rec = CharterRec {
+                parts: cut(parts, most),
+                machine_type: kinds[machine_type as usize].clone(),
+                zone: zones[zone as usize].clone(),
+                spot,
+            };
+            self.charters += 1;
+            let request = format!("r-{:x}-{}", ctx.inc, self.charters);
+            let key = charter_key(&request);
+            let txn = Txn {
+                conds: self.conds(view, key.clone(), 0),
+                writes: vec![Write::put(key, to_value(&rec).unwrap_or_default())],
+            };
+            let shares = rec.parts.iter().map(|(k, _)| *k).collect();
+            self.chartering.insert(request.clone(), shares);
+            ctx.txn(Urgency::Work, &txn, Pending::CharterPut { request });
+        }
     }
 
     /// What may be had, as far as is known.
-    fn offers(&self, ctx: &Ctx, view: &View, k: ShareId) -> (Vec<Offer>, Vec<String>) {
-        let kinds: Vec<String> = view.types.keys().cloned().collect();
+    fn offers(&self, ctx: &Ctx, view: &View, k: ShareId) -> Vec<Offer> {
         let zones = zone_names(view);
         let mut offers = Vec::new();
         for (i, t) in view.types.values().map(|t| &t.rec).enumerate() {
@@ -608,9 +620,11 @@
                     {
                         continue;
                     }
-                    let held = view.machines.values().filter(|m| {
-                        m.rec.share == k && m.rec.machine_type == t.name && m.rec.zone == *zone
-                    });
+                    let there = |m: &&Stamped<MachineRec>| {
+                        m.rec.machine_type == t.name && m.rec.zone == *zone
+                    };
+                    let held = view.machines.values().filter(there);
+                    let held = held.filter(|m| m.rec.share == k);
                     offers.push(Offer {
                         machine_type: i as u16,
                         zone: zones.iter().position(|z| z == zone).unwrap_or(0) as u16,
@@ -622,16 +636,14 @@
                 }
             }
         }
-        (offers, kinds)
+        offers
     }
 
-    pub(crate) fn on_charter_put(&mut self, request: &str, status: u16, body: &[u8]) {
-        let Some(k) = self.chartering.remove(request) else {
-            return;
-        };
+    pub(crate) fn on_charter_put(&mut self, request: &str, body: &[u8]) {
+        let shares = self.chartering.remove(request).unwrap_or_default();
         // A demand counts again once it was made in sight of this charter.
         let reply: TxnReply = serde_json::from_slice(body).unwrap_or_default();
-        if status == 200 {
+        for k in shares {
             let acted = self.acted.entry(k).or_default();
             *acted = (*acted).max(reply.revision);
         }
@@ -650,7 +662,7 @@
                 machine_type: rec.machine_type.clone(),
                 zone: rec.zone.clone(),
                 spot: rec.spot,
-                count: rec.count,
+                count: rec.count(),
             };
             let body = serde_json::to_vec(&body).unwrap_or_default();
             self.renting.insert(request.clone());
@@ -688,7 +700,7 @@
             Vec::new()
         };
         let kind = (rec.machine_type.clone(), rec.zone.clone(), rec.spot);
-        if (machines.len() as u32) < rec.count {
+        if (machines.len() as u32) < rec.count() {
             // The pause grows while there is none, up to some boots.
             let boot = view
                 .types
@@ -707,18 +719,17 @@
             writes: vec![Write::Remove { remove: key }],
         };
         log::info!(
-            "share {}: {} of {} {} rented in {}{}",
-            rec.share,
+            "{} of {} {} rented in {}{}",
             machines.len(),
-            rec.count,
+            rec.count(),
             rec.machine_type,
             rec.zone,
             if rec.spot { ", spot" } else { "" }
         );
-        for id in machines {
+        for (id, share) in machines.into_iter().zip(in_turn(&rec.parts)) {
             let key = machine_key(&id);
             let machine = MachineRec {
-                share: rec.share,
+                share,
                 machine_type: rec.machine_type.clone(),
                 zone: rec.zone.clone(),
                 spot: rec.spot,
@@ -772,6 +783,37 @@
     n
 }
 
+/// Keeps of each type and kind only the two zones where the fewest machines
+/// are held: two are enough for what must be spread, and few calls are made.
+fn few_zones(mut offers: Vec<Offer>) -> Vec<Offer> {
+    offers.sort_by_key(|o| (o.machine_type, o.spot, o.held));
+    let mut seen: BTreeMap<(u16, bool), u32> = BTreeMap::new();
+    offers.retain(|o| {
+        let n = seen.entry((o.machine_type, o.spot)).or_default();
+        *n += 1;
+        *n <= 2
+    });
+    offers
+}
+
+/// Cuts parts down to `most` in all, evenly.
+fn cut(mut parts: Vec<(ShareId, u32)>, most: u32) -> Vec<(ShareId, u32)> {
+    while parts.iter().map(|(_, n)| n).sum::<u32>() > most {
+        if let Some((_, n)) = parts.iter_mut().max_by_key(|(_, n)| *n) {
+            *n -= 1;
+        }
+    }
+    parts
+}
+
+/// The shares of a charter in turn, each as often as it asked.
+fn in_turn(parts: &[(ShareId, u32)]) -> Vec<ShareId> {
+    let rounds = parts.iter().map(|(_, n)| *n).max().unwrap_or(0);
+    (0..rounds)
+        .flat_map(|i| parts.iter().filter(move |(_, n)| i < *n).map(|(k, _)| *k))
+        .collect()
+}
+
 fn zone_names(view: &View) -> Vec<String> {
     view.zones().into_iter().map(str::to_owned).collect()
 }
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -143,8 +143,8 @@
 /// A rental intent, written before the request.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CharterRec {
-    /// For which share.
-    pub share: ShareId,
+    /// How many for which share.
+    pub parts: Vec<(ShareId, u32)>,
     /// Type.
     #[serde(rename = "type")]
     pub machine_type: String,
@@ -152,8 +152,13 @@
     pub zone: String,
     /// Whether spot machines are meant.
     pub spot: bool,
-    /// How many.
-    pub count: u32,
+}
+
+impl CharterRec {
+    /// How many machines it asks for.
+    pub fn count(&self) -> u32 {
+        self.parts.iter().map(|(_, n)| n).sum()
+    }
 }
 
 /// What a share lacks.
--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -239,11 +239,9 @@
             let Some(of_type) = view.types.get(&charter.machine_type) else {
                 continue;
             };
-            if charter.share != self.id {
-                continue;
-            }
+            let ours = charter.parts.iter().filter(|(k, _)| *k == self.id);
             let t = &of_type.rec;
-            for _ in 0..charter.count {
+            for _ in 0..ours.map(|(_, n)| n).sum() {
                 hosts.push(Host {
                     free: Resources::new(t.cpus, t.gpus, t.memory_gb),
                     total: Resources::new(t.cpus, t.gpus, t.memory_gb),
