--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -186,6 +186,7 @@
         match code {
             200 => {
                 let reply: TxnReply = serde_json::from_slice(body).unwrap_or_default();
+                self.tell_new_job(share, &spec, reply.revision);
                 let ours = self.shares.get_mut(&share);
                 if let Some(share) = ours.filter(|s| s.phase == Phase::Active) {
                     let at = self.ctx.wall;
@@ -265,7 +266,7 @@
         if record.stage.is_final() {
             self.finals.insert(id.clone(), record.stage);
         } else if matches!(why, Lookup::Abort) {
-            return self.pass_abort(token, id);
+            return self.pass_abort(token, id, record.share);
         }
         self.ctx
             .respond(token, Reply::json(200, &status(&id, record.stage)));
@@ -295,8 +296,9 @@
     }
 
     /// Leaves word for the holder, in the place that it watches.
-    fn pass_abort(&mut self, token: Token, id: JobId) {
+    fn pass_abort(&mut self, token: Token, id: JobId, share: ShareId) {
         let until = self.ctx.now + ANSWER_MS * 3 / 4;
+        self.tell_cancel(&id, share);
         if self.view.aborts.contains_key(&id) {
             return self.poll_abort(token, id, until);
         }
--- a/crates/core/src/ctx.rs
+++ b/crates/core/src/ctx.rs
@@ -4,10 +4,11 @@
 use crate::records::ShareId;
 use crate::store::{StateCall, Store, Urgency};
 use crate::Ms;
+use forkshift_wire::peer::{Body, Envelope, VERSION};
 use forkshift_wire::state::Txn;
 use forkshift_wire::users::JobSpec;
 use forkshift_wire::workers::Order;
-use forkshift_wire::{JobId, MachineId};
+use forkshift_wire::{JobId, MachineId, NodeName};
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 use serde::Serialize;
@@ -35,6 +36,8 @@
         /// The body; none if it was too long.
         body: Option<Vec<u8>>,
     },
+    /// A message from another controller, as it came.
+    Peer(Vec<u8>),
     /// The end of a call.
     Answer {
         /// Which call.
@@ -101,6 +104,13 @@
         /// The answer.
         reply: Reply,
     },
+    /// Tell another controller something. It may get lost.
+    Tell {
+        /// Whom.
+        node: NodeName,
+        /// What, ready to be sent.
+        message: Vec<u8>,
+    },
     /// Make a call, once.
     Call {
         /// To be named in the answer.
@@ -290,6 +300,24 @@
         self.names.get(n as usize).cloned()
     }
 
+    /// Tells another controller something that it will learn anyway.
+    pub(crate) fn tell(&mut self, node: &NodeName, epoch: u64, body: Body) {
+        let envelope = Envelope {
+            version: VERSION,
+            from: self.cfg.node.to_string(),
+            inc: self.inc,
+            epoch,
+            body,
+        };
+        match envelope.encode() {
+            Ok(message) => self.out.push(Effect::Tell {
+                node: node.clone(),
+                message,
+            }),
+            Err(e) => log::debug!("not told to {node}: {e}"),
+        }
+    }
+
     pub(crate) fn respond(&mut self, token: Token, reply: Reply) {
         self.out.push(Effect::Respond { token, reply });
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 mod member;
 mod node;
 mod orders;
+mod peers;
 mod ranges;
 pub mod records;
 mod rounds;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -105,6 +105,7 @@
                     path,
                     body,
                 } => self.on_request(token, &method, &path, body),
+                Input::Peer(message) => self.on_peer(&message),
                 Input::Answer { call, status, body } => {
                     if let Some(pending) = self.ctx.pending.remove(&call) {
                         if is_state(&pending) {
--- /dev/null
+++ b/crates/core/src/peers.rs
@@ -0,0 +1,75 @@
+//! Hints between controllers.
+//!
+//! What they say can be read in the state service as well, so nothing rests
+//! on them: they save the time until a watch shows it.
+
+use crate::node::Node;
+use crate::records::ShareId;
+use forkshift_wire::peer::{Body, Envelope};
+use forkshift_wire::users::JobSpec;
+use forkshift_wire::{JobId, NodeName};
+
+impl Node {
+    pub(crate) fn on_peer(&mut self, message: &[u8]) {
+        let envelope = match Envelope::decode(message) {
+            Ok(envelope) => envelope,
+            Err(e) => {
+                log::error!("a peer's message is not understood: {e}");
+                return;
+            }
+        };
+        // An earlier start of a peer may still have messages on the way.
+        if !self
+            .view
+            .is_alive(&NodeName::new(&envelope.from), envelope.inc)
+        {
+            return;
+        }
+        match envelope.body {
+            Body::NewJob {
+                share,
+                spec,
+                at,
+                revision,
+            } => {
+                let share = self.shares.get_mut(&ShareId(share));
+                let share = share.filter(|s| s.epoch == envelope.epoch);
+                if let (Some(share), Ok(spec)) = (share, JobSpec::parse(spec.as_bytes())) {
+                    share.told_of(&mut self.ctx, spec, at, revision);
+                }
+            }
+            Body::Cancel { id } => {
+                let Some(id) = JobId::parse(&id) else { return };
+                let Node { shares, ctx, .. } = self;
+                for share in shares.values_mut().filter(|s| s.epoch == envelope.epoch) {
+                    share.cancel(ctx, &id);
+                }
+            }
+        }
+    }
+
+    /// Tells a share's holder of a job that was accepted here.
+    pub(crate) fn tell_new_job(&mut self, share: ShareId, spec: &JobSpec, revision: u64) {
+        let body = Body::NewJob {
+            share: share.0,
+            spec: serde_json::to_string(spec).unwrap_or_default(),
+            at: self.ctx.wall,
+            revision,
+        };
+        self.tell_holder(share, body);
+    }
+
+    /// Tells a share's holder of a cancellation that was asked for here.
+    pub(crate) fn tell_cancel(&mut self, id: &JobId, share: ShareId) {
+        let id = id.to_string();
+        self.tell_holder(share, Body::Cancel { id });
+    }
+
+    fn tell_holder(&mut self, share: ShareId, body: Body) {
+        let epoch = self.view.shares.get(&share).map_or(0, |s| s.rec.epoch);
+        let holder = self.view.holder(share).cloned();
+        if let Some(holder) = holder.filter(|h| *h != self.ctx.cfg.node) {
+            self.ctx.tell(&holder, epoch, body);
+        }
+    }
+}
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -237,6 +237,15 @@
         self.jobs.insert(job.spec.id.clone(), job);
     }
 
+    /// Takes a job on that another controller tells of, if the watch has not
+    /// shown it yet. What the watch has passed is known, or over: a late copy
+    /// of the message must not bring it back.
+    pub(crate) fn told_of(&mut self, ctx: &mut Ctx, spec: JobSpec, at: Ms, revision: u64) {
+        if self.phase == Phase::Active && revision > self.live_rev {
+            self.add_job(ctx, spec, at, revision);
+        }
+    }
+
     /// Asks for a round before its time.
     pub(crate) fn hurry(&mut self, ctx: &Ctx) {
         let gap = crate::ms(ctx.cfg.ops.round_gap_s);
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -4,8 +4,10 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use forkshift_core::{Config, Effect, Input, Node, Reply, Target, Token};
-use forkshift_net::{Call, Client, Executor, Request, Response, ServerLimits};
+use forkshift_net::{Call, Client, Executor, PeerLink, Request, Response, ServerLimits};
+use forkshift_wire::peer::MESSAGE_MOST;
 use forkshift_wire::settings::Settings;
+use forkshift_wire::NodeName;
 use futures_lite::future;
 use rand::Rng;
 use std::cell::{Cell, RefCell};
@@ -35,6 +37,7 @@
 /// Runs a controller until the process ends.
 pub fn run(settings: &Settings, config: Config) -> io::Result<()> {
     let listener = TcpListener::bind(settings.listen)?;
+    let peer_listener = TcpListener::bind(settings.peer_listen)?;
     let ex: Executor = Rc::new(LocalExecutor::new());
     let mut rng = rand::rng();
     let node = Node::new(config, rng.random_range(1..1 << 52), rng.random());
@@ -46,6 +49,16 @@
         idle: IDLE,
         read: READ,
     };
+    let inbox = sender.clone();
+    let take = move |message| {
+        let _ = inbox.try_send(Input::Peer(message));
+    };
+    let connections = settings.peers.len() * 4;
+    let listening =
+        forkshift_net::listen(ex.clone(), peer_listener, connections, MESSAGE_MOST, take);
+    ex.spawn(listening).detach();
+    let links = settings.peers.iter();
+    let links = links.map(|p| (p.node.clone(), PeerLink::new(&ex, p.addr)));
     let handler = handler(sender.clone(), waiting.clone());
     ex.spawn(forkshift_net::serve(ex.clone(), listener, limits, handler))
         .detach();
@@ -56,6 +69,7 @@
         client: Rc::new(Client::new(8, Duration::from_secs(20), ANSWER_MOST)),
         state: settings.services.state,
         cloud: settings.services.cloud,
+        links: links.collect(),
         sender,
         waiting,
         started: Instant::now(),
@@ -118,6 +132,7 @@
     client: Rc<Client>,
     state: SocketAddr,
     cloud: SocketAddr,
+    links: HashMap<NodeName, PeerLink>,
     sender: Sender<Input>,
     waiting: Waiting,
     started: Instant,
@@ -157,6 +172,11 @@
                     let _ = sender.try_send(reply);
                 }
             }
+            Effect::Tell { node, message } => {
+                if let Some(link) = self.links.get(&node) {
+                    link.send(message);
+                }
+            }
             Effect::Call {
                 id,
                 target,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,10 +3,12 @@
 //! Everything runs on one thread, on a local executor.
 
 mod client;
+mod peers;
 mod server;
 mod stream;
 
 pub use client::{Call, Client, Outcome};
+pub use peers::{listen, PeerLink};
 pub use server::{serve, Request, Response, ServerLimits};
 
 use async_executor::LocalExecutor;
--- /dev/null
+++ b/crates/net/src/peers.rs
@@ -0,0 +1,132 @@
+//! Connections between controllers: one way, each message behind its length.
+
+use crate::stream::Stream;
+use crate::Executor;
+use async_channel::{Receiver, Sender};
+use async_io::{Async, Timer};
+use futures_lite::{future, AsyncReadExt, AsyncWriteExt};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Messages that wait for a peer; more are dropped, they are only hints.
+const QUEUE_MOST: usize = 128;
+/// Time for connecting, and for one message to go out.
+const SEND: Duration = Duration::from_secs(2);
+/// Pause before a peer that could not be reached is tried again.
+const RETRY: Duration = Duration::from_secs(1);
+/// A peer that says nothing for so long has to connect anew.
+const IDLE: Duration = Duration::from_secs(120);
+
+/// The way to one peer.
+pub struct PeerLink(Sender<Vec<u8>>);
+
+impl PeerLink {
+    /// Connects when there is something to say.
+    pub fn new(ex: &Executor, addr: SocketAddr) -> Self {
+        let (sender, receiver) = async_channel::bounded(QUEUE_MOST);
+        ex.spawn(send_all(addr, receiver)).detach();
+        Self(sender)
+    }
+
+    /// Sends a message, or drops it if the peer cannot keep up.
+    pub fn send(&self, message: Vec<u8>) {
+        if self.0.try_send(message).is_err() {
+            log::debug!("a message to a peer was dropped");
+        }
+    }
+}
+
+async fn send_all(addr: SocketAddr, messages: Receiver<Vec<u8>>) {
+    let mut stream: Option<Stream> = None;
+    while let Ok(message) = messages.recv().await {
+        let sending = async {
+            let mut to = match stream.take() {
+                Some(s) if s.is_quiet() => s,
+                _ => Stream::connect(addr).await?,
+            };
+            let mut frame = (message.len() as u32).to_be_bytes().to_vec();
+            frame.extend(&message);
+            to.write_all(&frame).await?;
+            io::Result::Ok(to)
+        };
+        let late = async {
+            Timer::after(SEND).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        match future::or(sending, late).await {
+            Ok(open) => stream = Some(open),
+            Err(e) => {
+                log::debug!("peer {addr}: {e}");
+                Timer::after(RETRY).await;
+            }
+        }
+    }
+}
+
+/// Takes messages from all peers, up to `connections` of them at a time and
+/// each up to `most` bytes long.
+pub async fn listen<F>(
+    ex: Executor,
+    listener: TcpListener,
+    connections: usize,
+    most: usize,
+    take: F,
+) where
+    F: Fn(Vec<u8>) + 'static,
+{
+    let listener = match Async::new(listener) {
+        Ok(listener) => listener,
+        Err(e) => {
+            log::error!("cannot listen for peers: {e}");
+            return;
+        }
+    };
+    let take = Rc::new(take);
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => Stream::new(stream),
+            Err(e) => {
+                log::debug!("accept from a peer: {e}");
+                Timer::after(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        // One reference is ours, every connection holds another.
+        if Rc::strong_count(&take) > connections {
+            stream.close();
+            continue;
+        }
+        let take = take.clone();
+        ex.spawn(async move {
+            let reading = receive(stream.clone(), most, &*take);
+            let idle = async {
+                while stream.idle_for() < IDLE {
+                    Timer::after(IDLE - stream.idle_for()).await;
+                }
+                Ok(())
+            };
+            if let Err(e) = future::or(reading, idle).await {
+                log::debug!("from a peer: {e}");
+            }
+            stream.close();
+        })
+        .detach();
+    }
+}
+
+async fn receive<F: Fn(Vec<u8>)>(mut from: Stream, most: usize, take: &F) -> io::Result<()> {
+    loop {
+        let mut length = [0_u8; 4];
+        from.read_exact(&mut length).await?;
+        let length = u32::from_be_bytes(length) as usize;
+        if length > most {
+            log::error!("a peer announced {length} bytes");
+            return Ok(());
+        }
+        let mut message = vec![0; length];
+        from.read_exact(&mut message).await?;
+        take(message);
+    }
+}
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -163,6 +163,10 @@
         status: u16,
         body: Vec<u8>,
     },
+    Peer {
+        to: usize,
+        message: Vec<u8>,
+    },
     Restart(usize),
     Taken(MachineId),
 }
@@ -508,6 +512,11 @@
         match event {
             Event::Arrive(message) => self.arrive(message),
             Event::Answer { to, status, body } => self.answered(to, status, body),
+            Event::Peer { to, message } => {
+                if self.hosts[to].node.is_some() {
+                    self.hosts[to].inbox.push(Input::Peer(message));
+                }
+            }
             Event::Restart(n) => {
                 if self.hosts[n].node.is_none() {
                     self.start(n);
@@ -854,6 +863,7 @@
         let mut late = Vec::new();
         let mut sends = Vec::new();
         let mut replies = Vec::new();
+        let mut tells = Vec::new();
         for effect in node.step(now, now + WALL_OFF, inbox) {
             match effect {
                 Effect::Respond { token, reply } => {
@@ -861,6 +871,7 @@
                         replies.push((origin, reply.status, reply.body));
                     }
                 }
+                Effect::Tell { node, message } => tells.push((node, message)),
                 Effect::Call {
                     id,
                     target,
@@ -891,6 +902,9 @@
                 }
             }
         }
+        for (to, message) in tells {
+            self.tell(n, to.as_str(), message);
+        }
         for (time, to) in late {
             self.at(
                 time,
@@ -909,6 +923,32 @@
         }
     }
 
+    /// A message to a peer comes, or comes late, or comes twice, or is lost.
+    fn tell(&mut self, from: usize, to: &str, message: Vec<u8>) {
+        let to = to
+            .strip_prefix("berth-")
+            .and_then(|n| n.parse::<usize>().ok());
+        let Some(to) = to.filter(|n| *n < self.hosts.len()) else {
+            return;
+        };
+        let cut = self.hosts[from].cuts.state.max(self.hosts[to].cuts.state) > self.now;
+        let copies = match self.rng.random_range(0..20) {
+            0 => 0,
+            1 => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let late = cut || self.rng.random_range(0..20) == 0;
+            let delay = if late {
+                self.rng.random_range(100..60_000)
+            } else {
+                self.delay()
+            };
+            let message = message.clone();
+            self.at(self.now + delay, Event::Peer { to, message });
+        }
+    }
+
     /// What a quiet end must show: everything accepted is done, or runs.
     pub fn unserved(&self) -> Vec<String> {
         let mut left = Vec::new();
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod cloud;
 pub mod ids;
+pub mod peer;
 pub mod settings;
 pub mod state;
 pub mod users;
--- /dev/null
+++ b/crates/wire/src/peer.rs
@@ -0,0 +1,136 @@
+//! Messages between controllers, in borsh.
+//!
+//! They only speed things up: whatever they say is also in the state service,
+//! and a message that is lost, late or doubled does no harm.
+
+use borsh::{BorshDeserialize, BorshSerialize};
+
+/// Version of the format; others are refused.
+pub const VERSION: u16 = 1;
+/// Largest message, in bytes.
+pub const MESSAGE_MOST: usize = 96 * 1024;
+
+/// A message and its sender.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Envelope {
+    /// Version of the format.
+    pub version: u16,
+    /// Name of the sender.
+    pub from: String,
+    /// This start of the sender; messages of earlier ones are dropped.
+    pub inc: u64,
+    /// Epoch of the share that the message is about, as the sender knows it.
+    pub epoch: u64,
+    /// The message.
+    pub body: Body,
+}
+
+/// What one controller tells another.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub enum Body {
+    /// A job was accepted for a share that the receiver holds.
+    NewJob {
+        /// The share.
+        share: u32,
+        /// The job as it was submitted, in JSON.
+        spec: String,
+        /// Time of day of the submission, in milliseconds.
+        at: u64,
+        /// Revision that recorded it.
+        revision: u64,
+    },
+    /// A user wants a job cancelled that the receiver holds.
+    Cancel {
+        /// The job.
+        id: String,
+    },
+}
+
+/// Why a message is refused.
+#[derive(Debug, thiserror::Error)]
+pub enum BadMessage {
+    /// Longer than allowed.
+    #[error("{0} bytes are too many")]
+    TooLong(usize),
+    /// Another version of the format.
+    #[error("version {0} is not spoken here")]
+    Version(u16),
+    /// Not a message.
+    #[error("{0}")]
+    Borsh(#[from] std::io::Error),
+}
+
+impl Envelope {
+    /// As bytes, without their length.
+    pub fn encode(&self) -> Result<Vec<u8>, BadMessage> {
+        let bytes = borsh::to_vec(self)?;
+        match bytes.len() {
+            n if n > MESSAGE_MOST => Err(BadMessage::TooLong(n)),
+            _ => Ok(bytes),
+        }
+    }
+
+    /// From bytes, without their length.
+    pub fn decode(bytes: &[u8]) -> Result<Self, BadMessage> {
+        if bytes.len() > MESSAGE_MOST {
+            return Err(BadMessage::TooLong(bytes.len()));
+        }
+        // The version comes first, so that others are told from garbage.
+        let version = u16::deserialize(&mut &bytes[..])?;
+        if version != VERSION {
+            return Err(BadMessage::Version(version));
+        }
+        Ok(borsh::from_slice(bytes)?)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn only_whole_messages_of_this_version_are_taken() {
+        let message = Envelope {
+            version: VERSION,
+            from: "berth-1".to_owned(),
+            inc: 7,
+            epoch: 3,
+            body: Body::Cancel {
+                id: "j-1".to_owned(),
+            },
+        };
+        let good = message.encode().unwrap();
+        assert_eq!(Envelope::decode(&good).unwrap(), message);
+        let mut newer = good.clone();
+        newer[0] = 2;
+        let mut tag = good.clone();
+        let at = tag.len() - 8;
+        tag[at] = 9;
+        let mut long = good.clone();
+        long.push(0);
+        // A length inside the message that promises more than there is.
+        let mut lies = good.clone();
+        lies[2..6].copy_from_slice(&u32::MAX.to_le_bytes());
+        let cases = [
+            ("empty", vec![]),
+            ("truncated", good[..good.len() - 1].to_vec()),
+            ("half a version", good[..1].to_vec()),
+            ("trailing byte", long),
+            ("another version", newer),
+            ("unknown body", tag),
+            ("lying length", lies),
+            ("oversized", vec![0; MESSAGE_MOST + 1]),
+        ];
+        for (name, bytes) in cases {
+            assert!(Envelope::decode(&bytes).is_err(), "{name}");
+        }
+        let spec = "x".repeat(MESSAGE_MOST);
+        let body = Body::NewJob {
+            share: 0,
+            spec,
+            at: 0,
+            revision: 0,
+        };
+        assert!(Envelope { body, ..message }.encode().is_err());
+    }
+}
