--- a/crates/core/src/drain.rs
+++ b/crates/core/src/drain.rs
@@ -19,8 +19,12 @@
 /// A replica is moved only to where its image is, or is fetched within this
 /// many reports.
 const FETCH_REPORTS: f64 = 1.0;
+/// Machines that are emptied at a time.
+const DRAINING_MOST: usize = 3;
+/// Rounds between two moves: each takes a replica down for about a second.
+const MOVE_ROUNDS: f64 = 2.0;
 /// Pause between two machines, in boots.
-const PAUSE_BOOTS: f64 = 0.2;
+const PAUSE_BOOTS: f64 = 0.1;
 
 impl Share {
     /// Empties the machine that wastes most, if its tasks fit elsewhere.
@@ -33,12 +37,18 @@
             .filter(|m| m.draining && m.condemned.is_none())
             .map(|m| m.id.clone())
             .collect();
-        if draining.is_empty() {
+        if draining.len() < DRAINING_MOST {
             self.choose_drain(ctx, usable, hosts);
+        }
+        let pause = crate::ms(ctx.cfg.ops.round_s * MOVE_ROUNDS);
+        if ctx.now < self.moved_at + pause {
             return;
         }
         for id in draining {
-            self.move_one(ctx, &id, hosts);
+            if self.move_one(ctx, &id, hosts) {
+                self.moved_at = ctx.now;
+                return;
+            }
         }
     }
 
@@ -120,14 +130,14 @@
     }
 
     /// Moves one replica at a time, so that no service is thinned out.
-    fn move_one(&mut self, ctx: &mut Ctx, id: &MachineId, hosts: &mut [Host]) {
+    fn move_one(&mut self, ctx: &mut Ctx, id: &MachineId, hosts: &mut [Host]) -> bool {
         let tasks: Vec<TaskRef> = self.machines[id].tasks.iter().cloned().collect();
         let moving = tasks.iter().any(|t| {
             let binding = self.jobs.get(&t.job).and_then(|j| j.bound.get(&t.index));
             binding.is_some_and(|b| b.stop.is_some())
         });
         if moving {
-            return;
+            return false;
         }
         for task in tasks {
             let Some(job) = self.jobs.get(&task.job) else {
@@ -153,8 +163,9 @@
                         told: None,
                     });
                 }
-                return;
+                return true;
             }
         }
+        false
     }
 }
--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -164,7 +164,9 @@
         shapes.extend(spare);
         shapes.truncate(SHAPES_MOST);
         self.note_idle(ctx, usable, &hosts);
-        if shapes.is_empty() {
+        // A spare place that is lacking fits on no machine that is here, or it
+        // would have been booked there; only what waits speaks against it.
+        if shapes.iter().all(|s| s.spare) {
             hosts.truncate(usable.len());
             self.drain(ctx, usable, &mut hosts);
         }
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -67,6 +67,7 @@
     /// before anything could run, are a backlog and tell of no rate.
     pub(crate) counting_since: Option<Ms>,
     pub(crate) drained_at: Ms,
+    pub(crate) moved_at: Ms,
     pub(crate) demand_at: Ms,
     pub(crate) demand_putting: bool,
     pub(crate) reload: bool,
@@ -107,6 +108,7 @@
             classes: BTreeMap::new(),
             counting_since: None,
             drained_at: 0,
+            moved_at: 0,
             demand_at: 0,
             demand_putting: false,
             reload: false,
