--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -11,7 +11,7 @@
 use forkshift_sched::{run_round, Host, Quota, Resources, Want};
 use forkshift_wire::state::{Cond, Txn, Write};
 use forkshift_wire::users::{JobKind, Priority};
-use forkshift_wire::{JobId, MachineId};
+use forkshift_wire::{JobId, MachineId, TaskRef};
 use serde_json::to_value;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -19,6 +19,8 @@
 const TASKS_A_ROUND: usize = 256;
 /// Most shapes in what a share says that it lacks.
 const SHAPES_MOST: usize = 24;
+/// A running task that should end within this many boots leaves a spare place.
+const SOON_BOOTS: f64 = 0.8;
 /// A machine that is not up after this many boots is not waited for.
 const OVERDUE_BOOTS: f64 = 1.5;
 /// Jobs that waited this many boots go before all others, so that large ones
@@ -160,7 +162,14 @@
         }
         wants.sort_by_key(|w| std::cmp::Reverse(w.band));
         let mut shapes = self.shapes_of(ctx, view, &wants, &mut quotas);
-        let spare = self.spare(ctx, &mut hosts);
+        let mut soon = hosts.clone();
+        for (id, host) in usable.iter().zip(&mut soon) {
+            host.free += self.free_soon(id, ctx.now);
+        }
+        let spare = self.spare(ctx, &mut soon);
+        for (host, after) in hosts.iter_mut().zip(&soon) {
+            host.free = host.free.least(&after.free);
+        }
         shapes.extend(spare);
         shapes.truncate(SHAPES_MOST);
         self.note_idle(ctx, usable, &hosts);
@@ -308,6 +317,25 @@
         lacking
     }
 
+    /// What will be free on a machine before another could be up, as far as
+    /// estimates tell: it serves as spare as well as a new machine would.
+    fn free_soon(&self, id: &MachineId, now: Ms) -> Resources {
+        let Some(machine) = self.machines.get(id) else {
+            return Resources::default();
+        };
+        let by = now + (machine.boot_ms as f64 * SOON_BOOTS) as Ms;
+        let ends = |task: &&TaskRef| {
+            let job = self.jobs.get(&task.job)?;
+            let binding = job.bound.get(&task.index)?;
+            let end = binding.running_since? + crate::ms(job.spec.estimate_s);
+            (job.spec.kind != JobKind::Service && end < by).then_some(job.task)
+        };
+        let tasks = machine.tasks.iter();
+        tasks
+            .filter_map(|t| ends(&t))
+            .fold(Resources::default(), |sum, r| sum + r)
+    }
+
     /// Notes since when a machine has been of no use.
     fn note_idle(&mut self, ctx: &Ctx, usable: &[MachineId], hosts: &[Host]) {
         for machine in self.machines.values_mut().filter(|m| m.draining) {
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -572,10 +572,14 @@
                 }
             }
         }
-        for m in self.machines.values().filter(|m| !m.tasks.is_empty()) {
+        for m in self.machines.values() {
             log::debug!(
-                "machine {}: session {}, echo {} of {}, calling {}, unanswered {}, exited {}, condemned {}",
+                "machine {}: {} tasks, {:?} used, draining {}, idle since {:?}, session {}, echo {} of {}, calling {}, unanswered {}, exited {}, condemned {}",
                 m.id,
+                m.tasks.len(),
+                m.used,
+                m.draining,
+                m.idle_since,
                 m.session,
                 m.echo,
                 m.token,
--- a/crates/sched/src/resources.rs
+++ b/crates/sched/src/resources.rs
@@ -32,6 +32,15 @@
         self.cpus <= room.cpus && self.gpus <= room.gpus && self.memory <= room.memory
     }
 
+    /// The smaller of each.
+    pub fn least(&self, other: &Self) -> Self {
+        Self {
+            cpus: self.cpus.min(other.cpus),
+            gpus: self.gpus.min(other.gpus),
+            memory: self.memory.min(other.memory),
+        }
+    }
+
     /// `n` times this.
     pub fn times(&self, n: i64) -> Self {
         Self {
