--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -65,8 +65,6 @@
     pub teams: BTreeMap<String, Team>,
     /// Shortest `wait` objective of each class, in seconds.
     pub waits: BTreeMap<String, f64>,
-    /// Shortest `finished` objective of each class, in seconds.
-    pub finishes: BTreeMap<String, f64>,
     /// Lease of a worker.
     pub lease_ms: Ms,
     /// Between two reports of a worker.
@@ -99,23 +97,19 @@
         nodes.push(settings.node.clone());
         nodes.sort();
         nodes.dedup();
-        let shortest = |kind: &str| {
-            let mut found: BTreeMap<String, f64> = BTreeMap::new();
-            for o in c.objectives.iter().filter(|o| o.kind == kind) {
-                if let Some(class) = &o.class {
-                    let within = found.entry(class.clone()).or_insert(o.within_s);
-                    *within = o.within_s.min(*within);
-                }
+        let mut waits = BTreeMap::new();
+        for o in c.objectives.iter().filter(|o| o.kind == "wait") {
+            if let Some(class) = &o.class {
+                let within = waits.entry(class.clone()).or_insert(o.within_s);
+                *within = o.within_s.min(*within);
             }
-            found
-        };
+        }
         let ms = |s: f64| (s * 1000.0) as Ms;
         Self {
             node: settings.node.clone(),
             teams: spread_teams(&c.teams, nodes.len().max(c.nodes as usize)),
             nodes,
-            waits: shortest("wait"),
-            finishes: shortest("finished"),
+            waits,
             lease_ms: ms(c.workers.lease_s),
             report_ms: ms(c.workers.report_s),
             cancel_ms: ms(c.workers.cancel_s),
--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -282,15 +282,11 @@
         let elapsed = self.counting_since.map_or(0, |t| now - t);
         let mut classes: Vec<(f64, ShapeRec, f64)> = Vec::new();
         for (class, stats) in &mut self.classes {
-            // How long a task may wait: as its class's objectives say, and
-            // as its run leaves time until it should be done.
-            let wait = ctx.cfg.waits.get(class).copied();
-            let done = ctx.cfg.finishes.get(class).map(|t| t - stats.estimate_s);
-            let Some(slack) = wait.into_iter().chain(done).reduce(f64::min) else {
+            let Some(wait) = ctx.cfg.waits.get(class) else {
                 continue;
             };
-            if slack < boot_s {
-                classes.push((slack, stats.last.clone(), stats.rate(now, elapsed)));
+            if *wait < boot_s {
+                classes.push((*wait, stats.last.clone(), stats.rate(now, elapsed)));
             }
         }
         classes.sort_by(|a, b| a.0.total_cmp(&b.0));
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -35,8 +35,6 @@
     weight: f64,
     at: Ms,
     pub(crate) last: ShapeRec,
-    /// Estimated run time, of late.
-    pub(crate) estimate_s: f64,
 }
 
 /// A share that this controller holds.
@@ -666,21 +664,16 @@
                 weight: 0.0,
                 at: now,
                 last: last.clone(),
-                estimate_s: spec.estimate_s,
             });
         stats.fade(now);
         stats.weight += f64::from(spec.tasks);
         stats.last = last;
-        stats.estimate_s += (spec.estimate_s - stats.estimate_s) * ESTIMATE_PART;
     }
 }
 
 /// Arrivals are remembered for about this long.
 const ARRIVALS_MS: f64 = 150_000.0;
 
-/// The part that the newest job has in a class's estimated run time.
-const ESTIMATE_PART: f64 = 0.2;
-
 impl ClassStats {
     fn fade(&mut self, now: Ms) {
         let gone = now.saturating_sub(self.at) as f64;
