--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -30,12 +30,16 @@
 impl Default for Operator {
     fn default() -> Self {
         Self {
-            weights: Weights::default(),
+            weights: Weights {
+                fit: 1.0 / 3.0,
+                cost: 1.0 / 6.0,
+                latency: 1.0 / 2.0,
+            },
             round_s: 1.0,
             round_gap_s: 0.1,
             assign_s: 0.5,
             spare: 1.0,
-            idle_boots: 0.5,
+            idle_boots: 0.2,
             silent_leases: 0.6,
         }
     }
