--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 mod node;
 mod orders;
 mod peers;
+mod preempt;
 mod ranges;
 pub mod records;
 mod rounds;
--- /dev/null
+++ b/crates/core/src/preempt.rs
@@ -0,0 +1,99 @@
+//! Stopping work to make room for work of a higher priority.
+//!
+//! Only production work that finds no room does this, and only to work at
+//! least two priorities below it: what is stopped has lost its progress, and
+//! a machine for the next priority up is but a boot away.
+
+use crate::ctx::Ctx;
+use crate::job::{Sent, Stop};
+use crate::share::Share;
+use forkshift_sched::{Quota, Resources, Want};
+use forkshift_wire::users::Priority;
+use forkshift_wire::{JobId, MachineId, TaskRef};
+
+/// Reports between two times that work is stopped: what was stopped must be
+/// seen to be gone, and its room be used, before more is.
+const PAUSE_REPORTS: u64 = 2;
+
+impl Share {
+    /// Makes room for the first production task that has found none.
+    pub(crate) fn preempt(
+        &mut self,
+        ctx: &Ctx,
+        ids: &[JobId],
+        wants: &[Want],
+        usable: &[MachineId],
+        quotas: &[Quota],
+    ) {
+        if ctx.now < self.preempted_at + ctx.cfg.report_ms * PAUSE_REPORTS {
+            return;
+        }
+        for (id, want) in ids.iter().zip(wants) {
+            let production = self
+                .jobs
+                .get(id)
+                .is_some_and(|j| j.spec.priority == Priority::Production);
+            let waits = !want.waiting.is_empty() && !want.gang;
+            if !production || !waits || !quotas[want.team].allows(&want.task) {
+                continue;
+            }
+            let best = usable
+                .iter()
+                .filter_map(|m| self.victims(ctx, want, m))
+                .min_by_key(|(lost, _)| *lost);
+            let Some((_, victims)) = best else { continue };
+            self.preempted_at = ctx.now;
+            for victim in victims {
+                log::info!("{victim}: stopped to make room for {id}");
+                let job = self.jobs.get_mut(&victim.job);
+                let Some(job) = job else { continue };
+                let grace_s = job.spec.save_s;
+                if let Some(binding) = job.bound.get_mut(&victim.index) {
+                    binding.stop = Some(Stop {
+                        grace_s,
+                        told: None,
+                    });
+                }
+            }
+            return;
+        }
+    }
+
+    /// The tasks to be stopped on a machine for a place for one task, those
+    /// that ran for the shortest first, and the time that is lost with them.
+    fn victims(&self, ctx: &Ctx, want: &Want, id: &MachineId) -> Option<(u64, Vec<TaskRef>)> {
+        let machine = self.machines.get(id)?;
+        let fits = want.allowed(machine.machine_type, machine.zone, machine.spot)
+            && want.task.fits(&machine.total);
+        if !fits {
+            return None;
+        }
+        let mut low: Vec<(u64, Resources, &TaskRef)> = machine
+            .tasks
+            .iter()
+            .filter_map(|task| {
+                let job = self.jobs.get(&task.job)?;
+                let binding = job.bound.get(&task.index)?;
+                let stoppable = job.spec.priority <= Priority::Normal
+                    && !job.is_gang()
+                    && binding.sent != Sent::No
+                    && binding.stop.is_none();
+                let ran = ctx.now - binding.running_since.unwrap_or(ctx.now);
+                stoppable.then_some((ran, job.task, task))
+            })
+            .collect();
+        low.sort_by_key(|(ran, _, _)| *ran);
+        let mut free = machine.free();
+        let mut lost = 0;
+        let mut victims = Vec::new();
+        for (ran, res, task) in low {
+            if want.task.fits(&free) {
+                break;
+            }
+            free += res;
+            lost += ran;
+            victims.push(task.clone());
+        }
+        (want.task.fits(&free) && !victims.is_empty()).then_some((lost, victims))
+    }
+}
--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -74,6 +74,7 @@
             self.bind(id, p.task, binding);
             self.dirty.insert(id.clone());
         }
+        self.preempt(ctx, &ids, &wants, &usable, &quotas);
         self.lack(ctx, view, &usable, hosts, wants, quotas);
     }
 
