--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -16,6 +16,9 @@
 /// A submission or a cancellation is answered within this, whatever happens:
 /// users give up after 5 s.
 const ANSWER_MS: Ms = 4_000;
+/// A question is asked of the state service again if its connection breaks
+/// within this; users wait 2 s for an answer.
+const LOOKUP_MS: Ms = 1_000;
 /// Pause between two looks at whether a cancellation was carried out.
 const POLL_MS: Ms = 250;
 
@@ -235,17 +238,28 @@
     /// Reads a job's record, for an answer that must not be older than what
     /// any node has told.
     fn look_up(&mut self, token: Token, id: JobId, why: Lookup) -> Option<Reply> {
-        let path = format!("/kv/{}", job_key(&id));
-        self.ctx
-            .read(Urgency::User, path, Pending::Lookup { token, id, why });
+        let until = self.ctx.now + LOOKUP_MS;
+        self.read_job(token, id, why, until);
         None
     }
 
+    fn read_job(&mut self, token: Token, id: JobId, why: Lookup, until: Ms) {
+        let path = format!("/kv/{}", job_key(&id));
+        let pending = Pending::Lookup {
+            token,
+            id,
+            why,
+            until,
+        };
+        self.ctx.read(Urgency::User, path, pending);
+    }
+
     pub(crate) fn on_lookup(
         &mut self,
         token: Token,
         id: JobId,
         why: Lookup,
+        until: Ms,
         code: u16,
         body: &[u8],
     ) {
@@ -258,6 +272,8 @@
                 };
                 return self.ctx.respond(token, reply);
             }
+            // A connection that broke is no outage: a read may be repeated.
+            0 if self.ctx.now < until => return self.read_job(token, id, why, until),
             _ => None,
         };
         let Some(record) = record else {
--- a/crates/core/src/ctx.rs
+++ b/crates/core/src/ctx.rs
@@ -155,6 +155,7 @@
         token: Token,
         id: JobId,
         why: Lookup,
+        until: Ms,
     },
     Abort {
         token: Token,
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -341,7 +341,12 @@
                 }
             }
             Pending::Create(creation) => self.on_created(*creation, status, body),
-            Pending::Lookup { token, id, why } => self.on_lookup(token, id, why, status, body),
+            Pending::Lookup {
+                token,
+                id,
+                why,
+                until,
+            } => self.on_lookup(token, id, why, until, status, body),
             Pending::Abort { token, id, until } => self.on_abort_put(token, id, until, status),
             Pending::AbortPoll { token, id, until } => {
                 self.on_abort_poll(token, id, until, status, body);
