--- a/crates/core/src/drain.rs
+++ b/crates/core/src/drain.rs
@@ -158,10 +158,7 @@
                     .get_mut(&task.job)
                     .and_then(|j| j.bound.get_mut(&task.index))
                 {
-                    binding.stop = Some(Stop {
-                        grace_s,
-                        told: None,
-                    });
+                    binding.stop = Some(Stop::after(grace_s));
                 }
                 return true;
             }
--- a/crates/core/src/evidence.rs
+++ b/crates/core/src/evidence.rs
@@ -204,10 +204,7 @@
             return;
         }
         for binding in job.bound.values_mut() {
-            binding.stop.get_or_insert(Stop {
-                grace_s: 0.0,
-                told: None,
-            });
+            binding.stop.get_or_insert(Stop::after(0.0));
         }
         self.drop_unsent(id);
     }
@@ -265,10 +262,7 @@
                 version,
                 sent: Sent::Ours { token, session },
                 stage: Some(found.stage),
-                stop: Some(Stop {
-                    grace_s: 0.0,
-                    told: None,
-                }),
+                stop: Some(Stop::after(0.0)),
                 since: ctx.now,
                 running_since: None,
             };
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -31,6 +31,16 @@
     pub(crate) told: Option<Ms>,
 }
 
+impl Stop {
+    /// A stop that was not told yet.
+    pub(crate) fn after(grace_s: f64) -> Self {
+        Self {
+            grace_s,
+            told: None,
+        }
+    }
+}
+
 /// A task that may be on a machine.
 #[derive(Clone, Debug)]
 pub(crate) struct Binding {
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -465,7 +465,7 @@
                 .filter_map(|m| total_of(view, &m.rec.machine_type))
                 .collect();
             for (shape, waits) in wanted {
-                let task = resources_of(shape);
+                let task = shape.resources();
                 let mut left = shape.n;
                 for room in &mut coming {
                     left -= book(room, &task, left);
@@ -528,7 +528,7 @@
                         .is_none_or(|t| t.contains(&rec.machine_type))
                     && shape.zones.as_ref().is_none_or(|z| z.contains(&rec.zone))
                     && total_of(view, &rec.machine_type)
-                        .is_some_and(|total| resources_of(shape).fits(&total))
+                        .is_some_and(|total| shape.resources().fits(&total))
             })
             .map(|(_, id, _)| id.clone())
             .next()
@@ -558,7 +558,7 @@
                 .shapes
                 .iter()
                 .map(|s| Shape {
-                    task: resources_of(s),
+                    task: s.resources(),
                     count: s.n,
                     types: s
                         .types
@@ -760,14 +760,6 @@
     }
 }
 
-fn resources_of(shape: &ShapeRec) -> Resources {
-    Resources {
-        cpus: shape.res.0,
-        gpus: shape.res.1,
-        memory: shape.res.2,
-    }
-}
-
 fn total_of(view: &View, machine_type: &str) -> Option<Resources> {
     let t = &view.types.get(machine_type)?.rec;
     Some(Resources::new(t.cpus, t.gpus, t.memory_gb))
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -208,10 +208,7 @@
         job.cancelled_at = ctx.now;
         job.touch(0);
         for binding in job.bound.values_mut() {
-            binding.stop = Some(Stop {
-                grace_s: 0.0,
-                told: None,
-            });
+            binding.stop = Some(Stop::after(0.0));
         }
         self.dirty.insert(id.clone());
         self.drop_unsent(id);
@@ -227,10 +224,7 @@
     pub(crate) fn stop_cancelled(&mut self) {
         for job in self.jobs.values_mut().filter(|j| j.cancelled) {
             for binding in job.bound.values_mut() {
-                binding.stop.get_or_insert(Stop {
-                    grace_s: 0.0,
-                    told: None,
-                });
+                binding.stop.get_or_insert(Stop::after(0.0));
             }
         }
     }
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -49,10 +49,7 @@
                 let Some(job) = job else { continue };
                 let grace_s = job.spec.save_s;
                 if let Some(binding) = job.bound.get_mut(&victim.index) {
-                    binding.stop = Some(Stop {
-                        grace_s,
-                        told: None,
-                    });
+                    binding.stop = Some(Stop::after(grace_s));
                 }
             }
             return;
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -4,6 +4,7 @@
 //! watch shows all of it, in order. Jobs live below `job/` for ever, and
 //! below `live/<share>/` while they are unfinished.
 
+use forkshift_sched::Resources;
 use forkshift_wire::users::{JobSpec, JobStage};
 use forkshift_wire::{JobId, MachineId, NodeName};
 use serde::{Deserialize, Serialize};
@@ -201,6 +202,14 @@
     pub spare: bool,
 }
 
+impl ShapeRec {
+    /// What each task takes.
+    pub fn resources(&self) -> Resources {
+        let (cpus, gpus, memory) = self.res;
+        Resources { cpus, gpus, memory }
+    }
+}
+
 /// A job, for ever.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct JobRec {
--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -294,11 +294,7 @@
         for (_, shape, rate) in classes {
             let arrive = rate * boot_s * factor;
             let target = (arrive + arrive.sqrt() * factor.min(1.0)).ceil() as u32;
-            let task = Resources {
-                cpus: shape.res.0,
-                gpus: shape.res.1,
-                memory: shape.res.2,
-            };
+            let task = shape.resources();
             let types = names(ctx, shape.types.as_deref());
             let mut left = target;
             for host in hosts.iter_mut() {
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -523,10 +523,7 @@
                     .get_mut(&task.job)
                     .and_then(|j| j.bound.get_mut(&task.index));
                 if let Some(binding) = binding.filter(|b| b.sent == Sent::No) {
-                    binding.stop = Some(Stop {
-                        grace_s: 0.0,
-                        told: None,
-                    });
+                    binding.stop = Some(Stop::after(0.0));
                     self.drop_unsent(&task.job);
                 }
             }
