--- a/crates/core/src/ctx.rs
+++ b/crates/core/src/ctx.rs
@@ -141,7 +141,7 @@
     LeaderPut,
     ViewList,
     ViewWatch,
-    SharePut(ShareId),
+    SharePut(Vec<ShareId>),
     ShareList {
         share: ShareId,
         epoch: u64,
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -25,9 +25,18 @@
 /// A machine missing from this many lists in a row is gone.
 const ABSENT_LISTS: u32 = 3;
 
+/// What the cloud has answered to a rental request, while it is written.
+struct Outcome {
+    rec: CharterRec,
+    /// Version of the intent's record.
+    version: u64,
+    machines: Vec<MachineId>,
+}
+
 /// What the leader remembers.
 pub(crate) struct Leader {
     active: bool,
+    active_since: Ms,
     bucket: Bucket,
     pause_until: Ms,
     assign_at: Ms,
@@ -36,6 +45,8 @@
     list_at: Ms,
     listing: bool,
     renting: BTreeSet<String>,
+    /// Answers of the cloud that are being written.
+    outcomes: BTreeMap<String, Outcome>,
     /// Charters that the view must show before a share's demand is looked at again.
     acted: BTreeMap<ShareId, u64>,
     chartering: BTreeMap<String, Vec<ShareId>>,
@@ -56,6 +67,7 @@
     pub(crate) fn new(cloud_rps: f64) -> Self {
         Self {
             active: false,
+            active_since: 0,
             bucket: Bucket::new(cloud_rps * 0.9),
             pause_until: 0,
             assign_at: 0,
@@ -64,6 +76,7 @@
             list_at: 0,
             listing: false,
             renting: BTreeSet::new(),
+            outcomes: BTreeMap::new(),
             acted: BTreeMap::new(),
             chartering: BTreeMap::new(),
             charters: 0,
@@ -96,6 +109,7 @@
                 // request's name again: the cloud would repeat its old answer.
                 charters: self.charters,
                 active: true,
+                active_since: ctx.now,
                 ..Self::new(ctx.cfg.cloud_rps)
             };
         }
@@ -148,24 +162,36 @@
                 None => free.push(k),
             }
         }
-        let mut assigned = false;
-        for k in free {
-            if self.assigning.contains(&k) || assigned {
-                continue;
-            }
-            let home = ctx.cfg.nodes.get(k.0 as usize);
-            let least = load.iter().min_by_key(|(n, l)| (**l, Some(**n) != home));
-            let Some((to, _)) = least.map(|(n, l)| ((*n).clone(), *l)) else {
+        // All of them at once: after a crash of most controllers, workers are
+        // left with what remains of their leases. Each share takes a value of
+        // the epoch counter, which is written once.
+        // A leader that has only just been elected waits a little for the
+        // controllers that are not there yet, lest the first one to start be
+        // given everything.
+        let early = ctx.now < self.active_since + ctx.cfg.node_lease_ms() / 2;
+        let home = |k: &ShareId| ctx.cfg.nodes.get(k.0 as usize);
+        free.retain(|k| {
+            let there = home(k).is_some_and(|n| view.nodes.contains_key(n));
+            !self.assigning.contains(k) && (there || !early)
+        });
+        let most = ctx.cfg.txn_ops - 1;
+        let mut given = Vec::new();
+        for k in free.into_iter().take(most) {
+            let least = load
+                .iter_mut()
+                .min_by_key(|(n, l)| (**l, Some(**n) != home(&k)));
+            let Some((to, n)) = least else {
                 return;
             };
+            *n += 1;
             log::info!("share {k}: to {to}");
-            self.assigning.insert(k);
-            // One at a time: each takes the next value of the epoch counter.
-            assigned = true;
-            hand_over(ctx, view, k, &to);
+            given.push((k, (*to).clone()));
         }
-        if !assigned {
+        if given.is_empty() {
             self.balance(ctx, view, &load);
+        } else if self.assigning.is_empty() {
+            self.assigning.extend(given.iter().map(|(k, _)| *k));
+            hand_over(ctx, view, &given);
         }
     }
 
@@ -201,7 +227,7 @@
             writes: vec![Write::put(share_key(*k), to_value(rec).unwrap_or_default())],
         };
         self.assigning.insert(*k);
-        ctx.txn(Urgency::Member, &txn, Pending::SharePut(*k));
+        ctx.txn(Urgency::Member, &txn, Pending::SharePut(vec![*k]));
     }
 
     /// Conditions of a leader's write: the record, and that we still lead.
@@ -213,8 +239,8 @@
         vec![leader, Cond { key, version }]
     }
 
-    pub(crate) fn on_share_put(&mut self, k: ShareId) {
-        self.assigning.remove(&k);
+    pub(crate) fn on_share_put(&mut self, shares: &[ShareId]) {
+        self.assigning.retain(|k| !shares.contains(k));
     }
 
     fn may_call(&mut self, ctx: &Ctx) -> bool {
@@ -579,13 +605,13 @@
                 together.entry(key).or_default().push((*k, rental.count));
             }
         }
-        let most = (ctx.cfg.txn_ops as u32 - 2).min(RENT_MOST);
         for ((machine_type, zone, spot), parts) in together {
             let rec = CharterRec {
-                parts: cut(parts, most),
+                parts: cut(parts, RENT_MOST),
                 machine_type: kinds[machine_type as usize].clone(),
                 zone: zones[zone as usize].clone(),
                 spot,
+                placed: 0,
             };
             self.charters += 1;
             let request = format!("r-{:x}-{}", ctx.inc, self.charters);
@@ -596,7 +622,7 @@
             };
             let shares = rec.parts.iter().map(|(k, _)| *k).collect();
             self.chartering.insert(request.clone(), shares);
-            ctx.txn(Urgency::Work, &txn, Pending::CharterPut { request });
+            ctx.txn(Urgency::User, &txn, Pending::CharterPut { request });
         }
     }
 
@@ -713,11 +739,6 @@
         } else {
             self.refused.remove(&kind);
         }
-        let key = charter_key(request);
-        let mut txn = Txn {
-            conds: self.conds(view, key.clone(), charter.version),
-            writes: vec![Write::Remove { remove: key }],
-        };
         log::info!(
             "{} of {} {} rented in {}{}",
             machines.len(),
@@ -726,8 +747,32 @@
             rec.zone,
             if rec.spot { ", spot" } else { "" }
         );
-        for (id, share) in machines.into_iter().zip(in_turn(&rec.parts)) {
-            let key = machine_key(&id);
+        let outcome = Outcome {
+            rec,
+            version: charter.version,
+            machines,
+        };
+        self.outcomes.insert(request.to_owned(), outcome);
+        self.record(ctx, view, request);
+    }
+
+    /// Writes the next part of an outcome: records of machines, and how far
+    /// the intent has been carried out. The last part removes the intent.
+    fn record(&mut self, ctx: &mut Ctx, view: &View, request: &str) {
+        let Some(outcome) = self.outcomes.get(request) else {
+            return;
+        };
+        let rec = &outcome.rec;
+        let key = charter_key(request);
+        let mut txn = Txn {
+            conds: self.conds(view, key.clone(), outcome.version),
+            writes: Vec::new(),
+        };
+        let from = rec.placed as usize;
+        let to = outcome.machines.len().min(from + ctx.cfg.txn_ops - 1);
+        let shares = rec.in_turn();
+        for (id, share) in outcome.machines.iter().zip(shares).take(to).skip(from) {
+            let key = machine_key(id);
             let machine = MachineRec {
                 share,
                 machine_type: rec.machine_type.clone(),
@@ -746,16 +791,52 @@
             txn.writes
                 .push(Write::put(key, to_value(machine).unwrap_or_default()));
         }
+        txn.writes.push(if to < outcome.machines.len() {
+            let rec = CharterRec {
+                placed: to as u32,
+                ..rec.clone()
+            };
+            Write::put(key, to_value(rec).unwrap_or_default())
+        } else {
+            Write::Remove { remove: key }
+        });
         let request = request.to_owned();
-        ctx.txn(Urgency::Work, &txn, Pending::Rented { request });
+        ctx.txn(Urgency::User, &txn, Pending::Rented { request });
     }
 
-    /// If the outcome was not written, the request is repeated: the cloud
-    /// then gives the same answer. Otherwise the name is done with, and must
-    /// not be used again while the view still shows it.
-    pub(crate) fn on_rented(&mut self, request: &str, status: u16) {
-        if status != 200 {
-            self.renting.remove(request);
+    pub(crate) fn on_rented(
+        &mut self,
+        ctx: &mut Ctx,
+        view: &View,
+        request: &str,
+        status: u16,
+        body: &[u8],
+    ) {
+        let Some(outcome) = self.outcomes.get_mut(request) else {
+            return;
+        };
+        match status {
+            200 => {
+                let reply: TxnReply = serde_json::from_slice(body).unwrap_or_default();
+                outcome.version = reply.revision;
+                outcome.rec.placed += (ctx.cfg.txn_ops - 1) as u32;
+                if (outcome.rec.placed as usize) < outcome.machines.len() {
+                    self.record(ctx, view, request);
+                } else {
+                    // The name is done with. It must not be used again while
+                    // the view still shows it.
+                    self.outcomes.remove(request);
+                }
+            }
+            // Writing again on the same conditions is safe: if an earlier
+            // copy was carried out, this one fails.
+            0 | 429 | 503 if Self::is_leader(ctx, view) => self.record(ctx, view, request),
+            // The record is not as we know it: the request is repeated, the
+            // cloud gives the same answer, and the view tells how far we are.
+            _ => {
+                self.outcomes.remove(request);
+                self.renting.remove(request);
+            }
         }
     }
 }
@@ -798,14 +879,6 @@
     parts
 }
 
-/// The shares of a charter in turn, each as often as it asked.
-fn in_turn(parts: &[(ShareId, u32)]) -> Vec<ShareId> {
-    let rounds = parts.iter().map(|(_, n)| *n).max().unwrap_or(0);
-    (0..rounds)
-        .flat_map(|i| parts.iter().filter(move |(_, n)| i < *n).map(|(k, _)| *k))
-        .collect()
-}
-
 fn zone_names(view: &View) -> Vec<String> {
     view.zones().into_iter().map(str::to_owned).collect()
 }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -314,7 +314,7 @@
             if let Some(share) = self.shares.remove(&k) {
                 share.let_go(&mut self.ctx);
             }
-            hand_over(&mut self.ctx, &self.view, k, &to);
+            hand_over(&mut self.ctx, &self.view, &[(k, to)]);
         }
     }
 
@@ -326,9 +326,9 @@
             Pending::LeaderPut => self.member.on_leader_put(status, body),
             Pending::ViewList => self.on_view_list(status, body),
             Pending::ViewWatch => self.on_view_watch(status, body),
-            Pending::SharePut(k) => {
-                self.leader.on_share_put(k);
-                self.moving.remove(&k);
+            Pending::SharePut(shares) => {
+                self.leader.on_share_put(&shares);
+                self.moving.retain(|k, _| !shares.contains(k));
             }
             Pending::ShareList { share, epoch } => {
                 if let Some(s) = self.shares.get_mut(&share).filter(|s| s.epoch == epoch) {
@@ -401,7 +401,10 @@
                 self.leader
                     .on_rent(&mut self.ctx, &self.view, &request, status, body);
             }
-            Pending::Rented { request } => self.leader.on_rented(&request, status),
+            Pending::Rented { request } => {
+                self.leader
+                    .on_rented(&mut self.ctx, &self.view, &request, status, body);
+            }
             Pending::Delete { machines } => {
                 self.leader
                     .on_delete(&mut self.ctx, &self.view, machines, status, body);
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -153,6 +153,15 @@
     pub zone: String,
     /// Whether spot machines are meant.
     pub spot: bool,
+    /// Machines that have their records by now. A transaction takes few
+    /// changes, so the outcome of a large request is written bit by bit, each
+    /// together with this count.
+    #[serde(default, skip_serializing_if = "is_none")]
+    pub placed: u32,
+}
+
+fn is_none(n: &u32) -> bool {
+    *n == 0
 }
 
 impl CharterRec {
@@ -160,6 +169,16 @@
     pub fn count(&self) -> u32 {
         self.parts.iter().map(|(_, n)| n).sum()
     }
+
+    /// The shares that get its machines, in turn, each as often as it asked.
+    pub fn in_turn(&self) -> Vec<ShareId> {
+        let rounds = self.parts.iter().map(|(_, n)| *n).max().unwrap_or(0);
+        let one = |i: u32| {
+            let some = self.parts.iter().filter(move |(_, n)| i < *n);
+            some.map(|(k, _)| *k)
+        };
+        (0..rounds).flat_map(one).collect()
+    }
 }
 
 /// What a share lacks.
--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -251,9 +251,9 @@
             let Some(of_type) = view.types.get(&charter.machine_type) else {
                 continue;
             };
-            let ours = charter.parts.iter().filter(|(k, _)| *k == self.id);
+            let left = charter.in_turn().into_iter().skip(charter.placed as usize);
             let t = &of_type.rec;
-            for _ in 0..ours.map(|(_, n)| n).sum() {
+            for _ in left.filter(|k| *k == self.id) {
                 hosts.push(Host {
                     free: Resources::new(t.cpus, t.gpus, t.memory_gb),
                     total: Resources::new(t.cpus, t.gpus, t.memory_gb),
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -702,37 +702,43 @@
     ctx.txn(Urgency::Later, &txn, Pending::Housekeeping);
 }
 
-/// Hands a share to a start of a controller, under a new epoch. It takes hold
-/// only if the controller that held it is as the view shows it: gone, or
-/// started anew, or willing.
-pub(crate) fn hand_over(ctx: &mut Ctx, view: &View, k: ShareId, to: &NodeName) {
-    let Some(node) = view.nodes.get(to) else {
+/// Hands shares to starts of controllers, each under a new epoch. It takes
+/// hold only if the controllers that held them are as the view shows them:
+/// gone, or started anew, or willing.
+pub(crate) fn hand_over(ctx: &mut Ctx, view: &View, given: &[(ShareId, NodeName)]) {
+    let (epoch_version, mut epoch) = view.epoch();
+    let mut conds: BTreeMap<String, u64> = BTreeMap::from([(EPOCH.to_owned(), epoch_version)]);
+    let mut writes = Vec::new();
+    let mut shares = Vec::new();
+    for (k, to) in given {
+        let Some(node) = view.nodes.get(to) else {
+            continue;
+        };
+        epoch += 1;
+        let rec = ShareRec {
+            holder: to.clone(),
+            inc: node.rec.inc,
+            epoch,
+            want: None,
+        };
+        let share = view.shares.get(k);
+        conds.insert(share_key(*k), share.map_or(0, |s| s.version));
+        conds.insert(node_key(to), node.version);
+        if let Some(old) = share.map(|s| &s.rec.holder) {
+            conds.insert(node_key(old), view.nodes.get(old).map_or(0, |n| n.version));
+        }
+        writes.push(Write::put(share_key(*k), to_value(rec).unwrap_or_default()));
+        shares.push(*k);
+    }
+    if shares.is_empty() {
         return;
-    };
-    let share = view.shares.get(&k);
-    let (epoch_version, epoch) = view.epoch();
-    let rec = ShareRec {
-        holder: to.clone(),
-        inc: node.rec.inc,
-        epoch: epoch + 1,
-        want: None,
-    };
-    let cond = |key: String, version| Cond { key, version };
-    let mut conds = vec![
-        cond(share_key(k), share.map_or(0, |s| s.version)),
-        cond(EPOCH.to_owned(), epoch_version),
-        cond(node_key(to), node.version),
-    ];
-    if let Some(old) = share.map(|s| &s.rec.holder).filter(|old| *old != to) {
-        let version = view.nodes.get(old).map_or(0, |n| n.version);
-        conds.push(cond(node_key(old), version));
     }
-    let txn = Txn {
-        conds,
-        writes: vec![
-            Write::put(share_key(k), to_value(rec).unwrap_or_default()),
-            Write::put(EPOCH.to_owned(), (epoch + 1).into()),
-        ],
-    };
-    ctx.txn(Urgency::Member, &txn, Pending::SharePut(k));
+    writes.push(Write::put(EPOCH.to_owned(), epoch.into()));
+    let conds = conds.into_iter();
+    let conds = conds.map(|(key, version)| Cond { key, version }).collect();
+    ctx.txn(
+        Urgency::Member,
+        &Txn { conds, writes },
+        Pending::SharePut(shares),
+    );
 }
