State budget follows need; watches are paced; no blind rewrites

An even split left the leader and the busiest share with 4 changes a second while the others used a third of theirs; watches that were reopened with every change took half the requests, past the budget. Seen in the log: 2 writes queued for 20 s at the leader, 0 machines asked for until 28 s. Change: 40% split evenly, the rest granted by the leader as needed (core/budget.rs); watches are opened at most so often that they take a fifth and a tenth of the requests; with a view that is behind by that pause, a record is written again only in sight of what became of the last try (before: failed tries by the hundred, which count); a view that must catch up peeks instead of listing everything; machine types are written until they are known.

--- /dev/null
+++ b/crates/core/src/budget.rs
@@ -0,0 +1,186 @@
+//! Who may use how much of the state service.
+//!
+//! The service bounds requests and changes of all controllers together. A part
+//! is split evenly and always there; the rest follows need: every controller
+//! tells the leader what it needs, and the leader grants what there is, for a
+//! short while. A controller that hears no grant uses an even share of the
+//! rest, which the leader keeps back for it, so the sum stays below the limit.
+//! Without that, the one that leads, or that holds what is busy, starves while
+//! others leave theirs unused.
+
+use crate::ctx::Ctx;
+use crate::store::Use;
+use crate::view::View;
+use crate::Ms;
+use forkshift_wire::peer::Body;
+use forkshift_wire::NodeName;
+use std::collections::BTreeMap;
+
+/// What is used of the limits, with some room for clocks and late calls.
+const REQUESTS_PART: f64 = 0.9;
+const WRITES_PART: f64 = 0.95;
+/// The part of that which is split evenly.
+const FIXED_PART: f64 = 0.4;
+/// A grant, and what a controller said that it needs, hold for this many looks.
+const VALID_LOOKS: f64 = 4.0;
+
+/// The part that follows need, as one controller has it.
+#[derive(Clone, Debug)]
+struct Grant {
+    leader: NodeName,
+    inc: u64,
+    until: Ms,
+    rate: Use,
+}
+
+#[derive(Clone, Debug)]
+struct Need {
+    at: Ms,
+    inc: u64,
+    rate: Use,
+    granted: bool,
+}
+
+/// A controller's part of the budget, and the leader's account of the others'.
+#[derive(Default)]
+pub(crate) struct Budget {
+    grant: Option<Grant>,
+    needs: BTreeMap<NodeName, Need>,
+    need: Use,
+    next: Ms,
+}
+
+/// The most that all controllers use together, and the part that follows need.
+fn limits(ctx: &Ctx) -> (Use, Use) {
+    let all = Use {
+        requests: ctx.cfg.state_rps * REQUESTS_PART,
+        writes: ctx.cfg.write_rps * WRITES_PART,
+    };
+    (all, all.times(1.0 - FIXED_PART))
+}
+
+impl Budget {
+    /// What this controller may use a second.
+    pub(crate) fn rate(&self, ctx: &Ctx, view: &View) -> Use {
+        let n = ctx.cfg.nodes.len().max(1) as f64;
+        let (all, pool) = limits(ctx);
+        let fixed = all.times(FIXED_PART / n);
+        match self.live(ctx, view) {
+            Some(grant) => fixed.plus(&grant.rate),
+            None => fixed.plus(&pool.times(1.0 / n)),
+        }
+    }
+
+    /// The grant, as long as whoever gave it leads.
+    fn live(&self, ctx: &Ctx, view: &View) -> Option<&Grant> {
+        let leader = view.leader.as_ref().map(|l| &l.rec);
+        let of_leader = |g: &&Grant| leader.is_some_and(|l| l.node == g.leader && l.inc == g.inc);
+        self.grant
+            .as_ref()
+            .filter(|g| ctx.now < g.until)
+            .filter(of_leader)
+    }
+
+    /// Tells the leader what is needed here; if we lead, grants what there is.
+    pub(crate) fn tick(&mut self, ctx: &mut Ctx, view: &View) {
+        if ctx.now < self.next {
+            return;
+        }
+        let period = crate::ms(ctx.cfg.ops.assign_s).max(100);
+        self.next = ctx.now + period;
+        // What was needed a moment ago may be needed again.
+        let need = ctx.store.take_need(ctx.now);
+        self.need = need.most(&self.need.times(0.7));
+        let Some(leader) = view.leader.as_ref().map(|l| l.rec.clone()) else {
+            return;
+        };
+        if leader.node != ctx.cfg.node || leader.inc != ctx.inc {
+            self.needs.clear();
+            let body = Body::Need {
+                writes: milli(self.need.writes),
+                requests: milli(self.need.requests),
+                granted: self.live(ctx, view).is_some(),
+            };
+            ctx.tell(&leader.node, 0, body);
+            return;
+        }
+        let until = ctx.now + (period as f64 * VALID_LOOKS) as Ms;
+        let ours = Need {
+            at: ctx.now,
+            inc: ctx.inc,
+            rate: self.need,
+            granted: true,
+        };
+        self.needs.insert(ctx.cfg.node.clone(), ours);
+        let since = (period as f64 * VALID_LOOKS) as Ms;
+        self.needs
+            .retain(|n, need| ctx.now < need.at + since && view.is_alive(n, need.inc));
+        let n = ctx.cfg.nodes.len().max(1) as f64;
+        let (all, pool) = limits(ctx);
+        let even = pool.times(1.0 / n);
+        let granted = self.needs.values().filter(|n| n.granted).count();
+        let kept_back = view.nodes.len().saturating_sub(granted) as f64;
+        let rest = pool.plus(&even.times(-kept_back));
+        let fixed = all.times(FIXED_PART / n);
+        let more: Vec<Use> = self
+            .needs
+            .values()
+            .filter(|n| n.granted)
+            .map(|n| n.rate.beyond(&fixed))
+            .collect();
+        let sum = more.iter().fold(Use::default(), |sum, u| sum.plus(u));
+        for (name, need) in &self.needs {
+            let rate = if need.granted {
+                let part = |rest: f64, more: f64, sum: f64| {
+                    let unused = (rest - sum).max(0.0) / granted.max(1) as f64;
+                    unused + more * (rest / sum.max(1e-9)).min(1.0)
+                };
+                let more = need.rate.beyond(&fixed);
+                Use {
+                    requests: part(rest.requests, more.requests, sum.requests),
+                    writes: part(rest.writes, more.writes, sum.writes),
+                }
+            } else {
+                even
+            };
+            if *name == ctx.cfg.node {
+                self.grant = Some(Grant {
+                    leader: name.clone(),
+                    inc: ctx.inc,
+                    until,
+                    rate,
+                });
+            } else {
+                let body = Body::Grant {
+                    writes: milli(rate.writes),
+                    requests: milli(rate.requests),
+                };
+                ctx.tell(name, 0, body);
+            }
+        }
+    }
+
+    pub(crate) fn on_need(&mut self, now: Ms, from: NodeName, inc: u64, rate: Use, granted: bool) {
+        let need = Need {
+            at: now,
+            inc,
+            rate,
+            granted,
+        };
+        self.needs.insert(from, need);
+    }
+
+    pub(crate) fn on_grant(&mut self, ctx: &Ctx, leader: NodeName, inc: u64, rate: Use) {
+        let valid = ctx.cfg.ops.assign_s.max(0.1) * VALID_LOOKS;
+        self.grant = Some(Grant {
+            leader,
+            inc,
+            until: ctx.now + crate::ms(valid),
+            rate,
+        });
+    }
+}
+
+fn milli(rate: f64) -> u32 {
+    (rate * 1000.0) as u32
+}
--- a/crates/core/src/ctx.rs
+++ b/crates/core/src/ctx.rs
@@ -141,6 +141,7 @@
     LeaderPut,
     ViewList,
     ViewWatch,
+    ViewPeek,
     SharePut(Vec<ShareId>),
     ShareList {
         share: ShareId,
@@ -375,6 +376,13 @@
         self.store.push(urgency, call);
     }
 
+    /// Pause between two watches of a kind that every controller keeps one
+    /// of, so that all of them take this part of the requests.
+    pub(crate) fn watch_pause(&self, part: f64) -> Ms {
+        let all = self.cfg.state_rps * part;
+        (self.cfg.nodes.len() as f64 * 1000.0 / all.max(0.1)) as Ms
+    }
+
     /// Waits for changes below a prefix.
     pub(crate) fn watch(&mut self, prefix: &str, from: u64, wait: Ms, pending: Pending) {
         let call = StateCall {
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -291,8 +291,14 @@
                 return;
             }
         };
-        // Prices move all the time; they need not be followed closely.
-        self.catalog_at = ctx.now + 60_000;
+        // Prices move all the time; they need not be followed closely. But
+        // until all types are known nothing can be accepted, so a write of
+        // them that fails must not wait for the next look at the prices.
+        let all_known = catalog
+            .types
+            .iter()
+            .all(|t| view.types.contains_key(&t.name));
+        self.catalog_at = ctx.now + if all_known { 60_000 } else { 1_000 };
         for t in catalog.types {
             let known = view.types.get(&t.name);
             if known.is_some_and(|k| k.rec == t) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 //! the testkit against stand-ins in virtual time.
 
 mod api;
+mod budget;
 mod commit;
 pub mod config;
 mod ctx;
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -23,6 +23,9 @@
     pub(crate) version: u64,
     /// A write of its record is under way.
     pub(crate) putting: bool,
+    /// It is written again only in sight of this revision, at which the
+    /// service answered last.
+    pub(crate) put_from: u64,
 
     /// Session and sequence number of the newest message.
     pub(crate) session: u64,
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -23,6 +23,10 @@
     registered: bool,
     /// The revision that put it there.
     registered_at: u64,
+    /// Our record and the leader's are written again only in sight of what
+    /// became of the last try: the view is behind by the pause between two
+    /// watches, and tries that must fail count against the budget all the same.
+    seen_from: u64,
 }
 
 impl Member {
@@ -50,6 +54,11 @@
         self.registered && view.revision < self.registered_at
     }
 
+    /// Whether something is to be done once the view has caught up.
+    pub(crate) fn waits_for_view(&self, view: &View) -> bool {
+        view.revision < self.seen_from
+    }
+
     pub(crate) fn is_registered(&self) -> bool {
         self.registered
     }
@@ -62,6 +71,9 @@
         if !view.ready {
             return;
         }
+        if view.revision < self.seen_from {
+            return;
+        }
         let mine = view.is_alive(&ctx.cfg.node, ctx.inc);
         if !self.putting && (!mine || !self.registered) {
             let key = node_key(&ctx.cfg.node);
@@ -149,8 +161,9 @@
 
     pub(crate) fn on_node_put(&mut self, status: u16, body: &[u8]) {
         self.putting = false;
+        let reply: TxnReply = serde_json::from_slice(body).unwrap_or_default();
+        self.seen_from = self.seen_from.max(reply.revision);
         if status == 200 {
-            let reply: TxnReply = serde_json::from_slice(body).unwrap_or_default();
             self.registered = true;
             self.registered_at = reply.revision;
         } else if is_lease_gone(status, body) {
@@ -160,6 +173,8 @@
 
     pub(crate) fn on_leader_put(&mut self, status: u16, body: &[u8]) {
         self.electing = false;
+        let reply: TxnReply = serde_json::from_slice(body).unwrap_or_default();
+        self.seen_from = self.seen_from.max(reply.revision);
         if is_lease_gone(status, body) {
             self.lease = None;
             self.registered = false;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -1,5 +1,6 @@
 //! The controller: one owner of all state, working through batches of inputs.
 
+use crate::budget::Budget;
 use crate::config::Config;
 use crate::ctx::{Ctx, Effect, Input, Pending, Token};
 use crate::leader::Leader;
@@ -9,7 +10,7 @@
 use crate::store::Urgency;
 use crate::view::View;
 use crate::Ms;
-use forkshift_wire::state::{Changes, Item, Page};
+use forkshift_wire::state::{Changes, Item, Page, TxnReply};
 use forkshift_wire::users::JobStage;
 use forkshift_wire::{JobId, MachineId};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -47,6 +48,7 @@
     pub(crate) view: View,
     pub(crate) member: Member,
     pub(crate) leader: Leader,
+    pub(crate) budget: Budget,
     pub(crate) shares: BTreeMap<ShareId, Share>,
     /// Epochs that were ours, and are not to be used again.
     used: BTreeMap<ShareId, u64>,
@@ -55,6 +57,10 @@
     list_rev: u64,
     watching: bool,
     listing: bool,
+    peeking: bool,
+    peek_at: Ms,
+    /// Up to here the view has missed something.
+    missed: u64,
     watch_at: Ms,
     moving: BTreeMap<ShareId, Ms>,
     seen: u64,
@@ -65,6 +71,9 @@
 
 /// Longest wait of the watch on what all controllers share.
 const WATCH_MS: Ms = 10_000;
+/// The part of the requests to the state service that goes into that watch:
+/// without a pause it would be opened anew with every single change.
+const WATCH_PART: f64 = 0.2;
 
 impl Node {
     /// A controller that has just started. `inc` names this start, and must
@@ -76,6 +85,7 @@
             ctx: Ctx::new(cfg, inc, seed),
             view: View::default(),
             member: Member::default(),
+            budget: Budget::default(),
             shares: BTreeMap::new(),
             used: BTreeMap::new(),
             finals: Finals::default(),
@@ -83,6 +93,9 @@
             list_rev: 0,
             watching: false,
             listing: false,
+            peeking: false,
+            peek_at: 0,
+            missed: 0,
             watch_at: 0,
             moving: BTreeMap::new(),
             seen: 0,
@@ -141,11 +154,9 @@
         self.follow_shares();
         let changed = self.seen != self.view.revision;
         self.seen = self.view.revision;
-        let alive = self.view.nodes.len().max(1) as f64;
-        let cfg = self.ctx.cfg.clone();
-        self.ctx
-            .store
-            .set_rates(cfg.state_rps * 0.9 / alive, cfg.write_rps * 0.95 / alive);
+        self.budget.tick(&mut self.ctx, &self.view);
+        let rate = self.budget.rate(&self.ctx, &self.view);
+        self.ctx.store.set_rates(&rate);
         for share in self.shares.values_mut() {
             share.watch(&mut self.ctx);
             if let Phase::Waiting(revision) = share.phase {
@@ -203,18 +214,29 @@
 
     /// Keeps the view up to date.
     fn follow_view(&mut self) {
-        let wanting = self
-            .shares
-            .values()
-            .any(|s| matches!(s.phase, Phase::Waiting(r) if r > self.view.revision))
-            || self.member.is_behind(&self.view) && self.ctx.now >= self.watch_at;
-        if !self.listing && ((!self.view.ready && self.ctx.now >= self.watch_at) || wanting) {
-            self.listing = true;
-            self.listed.clear();
-            self.list("");
+        let now = self.ctx.now;
+        if !self.view.ready {
+            if !self.listing && now >= self.watch_at {
+                self.listing = true;
+                self.listed.clear();
+                self.list("");
+            }
+            return;
+        }
+        // Changes elsewhere in the service do not end the watch, so the view
+        // may stay behind a revision that something waits for.
+        let behind = |s: &Share| matches!(s.phase, Phase::Waiting(r) if r > self.view.revision);
+        let wanting = self.shares.values().any(behind)
+            || self.member.waits_for_view(&self.view)
+            || self.view.revision < self.missed;
+        if wanting && !self.peeking && now >= self.peek_at {
+            self.peeking = true;
+            self.ctx
+                .watch(CLUSTER, self.view.revision, 0, Pending::ViewPeek);
         }
-        if self.view.ready && !self.watching && self.ctx.now >= self.watch_at {
+        if !self.watching && now >= self.watch_at {
             self.watching = true;
+            self.watch_at = now + self.ctx.watch_pause(WATCH_PART);
             let revision = self.view.revision;
             self.ctx
                 .watch(CLUSTER, revision, WATCH_MS, Pending::ViewWatch);
@@ -264,6 +286,15 @@
         }
     }
 
+    fn on_view_peek(&mut self, status: u16, body: &[u8]) {
+        self.peeking = false;
+        match serde_json::from_slice::<Changes>(body) {
+            Ok(changes) if status == 200 => self.view.apply(changes.events, changes.revision),
+            _ if status == 410 => self.view.ready = false,
+            _ => self.peek_at = self.ctx.now + 100,
+        }
+    }
+
     /// Takes up shares that became ours, lets go of those that are not.
     fn follow_shares(&mut self) {
         let node = self.ctx.cfg.node.clone();
@@ -326,6 +357,7 @@
             Pending::LeaderPut => self.member.on_leader_put(status, body),
             Pending::ViewList => self.on_view_list(status, body),
             Pending::ViewWatch => self.on_view_watch(status, body),
+            Pending::ViewPeek => self.on_view_peek(status, body),
             Pending::SharePut(shares) => {
                 self.leader.on_share_put(&shares);
                 self.moving.retain(|k, _| !shares.contains(k));
@@ -371,10 +403,12 @@
                     s.on_final(&mut self.ctx, &mut self.finals, &id, status, body);
                 }
             }
-            Pending::MachinePut(id) => self.on_machine_put(&id),
+            Pending::MachinePut(id) => self.on_machine_put(&id, status, body),
             Pending::Demand { share } => {
+                self.missed(status, body);
                 if let Some(s) = self.shares.get_mut(&share) {
                     s.demand_putting = false;
+                    s.demand_from = s.demand_from.max(revision_of(body));
                 }
             }
             Pending::Housekeeping => {}
@@ -413,14 +447,24 @@
         }
     }
 
-    fn on_machine_put(&mut self, id: &MachineId) {
+    fn on_machine_put(&mut self, id: &MachineId, status: u16, body: &[u8]) {
+        self.missed(status, body);
         for share in self.shares.values_mut() {
             if let Some(machine) = share.machines.get_mut(id) {
                 machine.putting = false;
+                machine.put_from = machine.put_from.max(revision_of(body));
             }
         }
     }
 
+    /// A condition did not hold: the view has missed something, and must see
+    /// it before the next try.
+    fn missed(&mut self, status: u16, body: &[u8]) {
+        if status == 409 {
+            self.missed = self.missed.max(revision_of(body));
+        }
+    }
+
     /// The share that holds an unfinished job, if it is here and in use.
     pub(crate) fn share_of(&mut self, id: &JobId) -> Option<&mut Share> {
         let mut shares = self.shares.values_mut();
@@ -428,6 +472,12 @@
     }
 }
 
+/// The revision of the service when it answered a transaction; 0 without one.
+fn revision_of(body: &[u8]) -> u64 {
+    let reply: TxnReply = serde_json::from_slice(body).unwrap_or_default();
+    reply.revision
+}
+
 /// Whether the answer to a call tells how the state service is.
 fn is_state(pending: &Pending) -> bool {
     !matches!(
--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -5,6 +5,7 @@
 
 use crate::node::Node;
 use crate::records::ShareId;
+use crate::store::Use;
 use forkshift_wire::peer::{Body, Envelope};
 use forkshift_wire::users::JobSpec;
 use forkshift_wire::{JobId, NodeName};
@@ -25,7 +26,25 @@
         {
             return;
         }
+        let per_second = |writes: u32, requests: u32| Use {
+            requests: f64::from(requests) / 1000.0,
+            writes: f64::from(writes) / 1000.0,
+        };
+        let from = NodeName::new(&envelope.from);
         match envelope.body {
+            Body::Need {
+                writes,
+                requests,
+                granted,
+            } => {
+                let rate = per_second(writes, requests);
+                let now = self.ctx.now;
+                self.budget.on_need(now, from, envelope.inc, rate, granted);
+            }
+            Body::Grant { writes, requests } => {
+                let rate = per_second(writes, requests);
+                self.budget.on_grant(&self.ctx, from, envelope.inc, rate);
+            }
             Body::NewJob {
                 share,
                 spec,
--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -372,7 +372,8 @@
         } != *shown;
         // What waits now goes out at once, the rest now and then.
         let pause = if waits { 300 } else { 1_500 };
-        if self.demand_putting || ctx.now < self.demand_at + pause || !(changed || stale) {
+        let unseen = self.demand_putting || view.revision < self.demand_from;
+        if unseen || ctx.now < self.demand_at + pause || !(changed || stale) {
             return;
         }
         self.demand_putting = true;
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -17,6 +17,12 @@
 use serde_json::{from_value, to_value, Value};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+/// The part of the requests to the state service that goes into watches on
+/// shares' jobs.
+const WATCH_PART: f64 = 0.1;
+/// Least pause between two of them.
+const WATCH_GAP: Ms = 200;
+
 /// How far a share is.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub(crate) enum Phase {
@@ -71,6 +77,8 @@
     pub(crate) preempted_at: Ms,
     pub(crate) demand_at: Ms,
     pub(crate) demand_putting: bool,
+    /// Shown again only in sight of this revision.
+    pub(crate) demand_from: u64,
     pub(crate) reload: bool,
 }
 
@@ -113,6 +121,7 @@
             preempted_at: 0,
             demand_at: 0,
             demand_putting: false,
+            demand_from: 0,
             reload: false,
         };
         share.list(ctx, "");
@@ -365,6 +374,7 @@
             condemned: rec.condemned.clone(),
             version,
             putting: false,
+            put_from: 0,
             session: 0,
             seq: 0,
             echo: 0,
@@ -424,7 +434,7 @@
             let Some(machine) = self.machines.get_mut(&id) else {
                 continue;
             };
-            if machine.putting || to == self.id {
+            if machine.putting || view.revision < machine.put_from || to == self.id {
                 continue;
             }
             let free = machine.tasks.is_empty()
@@ -469,7 +479,7 @@
         else {
             return;
         };
-        if machine.putting {
+        if machine.putting || view.revision < machine.put_from {
             return;
         }
         machine.putting = true;
@@ -604,6 +614,7 @@
             return;
         }
         self.watching = true;
+        self.watch_at = ctx.now + ctx.watch_pause(WATCH_PART);
         let pending = Pending::ShareWatch {
             share: self.id,
             epoch: self.epoch,
@@ -613,8 +624,9 @@
 
     pub(crate) fn on_watch(&mut self, ctx: &mut Ctx, status: u16, body: &[u8]) {
         self.watching = false;
-        // Our own writes come back here; a short pause lets them come together.
-        self.watch_at = ctx.now + 200;
+        // Our own writes come back here; a pause lets them come together. Of
+        // new jobs we are told by whoever accepted them.
+        self.watch_at = self.watch_at.max(ctx.now + WATCH_GAP);
         if status == 410 {
             self.reload = true;
         }
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -6,6 +6,42 @@
 use rand::Rng;
 use std::collections::BTreeMap;
 
+/// Requests and changes, in a second.
+#[derive(Clone, Copy, Default, PartialEq, Debug)]
+pub(crate) struct Use {
+    pub(crate) requests: f64,
+    pub(crate) writes: f64,
+}
+
+impl Use {
+    fn each(&self, other: &Self, f: fn(f64, f64) -> f64) -> Self {
+        Self {
+            requests: f(self.requests, other.requests),
+            writes: f(self.writes, other.writes),
+        }
+    }
+
+    pub(crate) fn plus(&self, other: &Self) -> Self {
+        self.each(other, |a, b| a + b)
+    }
+
+    pub(crate) fn most(&self, other: &Self) -> Self {
+        self.each(other, f64::max)
+    }
+
+    /// What of this goes beyond another.
+    pub(crate) fn beyond(&self, other: &Self) -> Self {
+        self.each(other, |a, b| (a - b).max(0.0))
+    }
+
+    pub(crate) fn times(&self, x: f64) -> Self {
+        Self {
+            requests: self.requests * x,
+            writes: self.writes * x,
+        }
+    }
+}
+
 /// A rate with bursts of one second's worth.
 #[derive(Debug)]
 pub(crate) struct Bucket {
@@ -33,11 +69,12 @@
         self.at = now;
     }
 
-    /// Takes `n`, even into debt if forced to.
+    /// Takes `n`, even into debt if forced to. What is forced through in a
+    /// turmoil must not silence everything else for long.
     pub(crate) fn take(&mut self, n: f64, force: bool) -> bool {
         // More than one second's worth is let through when the bucket is full.
         if force || self.tokens >= n.min(self.rate.max(1.0)) {
-            self.tokens -= n;
+            self.tokens = (self.tokens - n).max(-n.max(self.rate.max(1.0)));
             return true;
         }
         false
@@ -86,6 +123,9 @@
     backoff: Ms,
     /// The last time that the service answered anything but 503.
     pub(crate) last_good: Ms,
+    /// What was sent since the need was last asked for.
+    sent: Use,
+    sent_since: Ms,
 }
 
 /// Longest pause between two tries at a service that refuses.
@@ -102,12 +142,26 @@
             pause_until: 0,
             backoff: BACKOFF_LEAST,
             last_good: 0,
+            sent: Use::default(),
+            sent_since: 0,
         }
     }
 
-    pub(crate) fn set_rates(&mut self, rps: f64, write_rps: f64) {
-        self.requests.set_rate(rps);
-        self.writes.set_rate(write_rps);
+    pub(crate) fn set_rates(&mut self, rate: &Use) {
+        self.requests.set_rate(rate.requests);
+        self.writes.set_rate(rate.writes);
+    }
+
+    /// What is needed a second: what was sent lately, and what waits.
+    pub(crate) fn take_need(&mut self, now: Ms) -> Use {
+        let seconds = now.saturating_sub(self.sent_since).max(1) as f64 / 1000.0;
+        let sent = std::mem::take(&mut self.sent).times(1.0 / seconds);
+        self.sent_since = now;
+        let waits = Use {
+            requests: self.queue.len() as f64,
+            writes: self.queue.values().map(|c| c.writes as f64).sum(),
+        };
+        sent.plus(&waits)
     }
 
     pub(crate) fn push(&mut self, urgency: Urgency, call: StateCall) {
@@ -170,6 +224,11 @@
                 }
             };
             if ready {
+                let sent = Use {
+                    requests: 1.0,
+                    writes: call.writes as f64,
+                };
+                self.sent = self.sent.plus(&sent);
                 go.extend(self.queue.remove(&key));
             } else if now >= call.expires {
                 late.extend(self.queue.remove(&key));
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -6,7 +6,7 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 
 /// Version of the format; others are refused.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 /// Largest message, in bytes.
 pub const MESSAGE_MOST: usize = 96 * 1024;
 
@@ -39,6 +39,23 @@
         /// Revision that recorded it.
         revision: u64,
     },
+    /// What the sender needs of the state service, to the leader.
+    Need {
+        /// Changes in a thousand seconds.
+        writes: u32,
+        /// Requests in a thousand seconds.
+        requests: u32,
+        /// Whether it keeps to what the receiver has granted.
+        granted: bool,
+    },
+    /// What the receiver may use of the state service beyond its fixed part,
+    /// for a short while.
+    Grant {
+        /// Changes in a thousand seconds.
+        writes: u32,
+        /// Requests in a thousand seconds.
+        requests: u32,
+    },
     /// A user wants a job cancelled that the receiver holds.
     Cancel {
         /// The job.
@@ -102,7 +119,7 @@
         let good = message.encode().unwrap();
         assert_eq!(Envelope::decode(&good).unwrap(), message);
         let mut newer = good.clone();
-        newer[0] = 2;
+        newer[0] = 1;
         let mut tag = good.clone();
         let at = tag.len() - 8;
         tag[at] = 9;
