What shares lack goes to the leader by message; addresses are written last

Cause: on the grown naija fleet, once machines came up, 10 to 17 writes waited at every controller. Each share wrote what it lacks up to three times a second (20 changes a second for 7 shares, of 30), and 167 addresses competed with starts. Change: the holder tells the leader by message whenever it changes; the record follows every few seconds for a leader that is not reached (5% of the changes). Addresses have the lowest urgency. Lending and renting are thought about every round_gap_s rather than in every step.

--- a/crates/core/src/ctx.rs
+++ b/crates/core/src/ctx.rs
@@ -1,7 +1,7 @@
 //! What every part of the controller needs: time, settings, a way out.
 
 use crate::config::Config;
-use crate::records::ShareId;
+use crate::records::{DemandRec, ShareId};
 use crate::store::{StateCall, Store, Urgency};
 use crate::Ms;
 use forkshift_wire::peer::{Body, Envelope, VERSION};
@@ -259,6 +259,8 @@
     pub(crate) pending: HashMap<CallId, Pending>,
     /// Inputs that the controller makes for itself: calls that never went out.
     pub(crate) refused: Vec<Pending>,
+    /// What shares of ours lack, for the leader that we are.
+    pub(crate) lacking: Vec<(ShareId, u64, DemandRec)>,
     next_call: CallId,
     interned: HashMap<String, u32>,
     names: Vec<String>,
@@ -280,6 +282,7 @@
             rng: StdRng::seed_from_u64(seed),
             pending: HashMap::new(),
             refused: Vec::new(),
+            lacking: Vec::new(),
             next_call: 0,
             interned: HashMap::new(),
             names: Vec::new(),
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -2,8 +2,8 @@
 
 use crate::ctx::{Ctx, Pending};
 use crate::records::{
-    charter_key, machine_key, share_key, type_key, CharterRec, MachineRec, ShapeRec, ShareId,
-    LEADER,
+    charter_key, machine_key, share_key, type_key, CharterRec, DemandRec, MachineRec, ShapeRec,
+    ShareId, LEADER,
 };
 use crate::share::hand_over;
 use crate::store::{Bucket, Urgency};
@@ -22,6 +22,8 @@
 const STEADY_LEASES: u64 = 4;
 /// A machine that has not come up after this many boots never will.
 const BOOTS_MOST: f64 = 3.0;
+/// What a holder told of its share counts for this many rounds.
+const TOLD_ROUNDS: f64 = 4.0;
 /// A machine missing from this many lists in a row is gone.
 const ABSENT_LISTS: u32 = 3;
 
@@ -57,6 +59,11 @@
     /// Machines asked of their shares, with the version that was asked.
     lending: HashMap<MachineId, u64>,
     lent_rev: u64,
+    /// What holders told of their shares, under which epoch and when.
+    told: BTreeMap<ShareId, (u64, Ms, DemandRec)>,
+    told_new: bool,
+    /// When lending and renting were last thought about.
+    planned_at: Ms,
     nodes: BTreeMap<NodeName, (u64, Ms)>,
     /// Kinds of machines that could not be had, until when they are left
     /// alone, and the last pause.
@@ -85,6 +92,9 @@
             absent: HashMap::new(),
             lending: HashMap::new(),
             lent_rev: 0,
+            told: BTreeMap::new(),
+            told_new: false,
+            planned_at: 0,
             nodes: BTreeMap::new(),
             refused: BTreeMap::new(),
         }
@@ -132,8 +142,15 @@
         self.renting.retain(|r| view.charters.contains_key(r));
         self.delete(ctx, view);
         self.rent(ctx, view);
-        if view.revision > self.lent_rev {
+        let gap = crate::ms(ctx.cfg.ops.round_gap_s);
+        if ctx.now < self.planned_at + gap {
+            self.look(ctx);
+            return;
+        }
+        self.planned_at = ctx.now;
+        if view.revision > self.lent_rev || self.told_new {
             self.lent_rev = view.revision;
+            self.told_new = false;
             self.lend(ctx, view);
         }
         self.charter(ctx, view);
@@ -480,14 +497,37 @@
         }
     }
 
+    /// A holder tells what its share lacks.
+    pub(crate) fn on_demand(&mut self, now: Ms, k: ShareId, epoch: u64, rec: DemandRec) {
+        if self.told.get(&k).is_none_or(|(e, _, _)| epoch >= *e) {
+            self.told.insert(k, (epoch, now, rec));
+            self.told_new = true;
+        }
+    }
+
+    /// What shares lack: what their holders told lately, or else have written.
+    fn demands(&self, ctx: &Ctx, view: &View) -> BTreeMap<ShareId, DemandRec> {
+        let valid = crate::ms(ctx.cfg.ops.round_s * TOLD_ROUNDS);
+        let written = view.demands.iter().map(|(k, d)| (*k, d.rec.clone()));
+        let mut demands: BTreeMap<ShareId, DemandRec> = written.collect();
+        for (k, (epoch, at, rec)) in &self.told {
+            let current = view.shares.get(k).is_some_and(|s| s.rec.epoch == *epoch);
+            if current && ctx.now <= at + valid {
+                demands.insert(*k, rec.clone());
+            }
+        }
+        demands
+    }
+
     /// Moves free machines to shares with waiting tasks: what waits takes any
     /// that is free, and spare places take what nobody else needs.
     fn lend(&mut self, ctx: &mut Ctx, view: &View) {
+        let demands = self.demands(ctx, view);
         self.lending
             .retain(|id, v| view.machines.get(id).is_some_and(|m| m.version <= *v));
-        for (k, demand) in &view.demands {
-            let spare = demand.rec.shapes.iter().filter(|s| s.spare);
-            let wanted = demand.rec.now.iter().map(|s| (s, true));
+        for (k, demand) in &demands {
+            let spare = demand.shapes.iter().filter(|s| s.spare);
+            let wanted = demand.now.iter().map(|s| (s, true));
             let wanted: Vec<(&ShapeRec, bool)> = wanted.chain(spare.map(|s| (s, false))).collect();
             let mut coming: Vec<Resources> = self
                 .lending
@@ -503,7 +543,7 @@
                     left -= book(room, &task, left);
                 }
                 while left > 0 {
-                    let Some(id) = self.lendable(view, *k, shape, waits) else {
+                    let Some(id) = self.lendable(view, &demands, *k, shape, waits) else {
                         break;
                     };
                     let Some(machine) = view.machines.get(&id) else {
@@ -534,16 +574,17 @@
     fn lendable(
         &self,
         view: &View,
+        demands: &BTreeMap<ShareId, DemandRec>,
         k: ShareId,
         shape: &ShapeRec,
         waits: bool,
     ) -> Option<MachineId> {
-        let others = view.demands.iter().filter(|(j, _)| **j != k);
+        let others = demands.iter().filter(|(j, _)| **j != k);
         let lists = others.flat_map(|(j, d)| {
             // A share that has waiting tasks itself gives nothing away.
-            let keeps = waits && !d.rec.now.is_empty();
-            let free = d.rec.free.iter().filter(move |_| waits && !keeps);
-            d.rec.surplus.iter().chain(free).map(move |id| (j, id))
+            let keeps = waits && !d.now.is_empty();
+            let free = d.free.iter().filter(move |_| waits && !keeps);
+            d.surplus.iter().chain(free).map(move |id| (j, id))
         });
         lists
             .filter_map(|(j, id)| Some((j, id, view.machines.get(id)?)))
@@ -577,16 +618,15 @@
         let kinds: Vec<String> = view.types.keys().cloned().collect();
         let zones = zone_names(view);
         let mut together: BTreeMap<(u16, u16, bool), Vec<(ShareId, u32)>> = BTreeMap::new();
-        for (k, demand) in &view.demands {
+        for (k, demand) in &self.demands(ctx, view) {
             let seen = self.acted.get(k).copied().unwrap_or(0);
-            if demand.rec.shapes.is_empty() || demand.rec.rev < seen {
+            if demand.shapes.is_empty() || demand.rev < seen {
                 continue;
             }
             let offers = self.offers(ctx, view, *k);
             let type_no = |name: &String| kinds.iter().position(|t| t == name).map(|i| i as u16);
             let zone_no = |name: &String| zones.iter().position(|z| z == name).map(|i| i as u16);
             let shapes: Vec<Shape> = demand
-                .rec
                 .shapes
                 .iter()
                 .map(|s| Shape {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -176,6 +176,9 @@
             }
             share.tend(&mut self.ctx, &self.view);
         }
+        for (share, epoch, rec) in std::mem::take(&mut self.ctx.lacking) {
+            self.leader.on_demand(self.ctx.now, share, epoch, rec);
+        }
         self.repeat_polls();
         self.log_status();
     }
--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -41,6 +41,14 @@
                 let now = self.ctx.now;
                 self.budget.on_need(now, from, envelope.inc, rate, granted);
             }
+            Body::Demand { share, demand } => match serde_json::from_str(&demand) {
+                Ok(rec) => {
+                    let now = self.ctx.now;
+                    self.leader
+                        .on_demand(now, ShareId(share), envelope.epoch, rec);
+                }
+                Err(e) => log::error!("a peer's demand is not understood: {e}"),
+            },
             Body::Grant { writes, requests } => {
                 let rate = per_second(writes, requests);
                 self.budget.on_grant(&self.ctx, from, envelope.inc, rate);
--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -9,6 +9,7 @@
 use crate::view::View;
 use crate::Ms;
 use forkshift_sched::{run_round, Host, Quota, Resources, Want};
+use forkshift_wire::peer::Body;
 use forkshift_wire::state::{Cond, Txn, Write};
 use forkshift_wire::users::{JobKind, Priority};
 use forkshift_wire::{JobId, MachineId, TaskRef};
@@ -27,6 +28,9 @@
 /// do not starve.
 const AGED_BOOTS: f64 = 2.0;
 
+/// The part of the changes at the state service that goes into what shares lack.
+const DEMAND_PART: f64 = 0.05;
+
 impl Share {
     /// Runs a round if one is due.
     pub(crate) fn round(&mut self, ctx: &mut Ctx, view: &View) {
@@ -361,17 +365,45 @@
             .collect()
     }
 
+    /// Tells the leader what is lacking, whenever that changes, and now and
+    /// then that it has not.
+    fn tell_demand(&mut self, ctx: &mut Ctx, view: &View, rec: &DemandRec) {
+        let Some(leader) = view.leader.as_ref().map(|l| l.rec.clone()) else {
+            return;
+        };
+        let same = DemandRec {
+            rev: self.told.rev,
+            ..rec.clone()
+        } == self.told;
+        let refresh = crate::ms(ctx.cfg.ops.round_s);
+        if same && ctx.now < self.told_at + refresh {
+            return;
+        }
+        self.told = rec.clone();
+        self.told_at = ctx.now;
+        if leader.node == ctx.cfg.node {
+            ctx.lacking.push((self.id, self.epoch, rec.clone()));
+            return;
+        }
+        let body = Body::Demand {
+            share: self.id.0,
+            demand: serde_json::to_string(rec).unwrap_or_default(),
+        };
+        ctx.tell(&leader.node, self.epoch, body);
+    }
+
     fn show_demand(&mut self, ctx: &mut Ctx, view: &View, rec: DemandRec) {
+        self.tell_demand(ctx, view, &rec);
         let none = DemandRec::default();
         let shown = view.demands.get(&self.id).map_or(&none, |d| &d.rec);
         let stale = !rec.shapes.is_empty() && shown.rev < view.revision;
-        let waits = shown.now != rec.now;
         let changed = DemandRec {
             rev: shown.rev,
             ..rec.clone()
         } != *shown;
-        // What waits now goes out at once, the rest now and then.
-        let pause = if waits { 300 } else { 1_500 };
+        // The record is for a leader that our messages do not reach.
+        let shares = f64::from(ctx.cfg.shares());
+        let pause = crate::ms(shares / (ctx.cfg.write_rps * DEMAND_PART)).max(1_500);
         let unseen = self.demand_putting || view.revision < self.demand_from;
         if unseen || ctx.now < self.demand_at + pause || !(changed || stale) {
             return;
@@ -395,7 +427,7 @@
             )],
         };
         let share = self.id;
-        ctx.txn(Urgency::Work, &txn, Pending::Demand { share });
+        ctx.txn(Urgency::Later, &txn, Pending::Demand { share });
     }
 }
 
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -4,8 +4,8 @@
 use crate::job::{Binding, Job, Sent, Stop};
 use crate::machine::Machine;
 use crate::records::{
-    live_prefix, machine_key, node_key, share_key, BlockRec, HeadRec, MachineRec, ShapeRec,
-    ShareId, ShareRec, EPOCH,
+    live_prefix, machine_key, node_key, share_key, BlockRec, DemandRec, HeadRec, MachineRec,
+    ShapeRec, ShareId, ShareRec, EPOCH,
 };
 use crate::store::Urgency;
 use crate::view::View;
@@ -76,6 +76,9 @@
     pub(crate) moved_at: Ms,
     pub(crate) preempted_at: Ms,
     pub(crate) demand_at: Ms,
+    /// What the leader was told last, and when.
+    pub(crate) told: DemandRec,
+    pub(crate) told_at: Ms,
     pub(crate) demand_putting: bool,
     /// Shown again only in sight of this revision.
     pub(crate) demand_from: u64,
@@ -120,6 +123,8 @@
             moved_at: 0,
             preempted_at: 0,
             demand_at: 0,
+            told: DemandRec::default(),
+            told_at: 0,
             demand_putting: false,
             demand_from: 0,
             reload: false,
@@ -485,6 +490,9 @@
         machine.putting = true;
         let mut rec = stamped.rec.clone();
         change(&mut rec);
+        // Only a takeover needs an address; all else frees a machine.
+        let moves = rec.share != stamped.rec.share || rec.condemned != stamped.rec.condemned;
+        let urgency = if moves { Urgency::Work } else { Urgency::Later };
         let key = machine_key(id);
         let txn = Txn {
             conds: vec![
@@ -499,7 +507,7 @@
             ],
             writes: vec![Write::put(key, to_value(rec).unwrap_or_default())],
         };
-        ctx.txn(Urgency::Work, &txn, Pending::MachinePut(id.clone()));
+        ctx.txn(urgency, &txn, Pending::MachinePut(id.clone()));
     }
 
     /// Gives a machine up: nothing more is placed there, and the leader
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -56,6 +56,13 @@
         /// Requests in a thousand seconds.
         requests: u32,
     },
+    /// What a share lacks, to the leader; the envelope has the share's epoch.
+    Demand {
+        /// The share.
+        share: u32,
+        /// The record, in JSON, as it is also written now and then.
+        demand: String,
+    },
     /// A user wants a job cancelled that the receiver holds.
     Cancel {
         /// The job.
