Users are refused at once while the state service is out; where the money goes is logged

Change: 503 from the service ends user calls at once; the leader's rentals have an urgency of their own; the status line says what part of the price boots, is empty, starts, runs, or is room left.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -204,7 +204,7 @@
                     self.ctx.respond(token, reply);
                 }
             }
-            0 | 429 | 503 if self.ctx.now < until => {
+            0 | 429 if self.ctx.now < until => {
                 // If an earlier copy is carried out after all, the condition
                 // fails and the job is found.
                 self.create(Creation {
--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -113,6 +113,13 @@
                 continue;
             }
             job.retry_at = ctx.now + RETRY;
+            if status == 503 && write.cancel {
+                // The cancellation is tried again all the same; whoever
+                // asked for it is told at once to come back.
+                for token in std::mem::take(&mut job.cancel_waiters) {
+                    ctx.respond(token, Reply::later("not now"));
+                }
+            }
             // Without an answer, perhaps it was carried out, perhaps it will
             // be. Writing again on the same conditions is safe either way. If
             // the share's record has changed, the view will tell whose it is.
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -668,7 +668,7 @@
             };
             let shares = rec.parts.iter().map(|(k, _)| *k).collect();
             self.chartering.insert(request.clone(), shares);
-            ctx.txn(Urgency::User, &txn, Pending::CharterPut { request });
+            ctx.txn(Urgency::Lead, &txn, Pending::CharterPut { request });
         }
     }
 
@@ -847,7 +847,7 @@
             Write::Remove { remove: key }
         });
         let request = request.to_owned();
-        ctx.txn(Urgency::User, &txn, Pending::Rented { request });
+        ctx.txn(Urgency::Lead, &txn, Pending::Rented { request });
     }
 
     pub(crate) fn on_rented(
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -196,20 +196,14 @@
                 .filter(|m| m.heard.is_some())
                 .count();
             share.explain();
-            let total: f64 = share.machines.values().map(|m| m.price).sum();
-            let used: f64 = share
-                .machines
-                .values()
-                .map(|m| m.price * m.used.largest_share(&m.total))
-                .sum();
+            let money = share.money();
             log::info!(
-                "share {}: {} jobs, {} tasks placed, {} of {} machines up, {:.0}% of their price in use, {} writes queued",
+                "share {}: {} jobs, {} tasks placed, {} of {} machines up, {money}, {} writes queued",
                 share.id(),
                 share.jobs.len(),
                 bound,
                 up,
                 share.machines.len(),
-                100.0 * used / total.max(1e-9),
                 self.ctx.store.len(),
             );
         }
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -90,7 +90,10 @@
 pub(crate) enum Urgency {
     /// Leases, leadership, shares: never held back.
     Member,
-    /// A user waits for the answer.
+    /// The leader's rentals.
+    Lead,
+    /// A user waits for the answer. Refused at once while the service is out:
+    /// the user is told when to come back rather than kept waiting.
     User,
     /// Starts and the fate of tasks.
     Work,
@@ -121,6 +124,8 @@
     /// Nothing but `Member` calls before this.
     pause_until: Ms,
     backoff: Ms,
+    /// The last answer was a 503.
+    out: bool,
     /// The last time that the service answered anything but 503.
     pub(crate) last_good: Ms,
     /// What was sent since the need was last asked for.
@@ -141,6 +146,7 @@
             writes: Bucket::new(write_rps),
             pause_until: 0,
             backoff: BACKOFF_LEAST,
+            out: false,
             last_good: 0,
             sent: Use::default(),
             sent_since: 0,
@@ -182,11 +188,13 @@
                 self.writes.drain();
             }
             503 => {
+                self.out = true;
                 let pause = rng.random_range(self.backoff / 2..=self.backoff);
                 self.pause_until = self.pause_until.max(now + pause);
                 self.backoff = (self.backoff * 2).min(BACKOFF_MOST);
             }
             _ => {
+                self.out = false;
                 self.backoff = BACKOFF_LEAST;
                 self.last_good = now;
                 self.pause_until = 0;
@@ -206,6 +214,10 @@
             let Some(call) = self.queue.get(&key) else {
                 continue;
             };
+            if self.out && key.0 == Urgency::User {
+                late.extend(self.queue.remove(&key));
+                continue;
+            }
             let member = key.0 == Urgency::Member;
             let blocked =
                 !member && (now < self.pause_until || (call.writes > 0 && writes_blocked));
