--- a/crates/core/src/drain.rs
+++ b/crates/core/src/drain.rs
@@ -15,7 +15,7 @@
 use forkshift_wire::{MachineId, TaskRef};
 
 /// A machine that is used less than this is worth emptying.
-const USED_MOST: f64 = 0.5;
+const USED_MOST: f64 = 0.75;
 /// A replica is moved only to where its image is, or is fetched within this
 /// many reports.
 const FETCH_REPORTS: f64 = 1.0;
@@ -72,7 +72,7 @@
             .filter_map(|(i, id)| {
                 let m = self.machines.get(id)?;
                 let used = m.used.largest_share(&m.total);
-                let worth_it = !m.tasks.is_empty() && used < USED_MOST;
+                let worth_it = !m.tasks.is_empty() && used <= USED_MOST;
                 let old = ctx.now > m.since + boot_ms * 2;
                 (worth_it && old).then_some((m.price * (1.0 - used), i))
             })
