Questions and cancellations go to the holder; a refused controller asks others

Questions about other shares' jobs took a read each. Change: core/forward.rs, Forward and Answer between peers; requests are dealt with locally where there is no answer in time.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -40,6 +40,19 @@
         body: Option<Vec<u8>>,
     ) {
         let path = path.split('?').next().unwrap_or_default();
+        if let Err(body) = self.pass_on(token, method, path, body) {
+            self.serve_here(token, method, path, body);
+        }
+    }
+
+    /// Answers a request without asking another controller.
+    pub(crate) fn serve_here(
+        &mut self,
+        token: Token,
+        method: &str,
+        path: &str,
+        body: Option<Vec<u8>>,
+    ) {
         let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
         let reply = match (method, parts.as_slice()) {
             ("GET", ["up"]) => Some(self.up()),
@@ -189,6 +202,7 @@
         match code {
             200 => {
                 let reply: TxnReply = serde_json::from_slice(body).unwrap_or_default();
+                self.homes.insert(id.clone(), share);
                 self.tell_new_job(share, &spec, reply.revision);
                 let ours = self.shares.get_mut(&share);
                 if let Some(share) = ours.filter(|s| s.phase == Phase::Active) {
@@ -281,7 +295,10 @@
         };
         if record.stage.is_final() {
             self.finals.insert(id.clone(), record.stage);
-        } else if matches!(why, Lookup::Abort) {
+        } else {
+            self.homes.insert(id.clone(), record.share);
+        }
+        if !record.stage.is_final() && matches!(why, Lookup::Abort) {
             return self.pass_abort(token, id, record.share);
         }
         self.ctx
--- a/crates/core/src/ctx.rs
+++ b/crates/core/src/ctx.rs
@@ -12,7 +12,7 @@
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 use serde::Serialize;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
 /// Names a call that is under way.
@@ -22,6 +22,18 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
 pub struct Token(pub u64);
 
+/// Set in the names of requests that other controllers have passed on.
+const REMOTE: u64 = 1 << 63;
+/// A request that was passed on is of no use after this.
+const REMOTE_MS: Ms = 5_000;
+
+impl Token {
+    /// Whether another controller waits for the answer.
+    pub(crate) fn is_remote(self) -> bool {
+        self.0 & REMOTE != 0
+    }
+}
+
 /// What reaches the controller.
 #[derive(Debug)]
 pub enum Input {
@@ -261,6 +273,9 @@
     pub(crate) refused: Vec<Pending>,
     /// What shares of ours lack, for the leader that we are.
     pub(crate) lacking: Vec<(ShareId, u64, DemandRec)>,
+    /// Requests that other controllers have passed on: from whom, under which
+    /// name, and until when.
+    pub(crate) remote: BTreeMap<Token, (NodeName, u64, Ms)>,
     next_call: CallId,
     interned: HashMap<String, u32>,
     names: Vec<String>,
@@ -283,6 +298,7 @@
             pending: HashMap::new(),
             refused: Vec::new(),
             lacking: Vec::new(),
+            remote: BTreeMap::new(),
             next_call: 0,
             interned: HashMap::new(),
             names: Vec::new(),
@@ -323,7 +339,33 @@
         }
     }
 
+    /// A name for a request that another controller has passed on.
+    pub(crate) fn remote_token(&mut self, from: NodeName, ask: u64) -> Token {
+        self.next_call += 1;
+        let token = Token(self.next_call | REMOTE);
+        let until = self.now + REMOTE_MS;
+        self.remote.insert(token, (from, ask, until));
+        token
+    }
+
+    pub(crate) fn forget_remote(&mut self) {
+        let now = self.now;
+        self.remote.retain(|_, (_, _, until)| now < *until);
+    }
+
     pub(crate) fn respond(&mut self, token: Token, reply: Reply) {
+        if token.is_remote() {
+            if let Some((node, ask, _)) = self.remote.remove(&token) {
+                let body = Body::Answer {
+                    ask,
+                    status: reply.status,
+                    body: reply.body,
+                    retry_after_s: reply.retry_after_s,
+                };
+                self.tell(&node, 0, body);
+            }
+            return;
+        }
         self.out.push(Effect::Respond { token, reply });
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 mod ctx;
 mod drain;
 mod evidence;
+mod forward;
 mod job;
 mod leader;
 mod machine;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -3,6 +3,7 @@
 use crate::budget::Budget;
 use crate::config::Config;
 use crate::ctx::{Ctx, Effect, Input, Pending, Token};
+use crate::forward::Forward;
 use crate::leader::Leader;
 use crate::member::Member;
 use crate::records::{ShareId, CLUSTER};
@@ -16,29 +17,40 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 
-/// Jobs that are over, as many as are worth remembering.
-#[derive(Default)]
-pub(crate) struct Finals {
-    stages: HashMap<JobId, JobStage>,
+/// What is known of jobs, of as many as are worth remembering.
+pub(crate) struct Known<T> {
+    of: HashMap<JobId, T>,
     order: VecDeque<JobId>,
 }
 
-const FINALS_MOST: usize = 4_000;
+/// Jobs that are over.
+pub(crate) type Finals = Known<JobStage>;
 
-impl Finals {
-    pub(crate) fn insert(&mut self, id: JobId, stage: JobStage) {
-        if self.stages.insert(id.clone(), stage).is_none() {
+const KNOWN_MOST: usize = 4_000;
+
+impl<T> Default for Known<T> {
+    fn default() -> Self {
+        Self {
+            of: HashMap::new(),
+            order: VecDeque::new(),
+        }
+    }
+}
+
+impl<T: Copy> Known<T> {
+    pub(crate) fn insert(&mut self, id: JobId, what: T) {
+        if self.of.insert(id.clone(), what).is_none() {
             self.order.push_back(id);
         }
-        while self.order.len() > FINALS_MOST {
+        while self.order.len() > KNOWN_MOST {
             if let Some(old) = self.order.pop_front() {
-                self.stages.remove(&old);
+                self.of.remove(&old);
             }
         }
     }
 
-    pub(crate) fn get(&self, id: &JobId) -> Option<JobStage> {
-        self.stages.get(id).copied()
+    pub(crate) fn get(&self, id: &JobId) -> Option<T> {
+        self.of.get(id).copied()
     }
 }
 
@@ -53,6 +65,12 @@
     /// Epochs that were ours, and are not to be used again.
     used: BTreeMap<ShareId, u64>,
     pub(crate) finals: Finals,
+    /// Shares of unfinished jobs of others.
+    pub(crate) homes: Known<ShareId>,
+    pub(crate) forwards: BTreeMap<u64, Forward>,
+    pub(crate) asks: u64,
+    /// Until then no other controller is tried for what the service refuses.
+    pub(crate) all_out_until: Ms,
     listed: Vec<Item>,
     list_rev: u64,
     watching: bool,
@@ -89,6 +107,10 @@
             shares: BTreeMap::new(),
             used: BTreeMap::new(),
             finals: Finals::default(),
+            homes: Known::default(),
+            forwards: BTreeMap::new(),
+            asks: inc,
+            all_out_until: 0,
             listed: Vec::new(),
             list_rev: 0,
             watching: false,
@@ -179,6 +201,7 @@
         for (share, epoch, rec) in std::mem::take(&mut self.ctx.lacking) {
             self.leader.on_demand(self.ctx.now, share, epoch, rec);
         }
+        self.follow_forwards();
         self.repeat_polls();
         self.log_status();
     }
--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -3,6 +3,7 @@
 //! What they say can be read in the state service as well, so nothing rests
 //! on them: they save the time until a watch shows it.
 
+use crate::ctx::Reply;
 use crate::node::Node;
 use crate::records::ShareId;
 use crate::store::Use;
@@ -19,6 +20,33 @@
                 return;
             }
         };
+        // What is passed on is as good as a user's own request, and its answer
+        // is known by its number: the sender's lease does not matter.
+        let envelope = match envelope.body {
+            Body::Forward {
+                ask,
+                method,
+                path,
+                body,
+            } => {
+                let from = NodeName::new(&envelope.from);
+                return self.on_forward(from, ask, &method, &path, body);
+            }
+            Body::Answer {
+                ask,
+                status,
+                body,
+                retry_after_s,
+            } => {
+                let reply = Reply {
+                    status,
+                    body,
+                    retry_after_s,
+                };
+                return self.on_forwarded(ask, reply);
+            }
+            body => Envelope { body, ..envelope },
+        };
         // An earlier start of a peer may still have messages on the way.
         if !self
             .view
@@ -65,6 +93,7 @@
                     share.told_of(&mut self.ctx, spec, at, revision);
                 }
             }
+            Body::Forward { .. } | Body::Answer { .. } => {}
             Body::Cancel { id } => {
                 let Some(id) = JobId::parse(&id) else { return };
                 let Node { shares, ctx, .. } = self;
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -126,8 +126,6 @@
     backoff: Ms,
     /// The last answer was a 503.
     out: bool,
-    /// The last time that the service answered anything but 503.
-    pub(crate) last_good: Ms,
     /// What was sent since the need was last asked for.
     sent: Use,
     sent_since: Ms,
@@ -147,7 +145,6 @@
             pause_until: 0,
             backoff: BACKOFF_LEAST,
             out: false,
-            last_good: 0,
             sent: Use::default(),
             sent_since: 0,
         }
@@ -175,6 +172,11 @@
         self.queue.insert((urgency, self.next), call);
     }
 
+    /// Whether the service refuses us.
+    pub(crate) fn is_out(&self) -> bool {
+        self.out
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.queue.len()
     }
@@ -196,7 +198,6 @@
             _ => {
                 self.out = false;
                 self.backoff = BACKOFF_LEAST;
-                self.last_good = now;
                 self.pause_until = 0;
             }
         }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -6,7 +6,7 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 
 /// Version of the format; others are refused.
-pub const VERSION: u16 = 2;
+pub const VERSION: u16 = 3;
 /// Largest message, in bytes.
 pub const MESSAGE_MOST: usize = 96 * 1024;
 
@@ -68,6 +68,28 @@
         /// The job.
         id: String,
     },
+    /// A user's request that the receiver can answer better than the sender.
+    Forward {
+        /// Names the request, for the answer.
+        ask: u64,
+        /// `GET` or `POST`.
+        method: String,
+        /// Path.
+        path: String,
+        /// The body, if there is one.
+        body: Option<Vec<u8>>,
+    },
+    /// The answer to a request that was passed on.
+    Answer {
+        /// The request.
+        ask: u64,
+        /// HTTP status.
+        status: u16,
+        /// JSON.
+        body: Vec<u8>,
+        /// When to come back.
+        retry_after_s: Option<u32>,
+    },
 }
 
 /// Why a message is refused.
