--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -182,10 +182,11 @@
         // All of them at once: after a crash of most controllers, workers are
         // left with what remains of their leases. Each share takes a value of
         // the epoch counter, which is written once.
-        // A leader that has only just been elected waits a little for the
-        // controllers that are not there yet, lest the first one to start be
-        // given everything.
-        let early = ctx.now < self.active_since + ctx.cfg.node_lease_ms() / 2;
+        // When all start at once, the leader waits a little for those that are
+        // not there yet, lest the first one be given everything. Where one
+        // has stayed, shares are not kept waiting for those that may return.
+        let all_free = free.len() == ctx.cfg.shares() as usize;
+        let early = all_free && ctx.now < self.active_since + ctx.cfg.node_lease_ms() / 2;
         let home = |k: &ShareId| ctx.cfg.nodes.get(k.0 as usize);
         free.retain(|k| {
             let there = home(k).is_some_and(|n| view.nodes.contains_key(n));
