Empty machines by what their tasks could be had for elsewhere

Change: a machine is worth emptying if what it holds could be had for three quarters of its price; nothing is moved to a dearer machine that is itself worth little.

--- a/crates/core/src/drain.rs
+++ b/crates/core/src/drain.rs
@@ -5,17 +5,23 @@
 //! at once where its image is; whatever completes by itself is waited for.
 
 use crate::ctx::Ctx;
-use crate::job::Stop;
+use crate::job::{Job, Stop};
 use crate::rounds::want_of;
 use crate::share::Share;
+use crate::view::View;
 use crate::Ms;
 use forkshift_sched::{run_round, Host, Quota, Resources, Want};
 use forkshift_wire::users::JobKind;
 use forkshift_wire::workers::TaskStage;
-use forkshift_wire::{MachineId, TaskRef};
+use forkshift_wire::{JobId, MachineId, TaskRef};
+use std::collections::BTreeMap;
 
-/// A machine that is used less than this is worth emptying.
-const USED_MOST: f64 = 0.75;
+/// A machine is worth emptying if what it holds could be had for no more than
+/// this part of its price.
+const WORTH_MOST: f64 = 0.75;
+/// Tasks are not moved to a dearer machine whose own tasks are worth less than
+/// this part of its price: it should be emptied itself.
+const TARGET_LEAST: f64 = 0.5;
 /// A replica is moved only to where its image is, or is fetched within this
 /// many reports.
 const FETCH_REPORTS: f64 = 1.0;
@@ -30,7 +36,14 @@
     /// Empties the machine that wastes most, if its tasks fit elsewhere.
     /// `hosts` shows what is left of the usable machines once everything
     /// that waits, and the spare places, are booked.
-    pub(crate) fn drain(&mut self, ctx: &mut Ctx, usable: &[MachineId], hosts: &mut [Host]) {
+    pub(crate) fn drain(
+        &mut self,
+        ctx: &mut Ctx,
+        view: &View,
+        usable: &[MachineId],
+        hosts: &mut [Host],
+    ) {
+        let worth = self.worths(view, usable);
         let draining: Vec<MachineId> = self
             .machines
             .values()
@@ -38,14 +51,14 @@
             .map(|m| m.id.clone())
             .collect();
         if draining.len() < DRAINING_MOST {
-            self.choose_drain(ctx, usable, hosts);
+            self.choose_drain(ctx, usable, hosts, &worth);
         }
         let pause = crate::ms(ctx.cfg.ops.round_s * MOVE_ROUNDS);
         if ctx.now < self.moved_at + pause {
             return;
         }
         for id in draining {
-            if self.move_one(ctx, &id, hosts) {
+            if self.move_one(ctx, &id, hosts, &worth) {
                 self.moved_at = ctx.now;
                 return;
             }
@@ -60,7 +73,37 @@
         }
     }
 
-    fn choose_drain(&mut self, ctx: &mut Ctx, usable: &[MachineId], hosts: &mut [Host]) {
+    /// What the tasks of every usable machine are worth: the least that their
+    /// parts of machines cost, as a part of its own price. GPUs that stand
+    /// idle below replicas without any make a dear machine worth little.
+    fn worths(&self, view: &View, usable: &[MachineId]) -> Vec<f64> {
+        let mut of_job: BTreeMap<&JobId, f64> = BTreeMap::new();
+        let mut worths = Vec::new();
+        for id in usable {
+            let Some(machine) = self.machines.get(id) else {
+                worths.push(1.0);
+                continue;
+            };
+            let mut sum = 0.0;
+            for task in &machine.tasks {
+                let worth = of_job.entry(&task.job).or_insert_with(|| {
+                    let job = self.jobs.get(&task.job);
+                    job.map_or(0.0, |j| cheapest(j, view) / 3600.0)
+                });
+                sum += *worth;
+            }
+            worths.push(sum / machine.price.max(1e-12));
+        }
+        worths
+    }
+
+    fn choose_drain(
+        &mut self,
+        ctx: &mut Ctx,
+        usable: &[MachineId],
+        hosts: &mut [Host],
+        worth: &[f64],
+    ) {
         let boot_ms = self.machines.values().map(|m| m.boot_ms).max().unwrap_or(0);
         let pause = (boot_ms as f64 * PAUSE_BOOTS) as Ms;
         if ctx.now < self.drained_at + pause || ctx.now < self.active_since + boot_ms {
@@ -71,10 +114,9 @@
             .enumerate()
             .filter_map(|(i, id)| {
                 let m = self.machines.get(id)?;
-                let used = m.used.largest_share(&m.total);
-                let worth_it = !m.tasks.is_empty() && used <= USED_MOST;
+                let worth_it = !m.tasks.is_empty() && worth[i] <= WORTH_MOST;
                 let old = ctx.now > m.since + boot_ms * 2;
-                (worth_it && old).then_some((m.price * (1.0 - used), i))
+                (worth_it && old).then_some((m.price * (1.0 - worth[i]), i))
             })
             .collect();
         candidates.sort_by(|a, b| b.0.total_cmp(&a.0));
@@ -82,7 +124,10 @@
             let tasks: Vec<TaskRef> = self.machines[&usable[i]].tasks.iter().cloned().collect();
             let mut rest = hosts.to_vec();
             rest[i].free = Resources::default();
-            let fits = tasks.iter().all(|t| self.fits_elsewhere(ctx, t, &mut rest));
+            let from = hosts[i].price;
+            let fits = tasks
+                .iter()
+                .all(|t| self.fits_elsewhere(ctx, t, &mut rest, from, worth));
             if fits {
                 log::info!(
                     "machine {}: to be emptied, {} tasks",
@@ -99,7 +144,14 @@
     }
 
     /// Books a place for one task of another machine.
-    fn fits_elsewhere(&self, ctx: &mut Ctx, task: &TaskRef, hosts: &mut [Host]) -> bool {
+    fn fits_elsewhere(
+        &self,
+        ctx: &mut Ctx,
+        task: &TaskRef,
+        hosts: &mut [Host],
+        from: f64,
+        worth: &[f64],
+    ) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
             return false;
         };
@@ -123,6 +175,8 @@
             let slow: Vec<usize> = (0..hosts.len()).filter(|i| slow(&hosts[*i])).collect();
             want.avoid.extend(slow);
         }
+        let waste = |i: &usize| hosts[*i].price > from * 1.001 && worth[*i] < TARGET_LEAST;
+        want.avoid.extend((0..hosts.len()).filter(waste));
         let mut quota = [Quota::default()];
         let weights = ctx.cfg.ops.weights;
         let wants = std::slice::from_mut(&mut want);
@@ -130,7 +184,14 @@
     }
 
     /// Moves one replica at a time, so that no service is thinned out.
-    fn move_one(&mut self, ctx: &mut Ctx, id: &MachineId, hosts: &mut [Host]) -> bool {
+    fn move_one(
+        &mut self,
+        ctx: &mut Ctx,
+        id: &MachineId,
+        hosts: &mut [Host],
+        worth: &[f64],
+    ) -> bool {
+        let from = self.machines[id].price;
         let tasks: Vec<TaskRef> = self.machines[id].tasks.iter().cloned().collect();
         let moving = tasks.iter().any(|t| {
             let binding = self.jobs.get(&t.job).and_then(|j| j.bound.get(&t.index));
@@ -151,7 +212,7 @@
             if job.spec.kind != JobKind::Service || !runs || !whole {
                 continue;
             }
-            if self.fits_elsewhere(ctx, &task, hosts) {
+            if self.fits_elsewhere(ctx, &task, hosts, from, worth) {
                 let grace_s = job.spec.save_s;
                 if let Some(binding) = self
                     .jobs
@@ -166,3 +227,23 @@
         false
     }
 }
+
+/// The least that a task's part of a machine costs an hour.
+fn cheapest(job: &Job, view: &View) -> f64 {
+    let spec = &job.spec;
+    let types = view.types.values().map(|t| &t.rec);
+    types
+        .filter(|t| {
+            spec.types
+                .as_ref()
+                .is_none_or(|names| names.contains(&t.name))
+        })
+        .filter_map(|t| {
+            let total = Resources::new(t.cpus, t.gpus, t.memory_gb);
+            let price = t.spot_price.filter(|_| spec.spot).unwrap_or(t.price);
+            let fits = job.task.fits(&total);
+            fits.then(|| job.task.largest_share(&total) * price)
+        })
+        .fold(f64::INFINITY, f64::min)
+        .min(1e9)
+}
--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -182,7 +182,7 @@
         // would have been booked there; only what waits speaks against it.
         if shapes.iter().all(|s| s.spare) {
             hosts.truncate(usable.len());
-            self.drain(ctx, usable, &mut hosts);
+            self.drain(ctx, view, usable, &mut hosts);
         }
         let empty = usable.iter().filter_map(|id| self.machines.get(id));
         let empty = empty.filter(|m| m.tasks.is_empty() && !m.calling && m.exited.is_empty());
