--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -1,8 +1,10 @@
 //! Stopping work to make room for work of a higher priority.
 //!
-//! Only production work that finds no room does this, and only to work at
+//! Production work that finds no room does this at once, and only to work at
 //! least two priorities below it: what is stopped has lost its progress, and
-//! a machine for the next priority up is but a boot away.
+//! a machine for the next priority up is but a boot away. Urgent services do
+//! so once they have waited for a part of a boot: by then no machine is to be
+//! had, or theirs is long in coming.
 
 use crate::ctx::Ctx;
 use crate::job::{Sent, Stop};
@@ -14,6 +16,8 @@
 /// Reports between two times that work is stopped: what was stopped must be
 /// seen to be gone, and its room be used, before more is.
 const PAUSE_REPORTS: u64 = 2;
+/// The part of a boot that an urgent service waits first.
+const URGENT_BOOTS: f64 = 0.25;
 
 impl Share {
     /// Makes room for the first production task that has found none.
@@ -28,13 +32,18 @@
         if ctx.now < self.preempted_at + ctx.cfg.report_ms * PAUSE_REPORTS {
             return;
         }
+        let boot_ms = self.machines.values().map(|m| m.boot_ms).max().unwrap_or(0);
         for (id, want) in ids.iter().zip(wants) {
-            let production = self
-                .jobs
-                .get(id)
-                .is_some_and(|j| j.spec.priority == Priority::Production);
+            let may = self.jobs.get(id).is_some_and(|j| {
+                let waits = j.waited + ctx.now.saturating_sub(j.since);
+                match j.spec.priority {
+                    Priority::Production => true,
+                    Priority::High => waits as f64 >= boot_ms as f64 * URGENT_BOOTS,
+                    _ => false,
+                }
+            });
             let waits = !want.waiting.is_empty() && !want.gang;
-            if !production || !waits || !quotas[want.team].allows(&want.task) {
+            if !may || !waits || !quotas[want.team].allows(&want.task) {
                 continue;
             }
             let best = usable
