--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use check::{Checker, Rule};
 pub use faults::{random_faults, Fault, FaultKind};
-pub use world::{settings, Plan, World};
+pub use world::{settings, Plan, Size, World};
 
 /// Milliseconds of virtual time.
 pub type Ms = u64;
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -26,24 +26,58 @@
 const CANCEL_MS: Ms = 35_000;
 const GANG_WAIT_MS: Ms = 20_000;
 
-/// The settings of one of three controllers.
-pub fn settings(node: usize) -> String {
-    let peers: String = (0..3)
+/// How large a world is.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Controllers.
+    pub nodes: usize,
+    /// Teams.
+    pub teams: usize,
+    /// Machines of each type, zone and kind.
+    pub capacity: u32,
+    /// Requests a second that the state service takes.
+    pub rps: f64,
+    /// Changes a second that it takes.
+    pub write_rps: f64,
+}
+
+impl Default for Size {
+    fn default() -> Self {
+        Self {
+            nodes: 3,
+            teams: 4,
+            capacity: 5,
+            rps: 200.0,
+            write_rps: 80.0,
+        }
+    }
+}
+
+/// The settings of one of the controllers.
+pub fn settings(node: usize, size: &Size) -> String {
+    let Size {
+        nodes,
+        teams,
+        rps,
+        write_rps,
+        ..
+    } = size;
+    let peers: String = (0..*nodes)
         .filter(|n| *n != node)
         .map(|n| {
             format!("[[peers]]\nhost_name = \"berth-{n}\"\ndomain = \"a\"\nendpoint = \"10.0.0.{}:8081\"\n", n + 1)
         })
         .collect();
-    let teams: String = (0..4)
+    let teams: String = (0..*teams)
         .map(|t| format!("[[cluster.teams]]\nname = \"team-{t}\"\ngpus = 8.0\ngpus_max = 24.0\ncpus = 16.0\ncpus_max = 96.0\n"))
         .collect();
     format!(
         "host_name = \"berth-{node}\"\ndomain = \"a\"\nbind = \"10.0.0.{0}:8080\"\ncluster_listen = \"10.0.0.{0}:8081\"\n\
          {peers}\n[external]\ncloud = \"10.2.0.2:8443\"\nstate = \"10.2.0.1:2379\"\n\
-         [cluster]\ninitial_size = 3\nzones = [\"a\", \"b\", \"c\"]\ntime_bound_ms = 250.0\n{teams}\
+         [cluster]\ninitial_size = {nodes}\nzones = [\"a\", \"b\", \"c\"]\ntime_bound_ms = 250.0\n{teams}\
          [[cluster.objectives]]\nkind = \"wait\"\nclass = \"serve\"\nwithin_s = 8.0\nshare = 0.9\n\
          [cluster.workers]\nreport_s = 1.0\nlease_s = 10.0\ngang_wait_s = 20.0\ngang_peer_s = 3.0\ncancel_s = 35.0\n\
-         [cluster.state]\nrps = 200.0\nwrite_rps = 80.0\nvalue_kb = 8.0\ntxn_ops = 12\n\
+         [cluster.state]\nrps = {rps:?}\nwrite_rps = {write_rps:?}\nvalue_kb = 8.0\ntxn_ops = 12\n\
          [cluster.cloud]\nrps = 5.0\nlist_lag_s = 4.0\n\
          [cluster.limits]\ncpu = 0.12\nmem_mb = 40.0\nsockets = 600\n",
         node + 1
@@ -213,6 +247,7 @@
 
 /// All of it.
 pub struct World {
+    size: Size,
     now: Ms,
     rng: StdRng,
     hosts: Vec<Host>,
@@ -237,7 +272,12 @@
 impl World {
     /// A world with three controllers that are about to start.
     pub fn new(seed: u64, plans: Vec<Plan>, faults: Vec<Fault>) -> Self {
-        let limits = (0..4)
+        Self::sized(seed, plans, faults, Size::default())
+    }
+
+    /// A world of any size.
+    pub fn sized(seed: u64, plans: Vec<Plan>, faults: Vec<Fault>, size: Size) -> Self {
+        let limits = (0..size.teams)
             .map(|t| (format!("team-{t}"), (96.0, 24.0)))
             .collect();
         let mut world = Self {
@@ -245,7 +285,8 @@
             rng: StdRng::seed_from_u64(seed),
             hosts: Vec::new(),
             state: State::new(),
-            cloud: Cloud::new(5),
+            cloud: Cloud::new(size.capacity),
+            size,
             workers: BTreeMap::new(),
             truths: BTreeMap::new(),
             users: plans
@@ -270,7 +311,7 @@
             gangs: BTreeMap::new(),
             check: Checker::new(limits, CANCEL_MS),
         };
-        for n in 0..3 {
+        for n in 0..size.nodes {
             world.hosts.push(Host {
                 node: None,
                 start: 0,
@@ -287,7 +328,8 @@
     }
 
     fn start(&mut self, n: usize) {
-        let settings = Settings::parse(&settings(n)).unwrap_or_else(|e| panic!("settings: {e}"));
+        let settings =
+            Settings::parse(&settings(n, &self.size)).unwrap_or_else(|e| panic!("settings: {e}"));
         self.starts += 1;
         let seed = self.rng.random();
         let host = &mut self.hosts[n];
@@ -431,7 +473,8 @@
         };
         match kind {
             FaultKind::Crash { node, count, back } => {
-                for n in (0..count).map(|i| (node + i) % 3) {
+                let nodes = self.size.nodes;
+                for n in (0..count).map(|i| (node + i) % nodes) {
                     self.hosts[n].node = None;
                     self.at(now + back, Event::Restart(n));
                 }
@@ -542,7 +585,7 @@
         for (id, m) in &self.cloud.machines {
             if !m.failed && self.now >= m.up_at && !self.workers.contains_key(id) {
                 let mut w = Worker::new(id.clone(), &m.machine_type, &m.zone, m.spot, self.now);
-                w.node = self.rng.random_range(0..3);
+                w.node = self.rng.random_range(0..self.size.nodes);
                 self.workers.insert(id.clone(), w);
             }
         }
@@ -564,7 +607,7 @@
             w.tick(&mut around);
             if w.open.is_some_and(|(_, _, sent)| now >= sent + 4_000) {
                 w.open = None;
-                w.node = (w.node + 1) % 3;
+                w.node = (w.node + 1) % self.size.nodes;
                 w.next_report = now + 1_000;
             }
             if w.open.is_none() && now >= w.next_report {
@@ -695,7 +738,7 @@
                     user: i,
                     op: user.op,
                 },
-                dest: Dest::Node(self.rng.random_range(0..3)),
+                dest: Dest::Node(self.rng.random_range(0..self.size.nodes)),
                 method: method.to_owned(),
                 path,
                 body,
@@ -806,12 +849,12 @@
             .report_to
             .and_then(|n| n.strip_prefix("berth-").and_then(|n| n.parse().ok()));
         match to {
-            Some(n) if status == 421 && n != w.node && n < 3 => {
+            Some(n) if status == 421 && n != w.node && n < self.size.nodes => {
                 w.node = n;
                 w.next_report = now + 100;
             }
             _ => {
-                w.node = (w.node + 1) % 3;
+                w.node = (w.node + 1) % self.size.nodes;
                 w.next_report = now + 1_000;
             }
         }
--- a/crates/testkit/tests/days.rs
+++ b/crates/testkit/tests/days.rs
@@ -1,7 +1,7 @@
 //! Days in virtual time, each with the faults that once broke a rule or left
 //! a job unserved, and some random ones from fixed seeds.
 
-use forkshift_testkit::{random_faults, Fault, FaultKind, Plan, World};
+use forkshift_testkit::{random_faults, Fault, FaultKind, Plan, Size, World};
 use forkshift_wire::users::{JobKind, JobSpec, Priority};
 use forkshift_wire::JobId;
 use rand::rngs::StdRng;
@@ -9,7 +9,18 @@
 
 /// Plays a day and checks that no rule was broken and nobody left unserved.
 fn play(name: &str, seed: u64, plans: Vec<Plan>, faults: Vec<Fault>, end: u64) -> World {
-    let mut world = World::new(seed, plans, faults);
+    play_sized(name, seed, plans, faults, end, Size::default())
+}
+
+fn play_sized(
+    name: &str,
+    seed: u64,
+    plans: Vec<Plan>,
+    faults: Vec<Fault>,
+    end: u64,
+    size: Size,
+) -> World {
+    let mut world = World::sized(seed, plans, faults, size);
     world.run_until(end);
     assert!(world.check.starts > 0, "{name}: nothing ran");
     assert_eq!(world.check.broken, vec![], "{name}: rules broken");
@@ -224,3 +235,68 @@
     let world = play("leads twice", 5, plans.collect(), faults, 330_000);
     assert!(world.check.starts >= 16);
 }
+
+/// Seven controllers, sixteen teams, and a state service that takes few
+/// requests: most controllers end at once, and again during the takeover.
+#[test]
+fn a_grown_deployment_loses_most_controllers_twice() {
+    let size = Size {
+        nodes: 7,
+        teams: 16,
+        capacity: 20,
+        rps: 80.0,
+        write_rps: 30.0,
+    };
+    let mut rng = StdRng::seed_from_u64(700);
+    let plans = random_plans(&mut rng, 90).into_iter().map(|mut plan| {
+        plan.spec.team = format!("team-{}", rng.random_range(0..16));
+        plan
+    });
+    let crash = |at, node, count| Fault {
+        at,
+        kind: FaultKind::Crash {
+            node,
+            count,
+            back: 6_000,
+        },
+    };
+    let faults = vec![
+        crash(60_000, 1, 5),
+        crash(64_000, 0, 6),
+        crash(100_000, 0, 7),
+    ];
+    let world = play_sized("grown", 700, plans.collect(), faults, 300_000, size);
+    // The budget of the state service is kept, whoever needs it.
+    assert!(world.writes() < 30 * 300, "{} writes", world.writes());
+}
+
+/// From nothing, a large fleet is asked for in few calls and recorded bit by
+/// bit: once, the outcome of one request was more than the leader might write,
+/// and was repeated without end.
+#[test]
+fn a_large_fleet_is_up_within_a_few_boots() {
+    let size = Size {
+        nodes: 7,
+        teams: 16,
+        capacity: 200,
+        rps: 80.0,
+        write_rps: 30.0,
+    };
+    let mut rng = StdRng::seed_from_u64(701);
+    let plans = (0..60).map(|n| {
+        let mut plan = Plan::random(&mut rng, n, 1_000);
+        plan.spec.kind = JobKind::Service;
+        plan.spec.tasks = 4;
+        plan.spec.cpus = 4.0;
+        plan.spec.gpus = 0.0;
+        plan.spec.types = None;
+        plan.spec.zone = None;
+        plan.spec.one_zone = false;
+        plan.spec.spread = true;
+        plan.spec.team = format!("team-{}", n % 16);
+        plan.cancel_at = None;
+        plan
+    });
+    let world = play_sized("large", 701, plans.collect(), Vec::new(), 90_000, size);
+    assert!(world.check.starts >= 240, "{} starts", world.check.starts);
+}
