--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -285,58 +285,28 @@
             self.counting_since = Some(now);
         }
         let elapsed = self.counting_since.map_or(0, |t| now - t);
-        let mut classes: Vec<(f64, ShapeRec, f64, u32)> = Vec::new();
+        let mut classes: Vec<(f64, ShapeRec, f64)> = Vec::new();
         for (class, stats) in &mut self.classes {
             let Some(wait) = ctx.cfg.waits.get(class) else {
                 continue;
             };
             if *wait < boot_s {
-                let rate = stats.rate(now, elapsed);
-                classes.push((*wait, stats.last.clone(), rate, stats.together()));
+                classes.push((*wait, stats.last.clone(), stats.rate(now, elapsed)));
             }
         }
         classes.sort_by(|a, b| a.0.total_cmp(&b.0));
-        for (_, shape, rate, together) in classes {
+        for (_, shape, rate) in classes {
             let arrive = rate * boot_s * factor;
             let target = (arrive + arrive.sqrt() * factor.min(1.0)).ceil() as u32;
             let task = shape.resources();
             let types = names(ctx, shape.types.as_deref());
-            let allowed = |host: &Host| {
-                let types = types.as_ref();
-                (shape.spot || !host.spot) && types.is_none_or(|t| t.contains(&host.machine_type))
-            };
             let mut left = target;
-            // A gang that must be in one zone is not helped by places here
-            // and there: as many as the largest needs are kept together.
-            if together > 1 && target > 0 {
-                let zones: BTreeSet<u16> = hosts.iter().map(|h| h.zone).collect();
-                let room = |zone: u16| -> u32 {
-                    let there = hosts.iter().filter(|h| h.zone == zone && allowed(h));
-                    let n = there.map(|h| task.how_often(&h.free).min(together));
-                    n.sum::<u32>().min(together)
-                };
-                let best = zones.into_iter().max_by_key(|z| room(*z));
-                if let Some(zone) = best {
-                    let mut most = together;
-                    for host in hosts.iter_mut().filter(|h| h.zone == zone) {
-                        while most > 0 && allowed(host) && task.fits(&host.free) {
-                            host.free -= task;
-                            most -= 1;
-                            left = left.saturating_sub(1);
-                        }
-                    }
-                    if most > 0 {
-                        left = left.saturating_sub(most);
-                        let name = ctx.name_of(u32::from(zone));
-                        let zones = name.map(|z| vec![z]);
-                        let n = most;
-                        let shape = shape.clone();
-                        add_shape(&mut lacking, ShapeRec { n, zones, ..shape });
-                    }
-                }
-            }
             for host in hosts.iter_mut() {
-                while left > 0 && allowed(host) && task.fits(&host.free) {
+                let allowed = (shape.spot || !host.spot)
+                    && types
+                        .as_ref()
+                        .is_none_or(|t| t.contains(&host.machine_type));
+                while left > 0 && allowed && task.fits(&host.free) {
                     host.free -= task;
                     left -= 1;
                 }
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -12,7 +12,7 @@
 use crate::Ms;
 use forkshift_sched::{Quota, Resources};
 use forkshift_wire::state::{Change, Changes, Cond, Item, Page, Txn, Write};
-use forkshift_wire::users::{JobKind, JobSpec};
+use forkshift_wire::users::JobSpec;
 use forkshift_wire::{JobId, MachineId, NodeName, TaskRef};
 use serde_json::{from_value, to_value, Value};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -41,9 +41,6 @@
     weight: f64,
     at: Ms,
     pub(crate) last: ShapeRec,
-    /// Tasks of the largest recent job that must have all of them in one
-    /// zone at once; it fades like the rest.
-    together: f64,
 }
 
 /// A share that this controller holds.
@@ -686,13 +683,9 @@
                 weight: 0.0,
                 at: now,
                 last: last.clone(),
-                together: 0.0,
             });
         stats.fade(now);
         stats.weight += f64::from(spec.tasks);
-        if spec.kind == JobKind::Gang && spec.one_zone {
-            stats.together = stats.together.max(f64::from(spec.tasks));
-        }
         stats.last = last;
     }
 }
@@ -703,17 +696,10 @@
 impl ClassStats {
     fn fade(&mut self, now: Ms) {
         let gone = now.saturating_sub(self.at) as f64;
-        let fades = (-gone / ARRIVALS_MS).exp();
-        self.weight *= fades;
-        self.together *= fades;
+        self.weight *= (-gone / ARRIVALS_MS).exp();
         self.at = now;
     }
 
-    /// Places that should be in one zone.
-    pub(crate) fn together(&self) -> u32 {
-        self.together.round() as u32
-    }
-
     /// Tasks a second, counted for `elapsed`. A short time is taken for
     /// longer than it was, lest one arrival look like a rush.
     pub(crate) fn rate(&mut self, now: Ms, elapsed: Ms) -> f64 {
--- a/crates/sched/src/resources.rs
+++ b/crates/sched/src/resources.rs
@@ -50,18 +50,6 @@
         }
     }
 
-    /// How often this much fits into `room`.
-    pub fn how_often(&self, room: &Self) -> u32 {
-        let times = |part: i64, whole: i64| match part {
-            0 => i64::MAX,
-            _ => whole / part,
-        };
-        let n = times(self.cpus, room.cpus)
-            .min(times(self.gpus, room.gpus))
-            .min(times(self.memory, room.memory));
-        u32::try_from(n.max(0)).unwrap_or(u32::MAX)
-    }
-
     /// Whether it is nothing at all.
     pub fn is_zero(&self) -> bool {
         *self == Self::default()
