One way to read a type's resources, a boot, an age, a revision; zones once a round

No change of behaviour, found in a reading of the whole change: - what a machine type has was worked out in six places, a share's longest boot in four, a job's age in two, the revision of an answer in six, a rate in a message in five: one function each; a job's bare status is built by the one in api. - the watch and the peek took changes in by the same code twice; a peer's message went through two matches, with a dead arm. - emptying machines rebuilt the map of zones for every task of every candidate; it is made once a round. What shares lack is gathered once for lending and renting. - a stop that leaves time to save, and a grant's time, were spelt out twice each.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -1,13 +1,13 @@
 //! Requests from users, workers and probes.
 
-use crate::ctx::{Creation, Ctx, Lookup, Pending, Reply, Token};
+use crate::ctx::{revision_of, Creation, Ctx, Lookup, Pending, Reply, Token};
 use crate::node::Node;
-use crate::records::{abort_key, job_key, live_key, BlockRec, HeadRec, JobRec, ShareId};
+use crate::records::{abort_key, job_key, live_key, total_of, BlockRec, HeadRec, JobRec, ShareId};
 use crate::share::Phase;
 use crate::store::Urgency;
 use crate::Ms;
 use forkshift_sched::{Quota, Resources};
-use forkshift_wire::state::{Cond, Item, Txn, TxnReply, Write};
+use forkshift_wire::state::{Cond, Item, Txn, Write};
 use forkshift_wire::users::{JobKind, JobSpec, JobStage, JobStatus};
 use forkshift_wire::workers::{Redirect, Report, ReportReply};
 use forkshift_wire::JobId;
@@ -22,7 +22,8 @@
 /// Pause between two looks at whether a cancellation was carried out.
 const POLL_MS: Ms = 250;
 
-fn status(id: &JobId, stage: JobStage) -> JobStatus {
+/// What is told of a job when its tasks do not matter.
+pub(crate) fn status(id: &JobId, stage: JobStage) -> JobStatus {
     JobStatus {
         id: id.clone(),
         stage,
@@ -141,7 +142,7 @@
                 .as_ref()
                 .is_none_or(|names| names.contains(&t.name));
             let there = spec.zone.as_ref().is_none_or(|z| t.zones.contains(z));
-            allowed && there && task.fits(&Resources::new(t.cpus, t.gpus, t.memory_gb))
+            allowed && there && task.fits(&total_of(t))
         });
         if !fits {
             return Err(Reply::error(422, "a task fits no allowed machine type"));
@@ -201,13 +202,13 @@
         let id = spec.id.clone();
         match code {
             200 => {
-                let reply: TxnReply = serde_json::from_slice(body).unwrap_or_default();
+                let revision = revision_of(body);
                 self.homes.insert(id.clone(), share);
-                self.tell_new_job(share, &spec, reply.revision);
+                self.tell_new_job(share, &spec, revision);
                 let ours = self.shares.get_mut(&share);
                 if let Some(share) = ours.filter(|s| s.phase == Phase::Active) {
                     let at = self.ctx.wall;
-                    share.add_job(&mut self.ctx, spec, at, reply.revision);
+                    share.add_job(&mut self.ctx, spec, at, revision);
                 }
                 let reply = Reply::json(201, &status(&id, JobStage::Queued));
                 self.ctx.respond(token, reply);
--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -9,6 +9,7 @@
 //! others leave theirs unused.
 
 use crate::ctx::Ctx;
+use crate::leader::Leader;
 use crate::store::Use;
 use crate::view::View;
 use crate::Ms;
@@ -22,7 +23,7 @@
 /// The part of that which is split evenly.
 const FIXED_PART: f64 = 0.4;
 /// A grant, and what a controller said that it needs, hold for this many looks.
-const VALID_LOOKS: f64 = 4.0;
+const VALID_LOOKS: Ms = 4;
 
 /// The part that follows need, as one controller has it.
 #[derive(Clone, Debug)]
@@ -59,6 +60,21 @@
     (all, all.times(1.0 - FIXED_PART))
 }
 
+/// Milliseconds between two looks.
+fn period(ctx: &Ctx) -> Ms {
+    crate::ms(ctx.cfg.ops.assign_s).max(100)
+}
+
+/// A grant that begins now.
+fn grant(ctx: &Ctx, leader: NodeName, inc: u64, rate: Use) -> Grant {
+    Grant {
+        leader,
+        inc,
+        until: ctx.now + period(ctx) * VALID_LOOKS,
+        rate,
+    }
+}
+
 impl Budget {
     /// What this controller may use a second.
     pub(crate) fn rate(&self, ctx: &Ctx, view: &View) -> Use {
@@ -86,25 +102,24 @@
         if ctx.now < self.next {
             return;
         }
-        let period = crate::ms(ctx.cfg.ops.assign_s).max(100);
-        self.next = ctx.now + period;
+        self.next = ctx.now + period(ctx);
         // What was needed a moment ago may be needed again.
         let need = ctx.store.take_need(ctx.now);
         self.need = need.most(&self.need.times(0.7));
         let Some(leader) = view.leader.as_ref().map(|l| l.rec.clone()) else {
             return;
         };
-        if leader.node != ctx.cfg.node || leader.inc != ctx.inc {
+        if !Leader::is_leader(ctx, view) {
             self.needs.clear();
+            let (requests, writes) = self.need.as_milli();
             let body = Body::Need {
-                writes: milli(self.need.writes),
-                requests: milli(self.need.requests),
+                writes,
+                requests,
                 granted: self.live(ctx, view).is_some(),
             };
             ctx.tell(&leader.node, 0, body);
             return;
         }
-        let until = ctx.now + (period as f64 * VALID_LOOKS) as Ms;
         let ours = Need {
             at: ctx.now,
             inc: ctx.inc,
@@ -112,9 +127,9 @@
             granted: true,
         };
         self.needs.insert(ctx.cfg.node.clone(), ours);
-        let since = (period as f64 * VALID_LOOKS) as Ms;
+        let valid = period(ctx) * VALID_LOOKS;
         self.needs
-            .retain(|n, need| ctx.now < need.at + since && view.is_alive(n, need.inc));
+            .retain(|n, need| ctx.now < need.at + valid && view.is_alive(n, need.inc));
         let n = ctx.cfg.nodes.len().max(1) as f64;
         let (all, pool) = limits(ctx);
         let even = pool.times(1.0 / n);
@@ -122,13 +137,9 @@
         let kept_back = view.nodes.len().saturating_sub(granted) as f64;
         let rest = pool.plus(&even.times(-kept_back));
         let fixed = all.times(FIXED_PART / n);
-        let more: Vec<Use> = self
-            .needs
-            .values()
-            .filter(|n| n.granted)
-            .map(|n| n.rate.beyond(&fixed))
-            .collect();
-        let sum = more.iter().fold(Use::default(), |sum, u| sum.plus(u));
+        let more = self.needs.values().filter(|n| n.granted);
+        let more = more.map(|n| n.rate.beyond(&fixed));
+        let sum = more.fold(Use::default(), |sum, u| sum.plus(&u));
         for (name, need) in &self.needs {
             let rate = if need.granted {
                 let part = |rest: f64, more: f64, sum: f64| {
@@ -144,18 +155,10 @@
                 even
             };
             if *name == ctx.cfg.node {
-                self.grant = Some(Grant {
-                    leader: name.clone(),
-                    inc: ctx.inc,
-                    until,
-                    rate,
-                });
+                self.grant = Some(grant(ctx, name.clone(), ctx.inc, rate));
             } else {
-                let body = Body::Grant {
-                    writes: milli(rate.writes),
-                    requests: milli(rate.requests),
-                };
-                ctx.tell(name, 0, body);
+                let (requests, writes) = rate.as_milli();
+                ctx.tell(name, 0, Body::Grant { writes, requests });
             }
         }
     }
@@ -171,20 +174,10 @@
     }
 
     pub(crate) fn on_grant(&mut self, ctx: &Ctx, leader: NodeName, inc: u64, rate: Use) {
-        let valid = ctx.cfg.ops.assign_s.max(0.1) * VALID_LOOKS;
-        self.grant = Some(Grant {
-            leader,
-            inc,
-            until: ctx.now + crate::ms(valid),
-            rate,
-        });
+        self.grant = Some(grant(ctx, leader, inc, rate));
     }
 }
 
-fn milli(rate: f64) -> u32 {
-    (rate * 1000.0) as u32
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -264,10 +257,7 @@
                         continue;
                     };
                     if node.to_string() == **n && granted {
-                        let rate = Use {
-                            requests: f64::from(requests) / 1000.0,
-                            writes: f64::from(writes) / 1000.0,
-                        };
+                        let rate = Use::from_milli(requests, writes);
                         own.on_grant(&member, NodeName::new("n0"), 1, rate);
                     }
                 }
--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -4,6 +4,7 @@
 //! to a user, a start command, a `forget`) compares the version it needs with
 //! the version that is known to be written.
 
+use crate::api::status;
 use crate::ctx::{Ctx, JobWrite, Pending, Reply, Token};
 use crate::job::Job;
 use crate::node::Finals;
@@ -13,7 +14,7 @@
 use crate::view::View;
 use crate::Ms;
 use forkshift_wire::state::{Cond, Item, Txn, TxnReply, Write};
-use forkshift_wire::users::{JobStage, JobStatus};
+use forkshift_wire::users::JobStage;
 use forkshift_wire::JobId;
 use serde_json::to_value;
 
@@ -253,13 +254,7 @@
 /// Tells users who wait for a cancellation how the job ended.
 fn answer(ctx: &mut Ctx, waiters: Vec<Token>, id: &JobId, stage: JobStage) {
     for token in waiters {
-        let status = JobStatus {
-            id: id.clone(),
-            stage,
-            done: None,
-            running: None,
-        };
-        ctx.respond(token, Reply::json(200, &status));
+        ctx.respond(token, Reply::json(200, &status(id, stage)));
     }
 }
 
--- a/crates/core/src/ctx.rs
+++ b/crates/core/src/ctx.rs
@@ -5,7 +5,7 @@
 use crate::store::{StateCall, Store, Urgency};
 use crate::Ms;
 use forkshift_wire::peer::{Body, Envelope, VERSION};
-use forkshift_wire::state::Txn;
+use forkshift_wire::state::{Txn, TxnReply};
 use forkshift_wire::users::JobSpec;
 use forkshift_wire::workers::Order;
 use forkshift_wire::{JobId, MachineId, NodeName};
@@ -259,6 +259,13 @@
     pub(crate) cancel: bool,
 }
 
+/// The revision of the state service when it answered a transaction; 0
+/// without an answer.
+pub(crate) fn revision_of(body: &[u8]) -> u64 {
+    let reply: TxnReply = serde_json::from_slice(body).unwrap_or_default();
+    reply.revision
+}
+
 /// Time, settings, and a way out.
 pub(crate) struct Ctx {
     pub(crate) now: Ms,
--- a/crates/core/src/drain.rs
+++ b/crates/core/src/drain.rs
@@ -5,7 +5,8 @@
 //! at once where its image is; whatever completes by itself is waited for.
 
 use crate::ctx::Ctx;
-use crate::job::{Job, Stop};
+use crate::job::Job;
+use crate::records::total_of;
 use crate::rounds::want_of;
 use crate::share::Share;
 use crate::view::View;
@@ -32,6 +33,14 @@
 /// Pause between two machines, in boots.
 const PAUSE_BOOTS: f64 = 0.1;
 
+/// What is the same for all tasks that might be moved in a round.
+struct Places {
+    /// What the tasks of every usable machine are worth, as a part of its price.
+    worth: Vec<f64>,
+    /// The zone of every machine.
+    zones: BTreeMap<MachineId, u16>,
+}
+
 impl Share {
     /// Empties the machine that wastes most, if its tasks fit elsewhere.
     /// `hosts` shows what is left of the usable machines once everything
@@ -43,7 +52,10 @@
         usable: &[MachineId],
         hosts: &mut [Host],
     ) {
-        let worth = self.worths(view, usable);
+        let places = Places {
+            worth: self.worths(view, usable),
+            zones: self.zones(),
+        };
         let draining: Vec<MachineId> = self
             .machines
             .values()
@@ -51,14 +63,14 @@
             .map(|m| m.id.clone())
             .collect();
         if draining.len() < DRAINING_MOST {
-            self.choose_drain(ctx, usable, hosts, &worth);
+            self.choose_drain(ctx, usable, hosts, &places);
         }
         let pause = crate::ms(ctx.cfg.ops.round_s * MOVE_ROUNDS);
         if ctx.now < self.moved_at + pause {
             return;
         }
         for id in draining {
-            if self.move_one(ctx, &id, hosts, &worth) {
+            if self.move_one(ctx, &id, hosts, &places) {
                 self.moved_at = ctx.now;
                 return;
             }
@@ -102,9 +114,9 @@
         ctx: &mut Ctx,
         usable: &[MachineId],
         hosts: &mut [Host],
-        worth: &[f64],
+        places: &Places,
     ) {
-        let boot_ms = self.machines.values().map(|m| m.boot_ms).max().unwrap_or(0);
+        let boot_ms = self.boot_ms();
         let pause = (boot_ms as f64 * PAUSE_BOOTS) as Ms;
         if ctx.now < self.drained_at + pause || ctx.now < self.active_since + boot_ms {
             return;
@@ -114,9 +126,9 @@
             .enumerate()
             .filter_map(|(i, id)| {
                 let m = self.machines.get(id)?;
-                let worth_it = !m.tasks.is_empty() && worth[i] <= WORTH_MOST;
+                let worth_it = !m.tasks.is_empty() && places.worth[i] <= WORTH_MOST;
                 let old = ctx.now > m.since + boot_ms * 2;
-                (worth_it && old).then_some((m.price * (1.0 - worth[i]), i))
+                (worth_it && old).then_some((m.price * (1.0 - places.worth[i]), i))
             })
             .collect();
         candidates.sort_by(|a, b| b.0.total_cmp(&a.0));
@@ -127,7 +139,7 @@
             let from = hosts[i].price;
             let fits = tasks
                 .iter()
-                .all(|t| self.fits_elsewhere(ctx, t, &mut rest, from, worth));
+                .all(|t| self.fits_elsewhere(ctx, t, &mut rest, from, places));
             if fits {
                 log::info!(
                     "machine {}: to be emptied, {} tasks",
@@ -150,7 +162,7 @@
         task: &TaskRef,
         hosts: &mut [Host],
         from: f64,
-        worth: &[f64],
+        places: &Places,
     ) -> bool {
         let Some(job) = self.jobs.get(&task.job) else {
             return false;
@@ -158,9 +170,9 @@
         let Some(binding) = job.bound.get(&task.index) else {
             return false;
         };
-        let zones = self.zones();
-        let mut want: Want = want_of(ctx, job, 0, &zones);
-        if let Some(n) = zones
+        let mut want: Want = want_of(ctx, job, 0, &places.zones);
+        if let Some(n) = places
+            .zones
             .get(&binding.machine)
             .and_then(|z| want.zones.get_mut(z))
         {
@@ -175,7 +187,7 @@
             let slow: Vec<usize> = (0..hosts.len()).filter(|i| slow(&hosts[*i])).collect();
             want.avoid.extend(slow);
         }
-        let waste = |i: &usize| hosts[*i].price > from * 1.001 && worth[*i] < TARGET_LEAST;
+        let waste = |i: &usize| hosts[*i].price > from * 1.001 && places.worth[*i] < TARGET_LEAST;
         want.avoid.extend((0..hosts.len()).filter(waste));
         let mut quota = [Quota::default()];
         let weights = ctx.cfg.ops.weights;
@@ -189,7 +201,7 @@
         ctx: &mut Ctx,
         id: &MachineId,
         hosts: &mut [Host],
-        worth: &[f64],
+        places: &Places,
     ) -> bool {
         let from = self.machines[id].price;
         let tasks: Vec<TaskRef> = self.machines[id].tasks.iter().cloned().collect();
@@ -212,15 +224,8 @@
             if job.spec.kind != JobKind::Service || !runs || !whole {
                 continue;
             }
-            if self.fits_elsewhere(ctx, &task, hosts, from, worth) {
-                let grace_s = job.spec.save_s;
-                if let Some(binding) = self
-                    .jobs
-                    .get_mut(&task.job)
-                    .and_then(|j| j.bound.get_mut(&task.index))
-                {
-                    binding.stop = Some(Stop::after(grace_s));
-                }
+            if self.fits_elsewhere(ctx, &task, hosts, from, places) {
+                self.stop_task(&task);
                 return true;
             }
         }
@@ -239,7 +244,7 @@
                 .is_none_or(|names| names.contains(&t.name))
         })
         .filter_map(|t| {
-            let total = Resources::new(t.cpus, t.gpus, t.memory_gb);
+            let total = total_of(t);
             let price = t.spot_price.filter(|_| spec.spot).unwrap_or(t.price);
             let fits = job.task.fits(&total);
             fits.then(|| job.task.largest_share(&total) * price)
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -227,6 +227,11 @@
         }
     }
 
+    /// For how long it has been waiting since it was submitted.
+    pub(crate) fn age(&self, now: Ms) -> Ms {
+        self.waited + now.saturating_sub(self.since)
+    }
+
     /// Up to `most` tasks that wait for a place.
     pub(crate) fn waiting(&self, most: usize) -> Vec<u32> {
         if self.cancelled {
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -1,9 +1,9 @@
 //! The leader: assigns shares, and alone speaks to the cloud.
 
-use crate::ctx::{Ctx, Pending};
+use crate::ctx::{revision_of, Ctx, Pending};
 use crate::records::{
-    charter_key, machine_key, share_key, type_key, CharterRec, DemandRec, MachineRec, ShapeRec,
-    ShareId, LEADER,
+    charter_key, machine_key, share_key, total_of, type_key, CharterRec, DemandRec, MachineRec,
+    ShapeRec, ShareId, LEADER,
 };
 use crate::share::hand_over;
 use crate::store::{Bucket, Urgency};
@@ -13,7 +13,7 @@
 use forkshift_wire::cloud::{
     Catalog, Listed, MachineList, MachineStage, Machines, Rent, DELETE_MOST, LIST_MOST, RENT_MOST,
 };
-use forkshift_wire::state::{Cond, Txn, TxnReply, Write};
+use forkshift_wire::state::{Cond, Txn, Write};
 use forkshift_wire::{MachineId, NodeName};
 use serde_json::to_value;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -100,7 +100,7 @@
         }
     }
 
-    fn is_leader(ctx: &Ctx, view: &View) -> bool {
+    pub(crate) fn is_leader(ctx: &Ctx, view: &View) -> bool {
         let leader = view.leader.as_ref();
         leader.is_some_and(|l| l.rec.node == ctx.cfg.node && l.rec.inc == ctx.inc)
     }
@@ -143,17 +143,16 @@
         self.delete(ctx, view);
         self.rent(ctx, view);
         let gap = crate::ms(ctx.cfg.ops.round_gap_s);
-        if ctx.now < self.planned_at + gap {
-            self.look(ctx);
-            return;
-        }
-        self.planned_at = ctx.now;
-        if view.revision > self.lent_rev || self.told_new {
-            self.lent_rev = view.revision;
-            self.told_new = false;
-            self.lend(ctx, view);
+        if ctx.now >= self.planned_at + gap {
+            self.planned_at = ctx.now;
+            let demands = self.demands(ctx, view);
+            if view.revision > self.lent_rev || self.told_new {
+                self.lent_rev = view.revision;
+                self.told_new = false;
+                self.lend(ctx, view, &demands);
+            }
+            self.charter(ctx, view, &demands);
         }
-        self.charter(ctx, view);
         self.look(ctx);
     }
 
@@ -522,11 +521,10 @@
 
     /// Moves free machines to shares with waiting tasks: what waits takes any
     /// that is free, and spare places take what nobody else needs.
-    fn lend(&mut self, ctx: &mut Ctx, view: &View) {
-        let demands = self.demands(ctx, view);
+    fn lend(&mut self, ctx: &mut Ctx, view: &View, demands: &BTreeMap<ShareId, DemandRec>) {
         self.lending
             .retain(|id, v| view.machines.get(id).is_some_and(|m| m.version <= *v));
-        for (k, demand) in &demands {
+        for (k, demand) in demands {
             let spare = demand.shapes.iter().filter(|s| s.spare);
             let wanted = demand.now.iter().map(|s| (s, true));
             let wanted: Vec<(&ShapeRec, bool)> = wanted.chain(spare.map(|s| (s, false))).collect();
@@ -535,7 +533,7 @@
                 .keys()
                 .filter_map(|id| view.machines.get(id))
                 .filter(|m| m.rec.want == Some(*k))
-                .filter_map(|m| total_of(view, &m.rec.machine_type))
+                .filter_map(|m| total_in(view, &m.rec.machine_type))
                 .collect();
             for (shape, waits) in wanted {
                 let task = shape.resources();
@@ -544,13 +542,13 @@
                     left -= book(room, &task, left);
                 }
                 while left > 0 {
-                    let Some(id) = self.lendable(view, &demands, *k, shape, waits) else {
+                    let Some(id) = self.lendable(view, demands, *k, shape, waits) else {
                         break;
                     };
                     let Some(machine) = view.machines.get(&id) else {
                         break;
                     };
-                    let mut room = total_of(view, &machine.rec.machine_type).unwrap_or_default();
+                    let mut room = total_in(view, &machine.rec.machine_type).unwrap_or_default();
                     left -= book(&mut room, &task, left);
                     coming.push(room);
                     log::info!(
@@ -601,7 +599,7 @@
                         .as_ref()
                         .is_none_or(|t| t.contains(&rec.machine_type))
                     && shape.zones.as_ref().is_none_or(|z| z.contains(&rec.zone))
-                    && total_of(view, &rec.machine_type)
+                    && total_in(view, &rec.machine_type)
                         .is_some_and(|total| shape.resources().fits(&total))
             })
             .map(|(_, id, _)| id.clone())
@@ -611,7 +609,7 @@
     /// Turns what shares lack into rental intents. The cloud takes few calls
     /// a second: no intent is made while others wait to be carried out, so
     /// that what shares lack meanwhile comes together in larger ones.
-    fn charter(&mut self, ctx: &mut Ctx, view: &View) {
+    fn charter(&mut self, ctx: &mut Ctx, view: &View, demands: &BTreeMap<ShareId, DemandRec>) {
         let under_way = view.charters.len() + self.chartering.len();
         if under_way as f64 >= ctx.cfg.cloud_rps.ceil() {
             return;
@@ -619,7 +617,7 @@
         let kinds: Vec<String> = view.types.keys().cloned().collect();
         let zones = zone_names(view);
         let mut together: BTreeMap<(u16, u16, bool), Vec<(ShareId, u32)>> = BTreeMap::new();
-        for (k, demand) in &self.demands(ctx, view) {
+        for (k, demand) in demands {
             let seen = self.acted.get(k).copied().unwrap_or(0);
             if demand.shapes.is_empty() || demand.rev < seen {
                 continue;
@@ -702,7 +700,7 @@
                         machine_type: i as u16,
                         zone: zones.iter().position(|z| z == zone).unwrap_or(0) as u16,
                         spot,
-                        total: Resources::new(t.cpus, t.gpus, t.memory_gb),
+                        total: total_of(t),
                         price,
                         held: held.count() as u32,
                     });
@@ -715,10 +713,10 @@
     pub(crate) fn on_charter_put(&mut self, request: &str, body: &[u8]) {
         let shares = self.chartering.remove(request).unwrap_or_default();
         // A demand counts again once it was made in sight of this charter.
-        let reply: TxnReply = serde_json::from_slice(body).unwrap_or_default();
+        let revision = revision_of(body);
         for k in shares {
             let acted = self.acted.entry(k).or_default();
-            *acted = (*acted).max(reply.revision);
+            *acted = (*acted).max(revision);
         }
     }
 
@@ -864,8 +862,7 @@
         };
         match status {
             200 => {
-                let reply: TxnReply = serde_json::from_slice(body).unwrap_or_default();
-                outcome.version = reply.revision;
+                outcome.version = revision_of(body);
                 outcome.rec.placed += (ctx.cfg.txn_ops - 1) as u32;
                 if (outcome.rec.placed as usize) < outcome.machines.len() {
                     self.record(ctx, view, request);
@@ -888,9 +885,8 @@
     }
 }
 
-fn total_of(view: &View, machine_type: &str) -> Option<Resources> {
-    let t = &view.types.get(machine_type)?.rec;
-    Some(Resources::new(t.cpus, t.gpus, t.memory_gb))
+fn total_in(view: &View, machine_type: &str) -> Option<Resources> {
+    view.types.get(machine_type).map(|t| total_of(&t.rec))
 }
 
 /// Books up to `most` tasks, and says how many.
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -1,11 +1,11 @@
 //! Membership: this controller's lease, its record, and leadership.
 
-use crate::ctx::{Ctx, Pending};
+use crate::ctx::{revision_of, Ctx, Pending};
 use crate::records::{node_key, LeaderRec, NodeRec, LEADER};
 use crate::store::Urgency;
 use crate::view::View;
 use crate::Ms;
-use forkshift_wire::state::{Cond, LeaseReply, LeaseRequest, Txn, TxnReply, Write};
+use forkshift_wire::state::{Cond, LeaseReply, LeaseRequest, Txn, Write};
 use serde::Serialize;
 use serde_json::to_value;
 
@@ -68,10 +68,7 @@
             self.ask(ctx);
         }
         let Some(lease) = self.lease else { return };
-        if !view.ready {
-            return;
-        }
-        if view.revision < self.seen_from {
+        if !view.ready || self.waits_for_view(view) {
             return;
         }
         let mine = view.is_alive(&ctx.cfg.node, ctx.inc);
@@ -161,11 +158,11 @@
 
     pub(crate) fn on_node_put(&mut self, status: u16, body: &[u8]) {
         self.putting = false;
-        let reply: TxnReply = serde_json::from_slice(body).unwrap_or_default();
-        self.seen_from = self.seen_from.max(reply.revision);
+        let revision = revision_of(body);
+        self.seen_from = self.seen_from.max(revision);
         if status == 200 {
             self.registered = true;
-            self.registered_at = reply.revision;
+            self.registered_at = revision;
         } else if is_lease_gone(status, body) {
             self.lease = None;
         }
@@ -173,8 +170,8 @@
 
     pub(crate) fn on_leader_put(&mut self, status: u16, body: &[u8]) {
         self.electing = false;
-        let reply: TxnReply = serde_json::from_slice(body).unwrap_or_default();
-        self.seen_from = self.seen_from.max(reply.revision);
+        let revision = revision_of(body);
+        self.seen_from = self.seen_from.max(revision);
         if is_lease_gone(status, body) {
             self.lease = None;
             self.registered = false;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -2,7 +2,7 @@
 
 use crate::budget::Budget;
 use crate::config::Config;
-use crate::ctx::{Ctx, Effect, Input, Pending, Token};
+use crate::ctx::{revision_of, Ctx, Effect, Input, Pending, Token};
 use crate::forward::Forward;
 use crate::leader::Leader;
 use crate::member::Member;
@@ -11,7 +11,7 @@
 use crate::store::Urgency;
 use crate::view::View;
 use crate::Ms;
-use forkshift_wire::state::{Changes, Item, Page, TxnReply};
+use forkshift_wire::state::{Changes, Item, Page};
 use forkshift_wire::users::JobStage;
 use forkshift_wire::{JobId, MachineId};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -299,20 +299,26 @@
 
     fn on_view_watch(&mut self, status: u16, body: &[u8]) {
         self.watching = false;
-        match serde_json::from_slice::<Changes>(body) {
-            Ok(changes) if status == 200 => self.view.apply(changes.events, changes.revision),
-            _ if status == 410 => self.view.ready = false,
-            _ => self.watch_at = self.ctx.now + 250,
+        if !self.take_changes(status, body) {
+            self.watch_at = self.ctx.now + 250;
         }
     }
 
     fn on_view_peek(&mut self, status: u16, body: &[u8]) {
         self.peeking = false;
+        if !self.take_changes(status, body) {
+            self.peek_at = self.ctx.now + 100;
+        }
+    }
+
+    /// Takes in what a watch has shown. Returns false if it failed.
+    fn take_changes(&mut self, status: u16, body: &[u8]) -> bool {
         match serde_json::from_slice::<Changes>(body) {
             Ok(changes) if status == 200 => self.view.apply(changes.events, changes.revision),
             _ if status == 410 => self.view.ready = false,
-            _ => self.peek_at = self.ctx.now + 100,
+            _ => return false,
         }
+        true
     }
 
     /// Takes up shares that became ours, lets go of those that are not.
@@ -492,12 +498,6 @@
     }
 }
 
-/// The revision of the service when it answered a transaction; 0 without one.
-fn revision_of(body: &[u8]) -> u64 {
-    let reply: TxnReply = serde_json::from_slice(body).unwrap_or_default();
-    reply.revision
-}
-
 /// Whether the answer to a call tells how the state service is.
 fn is_state(pending: &Pending) -> bool {
     !matches!(
--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -20,18 +20,25 @@
                 return;
             }
         };
-        // What is passed on is as good as a user's own request, and its answer
-        // is known by its number: the sender's lease does not matter.
-        let envelope = match envelope.body {
+        let Envelope {
+            from,
+            inc,
+            epoch,
+            body,
+            ..
+        } = envelope;
+        let from = NodeName::new(&from);
+        // An earlier start of a peer may still have messages on the way.
+        let alive = self.view.is_alive(&from, inc);
+        match body {
+            // What is passed on is as good as a user's own request, and its
+            // answer is known by its number: the sender's lease does not matter.
             Body::Forward {
                 ask,
                 method,
                 path,
                 body,
-            } => {
-                let from = NodeName::new(&envelope.from);
-                return self.on_forward(from, ask, &method, &path, body);
-            }
+            } => self.on_forward(from, ask, &method, &path, body),
             Body::Answer {
                 ask,
                 status,
@@ -43,43 +50,28 @@
                     body,
                     retry_after_s,
                 };
-                return self.on_forwarded(ask, reply);
+                self.on_forwarded(ask, reply);
             }
-            body => Envelope { body, ..envelope },
-        };
-        // An earlier start of a peer may still have messages on the way.
-        if !self
-            .view
-            .is_alive(&NodeName::new(&envelope.from), envelope.inc)
-        {
-            return;
-        }
-        let per_second = |writes: u32, requests: u32| Use {
-            requests: f64::from(requests) / 1000.0,
-            writes: f64::from(writes) / 1000.0,
-        };
-        let from = NodeName::new(&envelope.from);
-        match envelope.body {
+            _ if !alive => {}
             Body::Need {
                 writes,
                 requests,
                 granted,
             } => {
-                let rate = per_second(writes, requests);
+                let rate = Use::from_milli(requests, writes);
                 let now = self.ctx.now;
-                self.budget.on_need(now, from, envelope.inc, rate, granted);
+                self.budget.on_need(now, from, inc, rate, granted);
             }
             Body::Demand { share, demand } => match serde_json::from_str(&demand) {
                 Ok(rec) => {
                     let now = self.ctx.now;
-                    self.leader
-                        .on_demand(now, ShareId(share), envelope.epoch, rec);
+                    self.leader.on_demand(now, ShareId(share), epoch, rec);
                 }
                 Err(e) => log::error!("a peer's demand is not understood: {e}"),
             },
             Body::Grant { writes, requests } => {
-                let rate = per_second(writes, requests);
-                self.budget.on_grant(&self.ctx, from, envelope.inc, rate);
+                let rate = Use::from_milli(requests, writes);
+                self.budget.on_grant(&self.ctx, from, inc, rate);
             }
             Body::NewJob {
                 share,
@@ -88,16 +80,15 @@
                 revision,
             } => {
                 let share = self.shares.get_mut(&ShareId(share));
-                let share = share.filter(|s| s.epoch == envelope.epoch);
+                let share = share.filter(|s| s.epoch == epoch);
                 if let (Some(share), Ok(spec)) = (share, JobSpec::parse(spec.as_bytes())) {
                     share.told_of(&mut self.ctx, spec, at, revision);
                 }
             }
-            Body::Forward { .. } | Body::Answer { .. } => {}
             Body::Cancel { id } => {
                 let Some(id) = JobId::parse(&id) else { return };
                 let Node { shares, ctx, .. } = self;
-                for share in shares.values_mut().filter(|s| s.epoch == envelope.epoch) {
+                for share in shares.values_mut().filter(|s| s.epoch == epoch) {
                     share.cancel(ctx, &id);
                 }
             }
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -7,7 +7,7 @@
 //! had, or theirs is long in coming.
 
 use crate::ctx::Ctx;
-use crate::job::{Sent, Stop};
+use crate::job::Sent;
 use crate::share::Share;
 use forkshift_sched::{Quota, Resources, Want};
 use forkshift_wire::users::Priority;
@@ -32,15 +32,12 @@
         if ctx.now < self.preempted_at + ctx.cfg.report_ms * PAUSE_REPORTS {
             return;
         }
-        let boot_ms = self.machines.values().map(|m| m.boot_ms).max().unwrap_or(0);
+        let boot_ms = self.boot_ms();
         for (id, want) in ids.iter().zip(wants) {
-            let may = self.jobs.get(id).is_some_and(|j| {
-                let waits = j.waited + ctx.now.saturating_sub(j.since);
-                match j.spec.priority {
-                    Priority::Production => true,
-                    Priority::High => waits as f64 >= boot_ms as f64 * URGENT_BOOTS,
-                    _ => false,
-                }
+            let may = self.jobs.get(id).is_some_and(|j| match j.spec.priority {
+                Priority::Production => true,
+                Priority::High => j.age(ctx.now) as f64 >= boot_ms as f64 * URGENT_BOOTS,
+                _ => false,
             });
             let waits = !want.waiting.is_empty() && !want.gang;
             if !may || !waits || !quotas[want.team].allows(&want.task) {
@@ -54,12 +51,7 @@
             self.preempted_at = ctx.now;
             for victim in victims {
                 log::info!("{victim}: stopped to make room for {id}");
-                let job = self.jobs.get_mut(&victim.job);
-                let Some(job) = job else { continue };
-                let grace_s = job.spec.save_s;
-                if let Some(binding) = job.bound.get_mut(&victim.index) {
-                    binding.stop = Some(Stop::after(grace_s));
-                }
+                self.stop_task(&victim);
             }
             return;
         }
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -5,6 +5,7 @@
 //! below `live/<share>/` while they are unfinished.
 
 use forkshift_sched::Resources;
+use forkshift_wire::cloud::MachineType;
 use forkshift_wire::users::{JobSpec, JobStage};
 use forkshift_wire::{JobId, MachineId, NodeName};
 use serde::{Deserialize, Serialize};
@@ -28,6 +29,11 @@
     }
 }
 
+/// What a machine of a type has.
+pub fn total_of(t: &MachineType) -> Resources {
+    Resources::new(t.cpus, t.gpus, t.memory_gb)
+}
+
 /// Key of a share's record.
 pub fn share_key(k: ShareId) -> String {
     format!("c/share/{k}")
@@ -200,6 +206,16 @@
     pub surplus: Vec<MachineId>,
 }
 
+impl DemandRec {
+    /// Whether it says the same, whenever it was said.
+    pub fn is_like(&self, other: &Self) -> bool {
+        self.shapes == other.shapes
+            && self.now == other.now
+            && self.free == other.free
+            && self.surplus == other.surplus
+    }
+}
+
 /// Tasks of one shape.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ShapeRec {
--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -3,7 +3,7 @@
 use crate::ctx::{Ctx, Pending};
 use crate::job::{Binding, Job, Sent};
 use crate::machine::Machine;
-use crate::records::{demand_key, share_key, DemandRec, ShapeRec};
+use crate::records::{demand_key, share_key, total_of, DemandRec, ShapeRec};
 use crate::share::Share;
 use crate::store::Urgency;
 use crate::view::View;
@@ -91,7 +91,7 @@
     /// What waits, as a round sees it.
     fn wants(&mut self, ctx: &mut Ctx, usable: &[MachineId]) -> (Vec<JobId>, Vec<Want>) {
         let zones = self.zones();
-        let boot_ms = self.machines.values().map(|m| m.boot_ms).max().unwrap_or(0);
+        let boot_ms = self.boot_ms();
         let mut ids = Vec::new();
         let mut wants = Vec::new();
         for (id, job) in &self.jobs {
@@ -259,8 +259,8 @@
             let t = &of_type.rec;
             for _ in left.filter(|k| *k == self.id) {
                 hosts.push(Host {
-                    free: Resources::new(t.cpus, t.gpus, t.memory_gb),
-                    total: Resources::new(t.cpus, t.gpus, t.memory_gb),
+                    free: total_of(t),
+                    total: total_of(t),
                     machine_type: ctx.intern(&charter.machine_type) as u16,
                     zone: ctx.intern(&charter.zone) as u16,
                     spot: charter.spot,
@@ -277,7 +277,7 @@
     /// Books spare places for classes whose tasks must start sooner than a
     /// machine boots, and returns those that found none.
     fn spare(&mut self, ctx: &mut Ctx, hosts: &mut [Host]) -> Vec<ShapeRec> {
-        let boot_s = self.machines.values().map(|m| m.boot_ms).max().unwrap_or(0) as f64 / 1000.0;
+        let boot_s = self.boot_ms() as f64 / 1000.0;
         let mut lacking = Vec::new();
         let now = ctx.now;
         let factor = ctx.cfg.ops.spare;
@@ -371,12 +371,8 @@
         let Some(leader) = view.leader.as_ref().map(|l| l.rec.clone()) else {
             return;
         };
-        let same = DemandRec {
-            rev: self.told.rev,
-            ..rec.clone()
-        } == self.told;
         let refresh = crate::ms(ctx.cfg.ops.round_s);
-        if same && ctx.now < self.told_at + refresh {
+        if rec.is_like(&self.told) && ctx.now < self.told_at + refresh {
             return;
         }
         self.told = rec.clone();
@@ -397,10 +393,7 @@
         let none = DemandRec::default();
         let shown = view.demands.get(&self.id).map_or(&none, |d| &d.rec);
         let stale = !rec.shapes.is_empty() && shown.rev < view.revision;
-        let changed = DemandRec {
-            rev: shown.rev,
-            ..rec.clone()
-        } != *shown;
+        let changed = !rec.is_like(shown);
         // The record is for a leader that our messages do not reach.
         let shares = f64::from(ctx.cfg.shares());
         let pause = crate::ms(shares / (ctx.cfg.write_rps * DEMAND_PART)).max(1_500);
@@ -493,7 +486,7 @@
     job.spec.kind != JobKind::Service
         && job.bound.is_empty()
         && boot_ms > 0
-        && (job.waited + now.saturating_sub(job.since)) as f64 > AGED_BOOTS * boot_ms as f64
+        && job.age(now) as f64 > AGED_BOOTS * boot_ms as f64
 }
 
 /// Priority, the guarantee, and for how long a job has waited.
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -4,8 +4,8 @@
 use crate::job::{Binding, Job, Sent, Stop};
 use crate::machine::Machine;
 use crate::records::{
-    live_prefix, machine_key, node_key, share_key, BlockRec, DemandRec, HeadRec, MachineRec,
-    ShapeRec, ShareId, ShareRec, EPOCH,
+    live_prefix, machine_key, node_key, share_key, total_of, BlockRec, DemandRec, HeadRec,
+    MachineRec, ShapeRec, ShareId, ShareRec, EPOCH,
 };
 use crate::store::Urgency;
 use crate::view::View;
@@ -370,7 +370,7 @@
             machine_type: ctx.intern(&rec.machine_type) as u16,
             zone: ctx.intern(&rec.zone) as u16,
             spot: rec.spot,
-            total: Resources::new(of_type.cpus, of_type.gpus, of_type.memory_gb),
+            total: total_of(of_type),
             price: hourly / 3600.0,
             fetch_rate: of_type.fetch_gb_per_s,
             cache_gb: of_type.cache_gb,
@@ -616,6 +616,22 @@
         }
     }
 
+    /// The longest boot of its machines.
+    pub(crate) fn boot_ms(&self) -> Ms {
+        self.machines.values().map(|m| m.boot_ms).max().unwrap_or(0)
+    }
+
+    /// Has a task stopped, with the time that it needs to save.
+    pub(crate) fn stop_task(&mut self, task: &TaskRef) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let stop = Stop::after(job.spec.save_s);
+        if let Some(binding) = job.bound.get_mut(&task.index) {
+            binding.stop = Some(stop);
+        }
+    }
+
     /// Keeps a watch on the share's jobs, for those that other controllers accept.
     pub(crate) fn watch(&mut self, ctx: &mut Ctx) {
         if self.watching || self.live_rev == 0 || ctx.now < self.watch_at {
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -14,6 +14,20 @@
 }
 
 impl Use {
+    /// From what messages hold: each in a thousand seconds.
+    pub(crate) fn from_milli(requests: u32, writes: u32) -> Self {
+        Self {
+            requests: f64::from(requests) / 1000.0,
+            writes: f64::from(writes) / 1000.0,
+        }
+    }
+
+    /// As messages hold it: requests, then changes.
+    pub(crate) fn as_milli(&self) -> (u32, u32) {
+        let milli = |rate: f64| (rate * 1000.0) as u32;
+        (milli(self.requests), milli(self.writes))
+    }
+
     fn each(&self, other: &Self, f: fn(f64, f64) -> f64) -> Self {
         Self {
             requests: f(self.requests, other.requests),
