--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -6,7 +6,7 @@
 
 use crate::api::status;
 use crate::ctx::{Ctx, JobWrite, Pending, Reply, Token};
-use crate::job::Job;
+use crate::job::{Job, Sent};
 use crate::node::Finals;
 use crate::records::{abort_key, job_key, live_key, share_key, JobRec};
 use crate::share::Share;
@@ -36,20 +36,29 @@
     /// Writes what has changed. Mere progress waits for `progress`, so that a
     /// job is written at most once a round.
     pub(crate) fn flush(&mut self, ctx: &mut Ctx, view: &View, progress: bool) {
+        if progress {
+            for id in std::mem::take(&mut self.progress) {
+                self.dirty.touch(&id);
+            }
+        }
         let mut parts: Vec<Part> = Vec::new();
-        let ids: Vec<JobId> = self.dirty.iter().cloned().collect();
-        for id in ids {
+        for id in self.dirty.take(ctx.now) {
+            ctx.visits += 1;
             let Some(job) = self.jobs.get(&id) else {
-                self.dirty.remove(&id);
                 continue;
             };
-            if job.writing || ctx.now < job.retry_at {
+            // What is being written is looked at again when that has ended.
+            if job.writing {
+                continue;
+            }
+            if ctx.now < job.retry_at {
+                self.dirty.wake(&id, job.retry_at);
                 continue;
             }
             match part(self, job, ctx, view, progress) {
                 Some(part) => parts.push(part),
-                None if !job.blocks.values().any(|b| b.is_dirty()) && !job.is_over() => {
-                    self.dirty.remove(&id);
+                None if job.blocks.values().any(|b| b.is_dirty()) => {
+                    self.progress.insert(id);
                 }
                 None => {}
             }
@@ -109,6 +118,7 @@
                 continue;
             };
             job.writing = false;
+            self.dirty.touch(&write.id);
             if status == 200 {
                 self.written(ctx, finals, &write, reply.revision);
                 continue;
@@ -160,6 +170,7 @@
             return;
         };
         job.writing = false;
+        self.dirty.touch(id);
         let found: Option<Item> = serde_json::from_slice(body).ok();
         match (status, found) {
             (200, Some(item)) => {
@@ -198,6 +209,7 @@
             return;
         };
         job.writing = false;
+        self.dirty.touch(id);
         job.retry_at = ctx.now + RETRY;
         let item: Option<Item> = serde_json::from_slice(body).ok().filter(|_| status == 200);
         let Some(item) = item else { return };
@@ -225,6 +237,10 @@
         if write.cancel {
             job.cancel_durable = true;
         }
+        // What was recorded may be started now.
+        for binding in job.bound.values().filter(|b| b.sent == Sent::No) {
+            self.look.touch(&binding.machine);
+        }
         let stage = job.final_stage();
         if write.last || write.cancel {
             finals.insert(write.id.clone(), stage);
@@ -266,7 +282,7 @@
     let unsent = job
         .bound
         .values()
-        .any(|b| b.sent == crate::job::Sent::No && b.stop.is_none());
+        .any(|b| b.sent == Sent::No && b.stop.is_none());
     let urgency = if last || cancel {
         Urgency::User
     } else if unsent {
--- a/crates/core/src/ctx.rs
+++ b/crates/core/src/ctx.rs
@@ -283,6 +283,8 @@
     /// Requests that other controllers have passed on: from whom, under which
     /// name, and until when.
     pub(crate) remote: BTreeMap<Token, (NodeName, u64, Ms)>,
+    /// Machines, jobs and tasks looked at: the work of a step, counted.
+    pub(crate) visits: u64,
     next_call: CallId,
     interned: HashMap<String, u32>,
     names: Vec<String>,
@@ -306,6 +308,7 @@
             refused: Vec::new(),
             lacking: Vec::new(),
             remote: BTreeMap::new(),
+            visits: 0,
             next_call: 0,
             interned: HashMap::new(),
             names: Vec::new(),
--- a/crates/core/src/drain.rs
+++ b/crates/core/src/drain.rs
@@ -28,6 +28,8 @@
 const FETCH_REPORTS: f64 = 1.0;
 /// Machines that are emptied at a time.
 const DRAINING_MOST: usize = 3;
+/// One in so many machines is tried in a round: each try goes over all of them.
+const TRIES_PART: usize = 16;
 /// Rounds between two moves: each takes a replica down for about a second.
 const MOVE_ROUNDS: f64 = 2.0;
 /// Pause between two machines, in boots.
@@ -128,34 +130,46 @@
                 let m = self.machines.get(id)?;
                 let worth_it = !m.tasks.is_empty() && places.worth[i] <= WORTH_MOST;
                 let old = ctx.now > m.since + boot_ms * 2;
-                (worth_it && old).then_some((m.price * (1.0 - places.worth[i]), i))
+                (worth_it && old && ctx.now >= m.full_house_until)
+                    .then_some((m.price * (1.0 - places.worth[i]), i))
             })
             .collect();
         candidates.sort_by(|a, b| b.0.total_cmp(&a.0));
-        for (_, i) in candidates {
+        let tries = (hosts.len() / TRIES_PART).max(DRAINING_MOST);
+        for (_, i) in candidates.into_iter().take(tries) {
             let tasks: Vec<TaskRef> = self.machines[&usable[i]].tasks.iter().cloned().collect();
-            let mut rest = hosts.to_vec();
-            rest[i].free = Resources::default();
+            let free = std::mem::take(&mut hosts[i].free);
             let from = hosts[i].price;
-            let fits = tasks
-                .iter()
-                .all(|t| self.fits_elsewhere(ctx, t, &mut rest, from, places));
-            if fits {
-                log::info!(
-                    "machine {}: to be emptied, {} tasks",
-                    usable[i],
-                    tasks.len()
-                );
-                self.drained_at = ctx.now;
+            let mut booked = Vec::new();
+            let fits = tasks.iter().all(|t| {
+                let place = self.fits_elsewhere(ctx, t, hosts, from, places);
+                booked.extend(place);
+                place.is_some()
+            });
+            if !fits {
+                hosts[i].free = free;
+                for (host, task) in booked {
+                    hosts[host].free += task;
+                }
                 if let Some(m) = self.machines.get_mut(&usable[i]) {
-                    m.draining = true;
+                    m.full_house_until = ctx.now + pause;
                 }
-                return;
+                continue;
             }
+            log::info!(
+                "machine {}: to be emptied, {} tasks",
+                usable[i],
+                tasks.len()
+            );
+            self.drained_at = ctx.now;
+            if let Some(m) = self.machines.get_mut(&usable[i]) {
+                m.draining = true;
+            }
+            return;
         }
     }
 
-    /// Books a place for one task of another machine.
+    /// Books a place for one task of another machine, and says where and how much.
     fn fits_elsewhere(
         &self,
         ctx: &mut Ctx,
@@ -163,13 +177,9 @@
         hosts: &mut [Host],
         from: f64,
         places: &Places,
-    ) -> bool {
-        let Some(job) = self.jobs.get(&task.job) else {
-            return false;
-        };
-        let Some(binding) = job.bound.get(&task.index) else {
-            return false;
-        };
+    ) -> Option<(usize, Resources)> {
+        let job = self.jobs.get(&task.job)?;
+        let binding = job.bound.get(&task.index)?;
         let mut want: Want = want_of(ctx, job, 0, &places.zones);
         if let Some(n) = places
             .zones
@@ -192,7 +202,8 @@
         let mut quota = [Quota::default()];
         let weights = ctx.cfg.ops.weights;
         let wants = std::slice::from_mut(&mut want);
-        !run_round(wants, hosts, &mut quota, &weights).is_empty()
+        let placed = run_round(wants, hosts, &mut quota, &weights);
+        Some((placed.first()?.host, job.task))
     }
 
     /// Moves one replica at a time, so that no service is thinned out.
@@ -224,7 +235,8 @@
             if job.spec.kind != JobKind::Service || !runs || !whole {
                 continue;
             }
-            if self.fits_elsewhere(ctx, &task, hosts, from, places) {
+            let place = self.fits_elsewhere(ctx, &task, hosts, from, places);
+            if place.is_some() {
                 self.stop_task(&task);
                 return true;
             }
--- a/crates/core/src/evidence.rs
+++ b/crates/core/src/evidence.rs
@@ -70,6 +70,8 @@
         for task in &report.tasks {
             self.judge_stray(ctx, &report.machine, task);
         }
+        ctx.visits += 1 + report.tasks.len() as u64;
+        self.look.touch(&report.machine);
         true
     }
 
@@ -205,6 +207,7 @@
         }
         for binding in job.bound.values_mut() {
             binding.stop.get_or_insert(Stop::after(0.0));
+            self.look.touch(&binding.machine);
         }
         self.drop_unsent(id);
     }
@@ -267,7 +270,7 @@
                 running_since: None,
             };
             self.bind(&task.job, task.index, binding);
-            self.dirty.insert(task.job.clone());
+            self.dirty.touch(&task.job);
         }
     }
 }
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -7,7 +7,7 @@
 };
 use crate::share::hand_over;
 use crate::store::{Bucket, Urgency};
-use crate::view::{Stamped, View};
+use crate::view::{Changed, View};
 use crate::Ms;
 use forkshift_sched::{plan, Offer, Resources, Shape};
 use forkshift_wire::cloud::{
@@ -105,7 +105,7 @@
         leader.is_some_and(|l| l.rec.node == ctx.cfg.node && l.rec.inc == ctx.inc)
     }
 
-    pub(crate) fn tick(&mut self, ctx: &mut Ctx, view: &View) {
+    pub(crate) fn tick(&mut self, ctx: &mut Ctx, view: &View, changed: &Changed) {
         self.follow_nodes(ctx, view);
         if !view.ready || !Self::is_leader(ctx, view) {
             self.active = false;
@@ -122,23 +122,22 @@
                 active_since: ctx.now,
                 ..Self::new(ctx.cfg.cloud_rps)
             };
+            self.follow_all_machines(ctx, view);
+        } else if changed.all {
+            self.follow_all_machines(ctx, view);
+        }
+        for id in &changed.machines {
+            if view.machines.contains_key(id) {
+                self.seen.entry(id.clone()).or_insert(ctx.now);
+            } else {
+                self.deleting.remove(id);
+            }
         }
         if ctx.now >= self.assign_at {
             self.assign_at = ctx.now + crate::ms(ctx.cfg.ops.assign_s);
             self.assign(ctx, view);
         }
         self.bucket.refill(ctx.now);
-        for id in view.machines.keys() {
-            self.seen.entry(id.clone()).or_insert(ctx.now);
-        }
-        let in_flight = |id: &MachineId| {
-            let calls = ctx.pending.values();
-            calls
-                .into_iter()
-                .any(|p| matches!(p, Pending::Delete { machines } if machines.contains(id)))
-        };
-        self.deleting
-            .retain(|id| view.machines.contains_key(id) || in_flight(id));
         self.renting.retain(|r| view.charters.contains_key(r));
         self.delete(ctx, view);
         self.rent(ctx, view);
@@ -156,6 +155,15 @@
         self.look(ctx);
     }
 
+    /// Notes since when machines have been known. A deletion of what the view
+    /// lacks may be repeated: the cloud ignores names that it does not know.
+    fn follow_all_machines(&mut self, ctx: &Ctx, view: &View) {
+        for id in view.machines.keys() {
+            self.seen.entry(id.clone()).or_insert(ctx.now);
+        }
+        self.deleting.retain(|id| view.machines.contains_key(id));
+    }
+
     /// Notes since when every start of a controller has been there.
     fn follow_nodes(&mut self, ctx: &Ctx, view: &View) {
         self.nodes
@@ -423,12 +431,11 @@
     }
 
     fn delete(&mut self, ctx: &mut Ctx, view: &View) {
-        let condemned: Vec<MachineId> = view
-            .machines
-            .iter()
-            .filter(|(id, m)| m.rec.condemned.is_some() && !self.deleting.contains(*id))
-            .map(|(id, _)| id.clone())
+        let condemned = view.condemned.iter();
+        let condemned: Vec<MachineId> = condemned
+            .filter(|id| !self.deleting.contains(*id))
             .take(DELETE_MOST)
+            .cloned()
             .collect();
         if !condemned.is_empty() && self.may_call(ctx) {
             self.send_delete(ctx, condemned);
@@ -616,13 +623,15 @@
         }
         let kinds: Vec<String> = view.types.keys().cloned().collect();
         let zones = zone_names(view);
+        let mut held: Option<Held> = None;
         let mut together: BTreeMap<(u16, u16, bool), Vec<(ShareId, u32)>> = BTreeMap::new();
         for (k, demand) in demands {
             let seen = self.acted.get(k).copied().unwrap_or(0);
             if demand.shapes.is_empty() || demand.rev < seen {
                 continue;
             }
-            let offers = self.offers(ctx, view, *k);
+            let held = held.get_or_insert_with(|| held_of(view));
+            let offers = self.offers(ctx, view, *k, held);
             let type_no = |name: &String| kinds.iter().position(|t| t == name).map(|i| i as u16);
             let zone_no = |name: &String| zones.iter().position(|z| z == name).map(|i| i as u16);
             let shapes: Vec<Shape> = demand
@@ -672,7 +681,7 @@
     }
 
     /// What may be had, as far as is known.
-    fn offers(&self, ctx: &Ctx, view: &View, k: ShareId) -> Vec<Offer> {
+    fn offers(&self, ctx: &Ctx, view: &View, k: ShareId, held: &Held) -> Vec<Offer> {
         let zones = zone_names(view);
         let mut offers = Vec::new();
         for (i, t) in view.types.values().map(|t| &t.rec).enumerate() {
@@ -691,18 +700,14 @@
                     {
                         continue;
                     }
-                    let there = |m: &&Stamped<MachineRec>| {
-                        m.rec.machine_type == t.name && m.rec.zone == *zone
-                    };
-                    let held = view.machines.values().filter(there);
-                    let held = held.filter(|m| m.rec.share == k);
+                    let held = held.get(&(k, t.name.as_str(), zone.as_str()));
                     offers.push(Offer {
                         machine_type: i as u16,
                         zone: zones.iter().position(|z| z == zone).unwrap_or(0) as u16,
                         spot,
                         total: total_of(t),
                         price,
-                        held: held.count() as u32,
+                        held: held.copied().unwrap_or(0),
                     });
                 }
             }
@@ -885,6 +890,18 @@
     }
 }
 
+/// Machines that shares hold, by type and zone.
+type Held<'a> = HashMap<(ShareId, &'a str, &'a str), u32>;
+
+fn held_of(view: &View) -> Held<'_> {
+    let mut held = Held::new();
+    for rec in view.machines.values().map(|m| &m.rec) {
+        let kind = (rec.share, rec.machine_type.as_str(), rec.zone.as_str());
+        *held.entry(kind).or_default() += 1;
+    }
+    held
+}
+
 fn total_in(view: &View, machine_type: &str) -> Option<Resources> {
     view.types.get(machine_type).map(|t| total_of(&t.rec))
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! numbers come from a seed. The daemon runs it against the real services,
 //! the testkit against stand-ins in virtual time.
 
+mod agenda;
 mod api;
 mod budget;
 mod commit;
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -69,6 +69,8 @@
     /// It is being given to another share: nothing is placed here unless its
     /// record comes back changed, and still ours.
     pub(crate) leaving: Option<u64>,
+    /// Before this it is not looked at again whether its tasks fit elsewhere.
+    pub(crate) full_house_until: Ms,
     /// It is being emptied, to be returned.
     pub(crate) draining: bool,
     /// Since when nothing has needed it.
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -164,6 +164,12 @@
         std::mem::take(&mut self.ctx.out)
     }
 
+    /// How many machines, jobs and tasks were looked at between the rounds:
+    /// the work that messages and the passing of time make.
+    pub fn visits(&self) -> u64 {
+        self.ctx.visits
+    }
+
     /// Whether this controller can take requests.
     pub(crate) fn is_up(&self) -> bool {
         self.view.ready && self.member.is_registered() && !self.view.types.is_empty()
@@ -172,7 +178,8 @@
     fn tick(&mut self) {
         self.member.tick(&mut self.ctx, &self.view);
         self.follow_view();
-        self.leader.tick(&mut self.ctx, &self.view);
+        let machines = self.view.take_changed();
+        self.leader.tick(&mut self.ctx, &self.view, &machines);
         self.follow_shares();
         let changed = self.seen != self.view.revision;
         self.seen = self.view.revision;
@@ -190,7 +197,7 @@
                 continue;
             }
             if changed {
-                share.sync_machines(&mut self.ctx, &self.view);
+                share.sync_machines(&mut self.ctx, &self.view, &machines);
                 let aborts: Vec<JobId> = self.view.aborts.keys().cloned().collect();
                 for id in aborts {
                     share.cancel(&self.ctx, &id);
@@ -479,6 +486,7 @@
             if let Some(machine) = share.machines.get_mut(id) {
                 machine.putting = false;
                 machine.put_from = machine.put_from.max(revision_of(body));
+                share.look.touch(id);
             }
         }
     }
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -8,7 +8,6 @@
 use crate::job::{Sent, Stop};
 use crate::records::ShareId;
 use crate::share::Share;
-use crate::Ms;
 use forkshift_wire::workers::{Commands, Order, Report, Verb};
 use forkshift_wire::{JobId, MachineId, TaskRef};
 
@@ -18,23 +17,15 @@
 const REPEAT_REPORTS: u64 = 2;
 
 impl Share {
-    /// Sends what is due to every machine that has no call under way.
-    pub(crate) fn send_orders(&mut self, ctx: &mut Ctx) {
-        let ids: Vec<MachineId> = self
-            .machines
-            .values()
-            .filter(|m| !m.calling && m.addr.is_some() && ctx.now >= m.retry_at)
-            .filter(|m| {
-                m.push || !m.tasks.is_empty() || !m.exited.is_empty() || !m.orphans.is_empty()
-            })
-            .map(|m| m.id.clone())
-            .collect();
-        for id in ids {
-            self.send_to(ctx, &id);
+    /// Sends what is due to a machine that has no call under way.
+    pub(crate) fn send_to(&mut self, ctx: &mut Ctx, id: &MachineId) {
+        let Some(m) = self.machines.get(id) else {
+            return;
+        };
+        let any = m.push || !m.tasks.is_empty() || !m.exited.is_empty() || !m.orphans.is_empty();
+        if m.calling || m.addr.is_none() || ctx.now < m.retry_at || !any {
+            return;
         }
-    }
-
-    fn send_to(&mut self, ctx: &mut Ctx, id: &MachineId) {
         let mut orders = self.calm_orders(ctx, id);
         orders.extend(self.starts(id));
         let Some(machine) = self.machines.get_mut(id) else {
@@ -157,6 +148,7 @@
             return;
         };
         machine.calling = false;
+        self.look.touch(id);
         let report: Option<Report> = serde_json::from_slice(body).ok();
         match (status, report) {
             (200 | 409, Some(report)) => {
@@ -209,8 +201,10 @@
         job.touch(0);
         for binding in job.bound.values_mut() {
             binding.stop = Some(Stop::after(0.0));
+            self.look.touch(&binding.machine);
         }
-        self.dirty.insert(id.clone());
+        self.dirty.touch(id);
+        self.cancels.touch(id);
         self.drop_unsent(id);
     }
 
@@ -220,25 +214,6 @@
         Some((token, self.calm_orders(ctx, id)))
     }
 
-    /// Stops tasks of cancelled jobs that a holder before us did not stop.
-    pub(crate) fn stop_cancelled(&mut self) {
-        for job in self.jobs.values_mut().filter(|j| j.cancelled) {
-            for binding in job.bound.values_mut() {
-                binding.stop.get_or_insert(Stop::after(0.0));
-            }
-        }
-    }
-
-    /// Machines that may still run a task of a job cancelled this long ago.
-    pub(crate) fn holding_cancelled(&self, now: Ms, after: Ms) -> Vec<MachineId> {
-        let late = self
-            .jobs
-            .values()
-            .filter(|j| j.cancelled && now >= j.cancelled_at + after);
-        late.flat_map(|j| j.bound.values().map(|b| b.machine.clone()))
-            .collect()
-    }
-
     pub(crate) fn id(&self) -> ShareId {
         self.id
     }
--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -76,7 +76,7 @@
                 running_since: None,
             };
             self.bind(id, p.task, binding);
-            self.dirty.insert(id.clone());
+            self.dirty.touch(id);
         }
         self.preempt(ctx, &ids, &wants, &usable, &quotas);
         self.lack(ctx, view, &usable, hosts, wants, quotas);
@@ -98,6 +98,10 @@
             if ctx.now < job.not_before {
                 continue;
             }
+            // Most jobs wait for nothing.
+            if job.bound.len() + job.done.len() as usize >= job.spec.tasks as usize {
+                continue;
+            }
             let gang = job.is_gang();
             let waiting = job.waiting(if gang { usize::MAX } else { TASKS_A_ROUND });
             // What is left of a gang's last attempt must be gone first.
@@ -341,6 +345,9 @@
     fn note_idle(&mut self, ctx: &Ctx, usable: &[MachineId], hosts: &[Host]) {
         for machine in self.machines.values_mut().filter(|m| m.draining) {
             let empty = machine.tasks.is_empty();
+            if empty && machine.idle_since.is_none() {
+                self.look.touch(&machine.id);
+            }
             machine.idle_since = empty.then(|| machine.idle_since.unwrap_or(ctx.now));
         }
         for (id, host) in usable.iter().zip(hosts) {
@@ -348,23 +355,13 @@
                 continue;
             };
             let empty = machine.tasks.is_empty() && host.free == machine.total;
+            if empty && machine.idle_since.is_none() {
+                self.look.touch(id);
+            }
             machine.idle_since = empty.then(|| machine.idle_since.unwrap_or(ctx.now));
         }
     }
 
-    /// Machines that have been of no use for long enough to be returned.
-    pub(crate) fn surplus(&self, ctx: &Ctx) -> Vec<MachineId> {
-        let idle = ctx.cfg.ops.idle_boots;
-        self.machines
-            .values()
-            .filter(|m| {
-                let keep = (m.boot_ms as f64 * idle) as Ms;
-                m.condemned.is_none() && m.idle_since.is_some_and(|t| ctx.now >= t + keep)
-            })
-            .map(|m| m.id.clone())
-            .collect()
-    }
-
     /// Tells the leader what is lacking, whenever that changes, and now and
     /// then that it has not.
     fn tell_demand(&mut self, ctx: &mut Ctx, view: &View, rec: &DemandRec) {
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -1,5 +1,6 @@
 //! A share that this controller holds: its jobs and its machines.
 
+use crate::agenda::Agenda;
 use crate::ctx::{Ctx, Pending, Reply};
 use crate::job::{Binding, Job, Sent, Stop};
 use crate::machine::Machine;
@@ -8,7 +9,7 @@
     MachineRec, ShapeRec, ShareId, ShareRec, EPOCH,
 };
 use crate::store::Urgency;
-use crate::view::View;
+use crate::view::{Changed, View};
 use crate::Ms;
 use forkshift_sched::{Quota, Resources};
 use forkshift_wire::state::{Change, Changes, Cond, Item, Page, Txn, Write};
@@ -56,8 +57,16 @@
     pub(crate) machines: BTreeMap<MachineId, Machine>,
     pub(crate) teams: BTreeMap<String, usize>,
     pub(crate) quotas: Vec<Quota>,
-    /// Jobs to be written.
-    pub(crate) dirty: BTreeSet<JobId>,
+    /// Machines to be looked at.
+    pub(crate) look: Agenda<MachineId>,
+    /// Jobs that may have to be written.
+    pub(crate) dirty: Agenda<JobId>,
+    /// Jobs of which mere progress is to be written, once a round.
+    pub(crate) progress: BTreeSet<JobId>,
+    /// Gangs that may have lost a task.
+    pub(crate) broken: BTreeSet<JobId>,
+    /// Cancelled jobs, for when their tasks must be gone.
+    pub(crate) cancels: Agenda<JobId>,
     /// Jobs that are over, with the revision that removed them: a watch may
     /// still show how they were created.
     gone: HashMap<JobId, u64>,
@@ -108,7 +117,11 @@
             machines: BTreeMap::new(),
             teams,
             quotas,
-            dirty: BTreeSet::new(),
+            look: Agenda::default(),
+            dirty: Agenda::default(),
+            progress: BTreeSet::new(),
+            broken: BTreeSet::new(),
+            cancels: Agenda::default(),
             gone: HashMap::new(),
             loaded: Vec::new(),
             live_rev: 0,
@@ -170,7 +183,11 @@
     pub(crate) fn activate(&mut self, ctx: &mut Ctx, view: &View) {
         self.phase = Phase::Active;
         self.active_since = ctx.now;
-        self.sync_machines(ctx, view);
+        let all = Changed {
+            all: true,
+            ..Changed::default()
+        };
+        self.sync_machines(ctx, view, &all);
         let prefix = live_prefix(self.id);
         let items = std::mem::take(&mut self.loaded);
         let mut blocks = Vec::new();
@@ -192,7 +209,12 @@
                 _ => remove_key(ctx, item.key, item.version),
             }
         }
-        self.dirty.extend(self.jobs.keys().cloned());
+        for (id, job) in &self.jobs {
+            self.dirty.touch(id);
+            if job.is_gang() {
+                self.broken.insert(id.clone());
+            }
+        }
         log::info!(
             "share {}: {} jobs and {} machines taken over",
             self.id,
@@ -217,6 +239,7 @@
                 job.cancelled = true;
                 job.cancel_durable = true;
                 job.cancelled_at = ctx.now;
+                self.cancels.touch(&id);
             }
         }
     }
@@ -272,7 +295,10 @@
 
     pub(crate) fn forget_job(&mut self, id: &JobId, revision: u64) {
         self.jobs.remove(id);
-        self.dirty.remove(id);
+        self.dirty.forget(id);
+        self.cancels.forget(id);
+        self.progress.remove(id);
+        self.broken.remove(id);
         self.gone.insert(id.clone(), revision);
     }
 
@@ -311,43 +337,48 @@
         if let Some(team) = self.teams.get(&job.spec.team) {
             self.quotas[*team].used -= job.task;
         }
-        self.dirty.insert(id.clone());
+        if job.is_gang() {
+            self.broken.insert(id.clone());
+        }
+        self.dirty.touch(id);
         Some(binding)
     }
 
     /// Follows the view: new machines, changed records, machines that are gone.
-    pub(crate) fn sync_machines(&mut self, ctx: &mut Ctx, view: &View) {
-        for (id, stamped) in &view.machines {
-            if stamped.rec.share != self.id {
-                continue;
+    pub(crate) fn sync_machines(&mut self, ctx: &mut Ctx, view: &View, changed: &Changed) {
+        if changed.all {
+            let known = self.machines.keys().chain(view.machines.keys());
+            let all: BTreeSet<MachineId> = known.cloned().collect();
+            for id in &all {
+                self.sync_machine(ctx, view, id);
             }
-            if let Some(machine) = self.machines.get_mut(id) {
-                if machine.version != stamped.version {
-                    machine.version = stamped.version;
-                    machine.leaving = None;
-                    if stamped.rec.condemned.is_some() {
-                        machine.condemned = stamped.rec.condemned.clone();
-                    }
-                    machine.addr = stamped.rec.addr.clone().or(machine.addr.take());
-                }
-                continue;
-            }
-            if let Some(machine) = self.new_machine(ctx, view, id, &stamped.rec, stamped.version) {
-                self.machines.insert(id.clone(), machine);
+        } else {
+            for id in &changed.machines {
+                self.sync_machine(ctx, view, id);
             }
         }
-        let gone: Vec<MachineId> = self
-            .machines
-            .keys()
-            .filter(|id| {
-                view.machines
-                    .get(*id)
-                    .is_none_or(|m| m.rec.share != self.id)
-            })
-            .cloned()
-            .collect();
-        for id in gone {
-            self.drop_machine(ctx, &id);
+    }
+
+    fn sync_machine(&mut self, ctx: &mut Ctx, view: &View, id: &MachineId) {
+        ctx.visits += 1;
+        let ours = view.machines.get(id).filter(|m| m.rec.share == self.id);
+        let Some(stamped) = ours else {
+            self.drop_machine(ctx, id);
+            return;
+        };
+        self.look.touch(id);
+        if let Some(machine) = self.machines.get_mut(id) {
+            if machine.version != stamped.version {
+                machine.version = stamped.version;
+                machine.leaving = None;
+                if stamped.rec.condemned.is_some() {
+                    machine.condemned = stamped.rec.condemned.clone();
+                }
+                machine.addr = stamped.rec.addr.clone().or(machine.addr.take());
+            }
+        } else if let Some(machine) = self.new_machine(ctx, view, id, &stamped.rec, stamped.version)
+        {
+            self.machines.insert(id.clone(), machine);
         }
     }
 
@@ -405,6 +436,7 @@
             errors: BTreeSet::new(),
             full_until: 0,
             leaving: None,
+            full_house_until: 0,
             draining: false,
             idle_since: None,
         })
@@ -421,46 +453,43 @@
             self.unbind(&task.job, task.index);
         }
         self.machines.remove(id);
+        self.look.forget(id);
         self.hurry(ctx);
     }
 
-    /// Gives machines that the leader asks for to other shares, if they are
+    /// Gives a machine that the leader asks for to another share, if it is
     /// free. From the moment the write is sent nothing is placed there until
     /// the record has changed: a write without an answer may land late, and
     /// the other share then owns whatever is on the machine.
-    pub(crate) fn give_away(&mut self, ctx: &mut Ctx, view: &View) {
-        let asked: Vec<(MachineId, ShareId)> = self
-            .machines
-            .keys()
-            .filter_map(|id| Some((id.clone(), view.machines.get(id)?.rec.want?)))
-            .collect();
-        for (id, to) in asked {
-            let names = self.image_names(ctx, &id);
-            let Some(machine) = self.machines.get_mut(&id) else {
-                continue;
-            };
-            if machine.putting || view.revision < machine.put_from || to == self.id {
-                continue;
-            }
-            let free = machine.tasks.is_empty()
-                && machine.exited.is_empty()
-                && machine.orphans.is_empty()
-                && !machine.calling
-                && !machine.unanswered
-                && machine.condemned.is_none()
-                && machine.is_confirmed();
-            let floor = machine.token;
-            if free || machine.leaving.is_some() {
-                machine.leaving = Some(machine.version);
-                self.put_machine(ctx, view, &id, |rec| {
-                    rec.share = to;
-                    rec.want = None;
-                    rec.floor = floor;
-                    rec.images = names;
-                });
-            } else {
-                self.put_machine(ctx, view, &id, |rec| rec.want = None);
-            }
+    pub(crate) fn give_away(&mut self, ctx: &mut Ctx, view: &View, id: &MachineId) {
+        let Some(to) = view.machines.get(id).and_then(|m| m.rec.want) else {
+            return;
+        };
+        let names = self.image_names(ctx, id);
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        if machine.putting || view.revision < machine.put_from || to == self.id {
+            return;
+        }
+        let free = machine.tasks.is_empty()
+            && machine.exited.is_empty()
+            && machine.orphans.is_empty()
+            && !machine.calling
+            && !machine.unanswered
+            && machine.condemned.is_none()
+            && machine.is_confirmed();
+        let floor = machine.token;
+        if free || machine.leaving.is_some() {
+            machine.leaving = Some(machine.version);
+            self.put_machine(ctx, view, id, |rec| {
+                rec.share = to;
+                rec.want = None;
+                rec.floor = floor;
+                rec.images = names;
+            });
+        } else {
+            self.put_machine(ctx, view, id, |rec| rec.want = None);
         }
     }
 
@@ -522,37 +551,34 @@
                 machine.tasks.len()
             );
             machine.condemned = Some(why.to_owned());
+            self.look.touch(id);
         }
     }
 
-    /// Writes which machines are given up, until the records say so, and
-    /// takes away from them what was never sent there.
-    pub(crate) fn record_condemned(&mut self, ctx: &mut Ctx, view: &View) {
-        let condemned: Vec<(MachineId, String)> = self
-            .machines
-            .values()
-            .filter_map(|m| Some((m.id.clone(), m.condemned.clone()?)))
-            .collect();
-        for (id, why) in condemned {
-            let tasks: Vec<TaskRef> = self.machines[&id].tasks.iter().cloned().collect();
-            for task in tasks {
-                let binding = self
-                    .jobs
-                    .get_mut(&task.job)
-                    .and_then(|j| j.bound.get_mut(&task.index));
-                if let Some(binding) = binding.filter(|b| b.sent == Sent::No) {
-                    binding.stop = Some(Stop::after(0.0));
-                    self.drop_unsent(&task.job);
-                }
-            }
-            let recorded = view
-                .machines
-                .get(&id)
-                .is_none_or(|m| m.rec.condemned.is_some());
-            if !recorded {
-                self.put_machine(ctx, view, &id, |rec| rec.condemned = Some(why));
+    /// Writes that a machine is given up, until the record says so, and takes
+    /// away from it what was never sent there.
+    pub(crate) fn record_condemned(&mut self, ctx: &mut Ctx, view: &View, id: &MachineId) {
+        let Some(machine) = self.machines.get(id) else {
+            return;
+        };
+        let Some(why) = machine.condemned.clone() else {
+            return;
+        };
+        let tasks: Vec<TaskRef> = machine.tasks.iter().cloned().collect();
+        for task in tasks {
+            let binding = self
+                .jobs
+                .get_mut(&task.job)
+                .and_then(|j| j.bound.get_mut(&task.index));
+            if let Some(binding) = binding.filter(|b| b.sent == Sent::No) {
+                binding.stop = Some(Stop::after(0.0));
+                self.drop_unsent(&task.job);
             }
         }
+        let recorded = view.machines.get(id);
+        if recorded.is_some_and(|m| m.rec.condemned.is_none()) {
+            self.put_machine(ctx, view, id, |rec| rec.condemned = Some(why));
+        }
     }
 
     /// Says at debug level what every task that is not running waits for.
@@ -629,6 +655,7 @@
         let stop = Stop::after(job.spec.save_s);
         if let Some(binding) = job.bound.get_mut(&task.index) {
             binding.stop = Some(stop);
+            self.look.touch(&binding.machine);
         }
     }
 
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -4,7 +4,7 @@
 use crate::Ms;
 use rand::rngs::StdRng;
 use rand::Rng;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Requests and changes, in a second.
 #[derive(Clone, Copy, Default, PartialEq, Debug)]
@@ -129,9 +129,19 @@
     pub(crate) pending: Pending,
 }
 
+/// A call's place in the queue.
+type Place = (Urgency, u64);
+
 /// The queue in front of the state service.
 pub(crate) struct Store {
-    queue: BTreeMap<(Urgency, u64), StateCall>,
+    /// Calls that change nothing, and those that do, each in order: while no
+    /// change may be made, only the former need to be looked at.
+    reads: BTreeMap<Place, StateCall>,
+    changes: BTreeMap<Place, StateCall>,
+    /// When which call is of no use any more.
+    expiries: BTreeSet<(Ms, Place)>,
+    /// Changes that wait.
+    writes_queued: usize,
     next: u64,
     requests: Bucket,
     writes: Bucket,
@@ -152,7 +162,10 @@
 impl Store {
     pub(crate) fn new(rps: f64, write_rps: f64) -> Self {
         Self {
-            queue: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            changes: BTreeMap::new(),
+            expiries: BTreeSet::new(),
+            writes_queued: 0,
             next: 0,
             requests: Bucket::new(rps),
             writes: Bucket::new(write_rps),
@@ -175,15 +188,41 @@
         let sent = std::mem::take(&mut self.sent).times(1.0 / seconds);
         self.sent_since = now;
         let waits = Use {
-            requests: self.queue.len() as f64,
-            writes: self.queue.values().map(|c| c.writes as f64).sum(),
+            requests: self.len() as f64,
+            writes: self.writes_queued as f64,
         };
         sent.plus(&waits)
     }
 
     pub(crate) fn push(&mut self, urgency: Urgency, call: StateCall) {
         self.next += 1;
-        self.queue.insert((urgency, self.next), call);
+        let place = (urgency, self.next);
+        self.expiries.insert((call.expires, place));
+        self.writes_queued += call.writes;
+        let queue = if call.writes > 0 {
+            &mut self.changes
+        } else {
+            &mut self.reads
+        };
+        queue.insert(place, call);
+    }
+
+    fn remove(&mut self, place: &Place) -> Option<StateCall> {
+        let call = self.reads.remove(place);
+        let call = call.or_else(|| self.changes.remove(place))?;
+        self.expiries.remove(&(call.expires, *place));
+        self.writes_queued -= call.writes;
+        Some(call)
+    }
+
+    /// The first call at or behind a place, leaving changes out or not.
+    fn first(&self, from: Place, with_changes: bool) -> Option<Place> {
+        let read = self.reads.range(from..).next().map(|(p, _)| *p);
+        let change = self.changes.range(from..).next().map(|(p, _)| *p);
+        match (read, change.filter(|_| with_changes)) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        }
     }
 
     /// Whether the service refuses us.
@@ -192,7 +231,7 @@
     }
 
     pub(crate) fn len(&self) -> usize {
-        self.queue.len()
+        self.reads.len() + self.changes.len()
     }
 
     /// Learns from a status how the service is.
@@ -217,49 +256,54 @@
         }
     }
 
-    /// Calls that may go out now, and calls that waited too long.
+    /// Calls that may go out now, and calls that waited too long. What may
+    /// not go out is not walked over: the queue is long when many machines
+    /// start or end at once.
     pub(crate) fn due(&mut self, now: Ms) -> (Vec<StateCall>, Vec<StateCall>) {
         self.requests.refill(now);
         self.writes.refill(now);
         let mut go = Vec::new();
         let mut late = Vec::new();
-        let mut writes_blocked = false;
-        let keys: Vec<(Urgency, u64)> = self.queue.keys().copied().collect();
-        for key in keys {
-            let Some(call) = self.queue.get(&key) else {
-                continue;
-            };
-            if self.out && key.0 == Urgency::User {
-                late.extend(self.queue.remove(&key));
+        let mut changes = true;
+        let mut from = (Urgency::Member, 0);
+        while let Some(place) = self.first(from, changes) {
+            from = (place.0, place.1 + 1);
+            if self.out && place.0 == Urgency::User {
+                late.extend(self.remove(&place));
                 continue;
             }
-            let member = key.0 == Urgency::Member;
-            let blocked =
-                !member && (now < self.pause_until || (call.writes > 0 && writes_blocked));
-            let ready = !blocked && {
-                let n = call.writes as f64;
-                if n > 0.0 && !self.writes.take(n, member) {
-                    writes_blocked = true;
-                    false
-                } else if self.requests.take(1.0, member) {
-                    true
-                } else {
-                    // The writes were not made after all.
-                    self.writes.take(-n, true);
-                    writes_blocked = true;
-                    false
+            let member = place.0 == Urgency::Member;
+            if !member && now < self.pause_until {
+                if !self.out || place.0 > Urgency::User {
+                    break;
                 }
-            };
-            if ready {
+                continue;
+            }
+            let n = self.changes.get(&place).map_or(0, |c| c.writes) as f64;
+            if n > 0.0 && !self.writes.take(n, member) {
+                // The order of changes is kept: none goes before this one.
+                changes = false;
+                continue;
+            }
+            if !self.requests.take(1.0, member) {
+                // The writes were not made after all.
+                self.writes.take(-n, true);
+                break;
+            }
+            if let Some(call) = self.remove(&place) {
                 let sent = Use {
                     requests: 1.0,
-                    writes: call.writes as f64,
+                    writes: n,
                 };
                 self.sent = self.sent.plus(&sent);
-                go.extend(self.queue.remove(&key));
-            } else if now >= call.expires {
-                late.extend(self.queue.remove(&key));
+                go.push(call);
+            }
+        }
+        while let Some((at, place)) = self.expiries.first().copied() {
+            if at > now {
+                break;
             }
+            late.extend(self.remove(&place));
         }
         (go, late)
     }
--- a/crates/core/src/tend.rs
+++ b/crates/core/src/tend.rs
@@ -1,10 +1,13 @@
 //! What a holder does for its share between the messages.
 
 use crate::ctx::Ctx;
+use crate::job::{Sent, Stop};
+use crate::machine::Machine;
 use crate::share::Share;
 use crate::view::View;
+use crate::Ms;
 use forkshift_sched::Resources;
-use forkshift_wire::{JobId, MachineId};
+use forkshift_wire::{MachineId, TaskRef};
 use std::fmt;
 
 /// A machine that may hold a task of a cancelled job is given up after this
@@ -13,6 +16,8 @@
 /// Jobs that failed on a machine, none of which ran there since, before the
 /// machine is given up.
 const ERRORS_MOST: usize = 2;
+/// Looks a report at a machine about which something is under way.
+const BUSY_LOOKS: Ms = 8;
 
 /// Where the price of a share's machines goes, an hour.
 #[derive(Default)]
@@ -73,32 +78,30 @@
     }
 
     pub(crate) fn tend(&mut self, ctx: &mut Ctx, view: &View) {
-        self.stop_cancelled();
         self.stop_broken_gangs();
-        self.note_addresses(ctx, view);
-        self.give_up(ctx, view);
-        self.give_away(ctx, view);
+        self.follow_cancelled(ctx);
         self.round(ctx, view);
+        for id in self.look.take(ctx.now) {
+            self.look_at(ctx, view, &id);
+        }
         let progress = ctx.now >= self.next_progress;
         if progress {
             self.next_progress = ctx.now + crate::ms(ctx.cfg.ops.round_s);
         }
         self.flush(ctx, view, progress);
-        self.send_orders(ctx);
     }
 
     /// A gang that has lost a task, also one that an earlier holder knew of,
     /// begins anew when the rest is gone.
     fn stop_broken_gangs(&mut self) {
-        let broken: Vec<JobId> = self
-            .jobs
-            .iter()
-            .filter(|(_, j)| j.is_gang() && !j.bound.is_empty())
-            .filter(|(_, j)| (j.bound.len() as u32) + j.done.len() < j.spec.tasks)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in broken {
-            self.gang_broken(&id);
+        for id in std::mem::take(&mut self.broken) {
+            let broken = self.jobs.get(&id).is_some_and(|j| {
+                let there = j.bound.len() as u32;
+                there > 0 && there + j.done.len() < j.spec.tasks
+            });
+            if broken {
+                self.gang_broken(&id);
+            }
         }
     }
 
@@ -112,54 +115,126 @@
         !calling && !writing
     }
 
-    fn note_addresses(&mut self, ctx: &mut Ctx, view: &View) {
-        let new: Vec<(MachineId, String)> = self
-            .machines
-            .values()
-            .filter(|m| !m.putting && m.condemned.is_none() && m.heard.is_some())
-            .filter(|m| {
-                view.machines
-                    .get(&m.id)
-                    .is_some_and(|r| r.rec.addr.is_none())
-            })
-            .filter_map(|m| m.addr.clone().map(|a| (m.id.clone(), a)))
-            .collect();
-        for (id, addr) in new {
-            self.put_machine(ctx, view, &id, |rec| rec.addr = Some(addr));
+    /// Stops tasks of cancelled jobs, those too that a holder before us did
+    /// not stop, and gives up the machines that may still hold one when the
+    /// time is nearly up.
+    fn follow_cancelled(&mut self, ctx: &Ctx) {
+        let late = (ctx.cfg.cancel_ms as f64 * CANCEL_PART) as Ms;
+        for id in self.cancels.take(ctx.now) {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            let due = job.cancelled_at + late;
+            let mut holding = Vec::new();
+            for binding in job.bound.values_mut() {
+                binding.stop.get_or_insert(Stop::after(0.0));
+                self.look.touch(&binding.machine);
+                holding.push(binding.machine.clone());
+            }
+            if ctx.now >= due {
+                for machine in holding {
+                    self.condemn(&machine, "it may hold a cancelled task");
+                }
+            }
+            let next = ctx.now + ctx.cfg.report_ms;
+            self.cancels.wake(&id, if next < due { due } else { next });
         }
     }
 
-    /// Gives up machines that are silent, deaf, faulty, taken or of no use.
-    fn give_up(&mut self, ctx: &mut Ctx, view: &View) {
-        let silent = ctx.silent_ms();
-        let mut give_up: Vec<(MachineId, &str)> = Vec::new();
-        for m in self.machines.values().filter(|m| m.condemned.is_none()) {
-            let known = m.addr.is_some() || m.heard.is_some();
-            let last = m.heard.unwrap_or(0).max(self.active_since).max(m.since);
-            let quiet = ctx.now.saturating_sub(last);
-            let taken = m
-                .taken_at
-                .is_some_and(|t| ctx.now > t + ctx.cfg.report_ms * 2);
-            if known && quiet > silent {
-                give_up.push((m.id.clone(), "it is silent"));
-            } else if taken && quiet > ctx.cfg.report_ms * 2 {
-                give_up.push((m.id.clone(), "it was taken"));
-            } else if m.unechoed_since.is_some_and(|t| ctx.now > t + silent * 2) {
-                give_up.push((m.id.clone(), "our answers do not reach it"));
-            } else if m.errors.len() >= ERRORS_MOST {
-                give_up.push((m.id.clone(), "it fails what it starts"));
-            }
+    /// Does for a machine what is due: gives it up, has its record written,
+    /// sends it orders. Then it is left alone until something happens to it
+    /// or one of its deadlines comes.
+    fn look_at(&mut self, ctx: &mut Ctx, view: &View, id: &MachineId) {
+        let Some(machine) = self.machines.get(id) else {
+            return;
+        };
+        ctx.visits += 1;
+        if let Err(why) = verdict(ctx, machine) {
+            self.condemn(id, why);
         }
-        let late = (ctx.cfg.cancel_ms as f64 * CANCEL_PART) as u64;
-        for id in self.holding_cancelled(ctx.now, late) {
-            give_up.push((id, "it may hold a cancelled task"));
-        }
-        for id in self.surplus(ctx) {
-            give_up.push((id, "it is not needed"));
+        self.record_condemned(ctx, view, id);
+        self.note_address(ctx, view, id);
+        self.give_away(ctx, view, id);
+        self.send_to(ctx, id);
+        let Some(machine) = self.machines.get(id) else {
+            return;
+        };
+        let deadline = verdict(ctx, machine).unwrap_or(Ms::MAX);
+        let again = if self.is_busy(view, machine) {
+            let soon = ctx.now + (ctx.cfg.report_ms / BUSY_LOOKS).max(1);
+            soon.max(machine.retry_at)
+        } else {
+            ctx.now + ctx.cfg.lease_ms
+        };
+        self.look.wake(id, again.min(deadline).max(ctx.now + 1));
+    }
+
+    /// Whether something about a machine is under way that no message may
+    /// bring back to mind.
+    fn is_busy(&self, view: &View, m: &Machine) -> bool {
+        let record = view.machines.get(&m.id).map(|r| &r.rec);
+        let unwritten = record.is_some_and(|r| {
+            let condemned = m.condemned.is_some() && r.condemned.is_none();
+            let addr = m.heard.is_some() && r.addr.is_none() && m.condemned.is_none();
+            condemned || addr || r.want.is_some()
+        });
+        let stopping = |t: &TaskRef| {
+            let binding = self.jobs.get(&t.job).and_then(|j| j.bound.get(&t.index));
+            binding.is_some_and(|b| b.stop.is_some() || b.sent == Sent::No)
+        };
+        unwritten
+            || m.push
+            || !m.exited.is_empty()
+            || !m.orphans.is_empty()
+            || m.tasks.iter().any(stopping)
+    }
+
+    fn note_address(&mut self, ctx: &mut Ctx, view: &View, id: &MachineId) {
+        let Some(m) = self.machines.get(id) else {
+            return;
+        };
+        let record = view.machines.get(id);
+        let lacking = record.is_some_and(|r| r.rec.addr.is_none());
+        let addr = m.addr.clone().filter(|_| m.heard.is_some());
+        if let Some(addr) = addr.filter(|_| lacking && m.condemned.is_none()) {
+            self.put_machine(ctx, view, id, |rec| rec.addr = Some(addr));
         }
-        for (id, why) in give_up {
-            self.condemn(&id, why);
+    }
+}
+
+/// Until when a machine is kept if nothing happens to it, or why it is given
+/// up: it is silent, deaf, faulty, taken or of no use.
+fn verdict(ctx: &Ctx, m: &Machine) -> Result<Ms, &'static str> {
+    if m.condemned.is_some() {
+        return Ok(Ms::MAX);
+    }
+    if m.errors.len() >= ERRORS_MOST {
+        return Err("it fails what it starts");
+    }
+    let silent = ctx.silent_ms();
+    let last = m.heard.unwrap_or(0).max(m.since);
+    let keep = (m.boot_ms as f64 * ctx.cfg.ops.idle_boots) as Ms;
+    let known = m.addr.is_some() || m.heard.is_some();
+    let gone = ctx.cfg.report_ms * 2;
+    let ends = [
+        (known.then_some(last + silent), "it is silent"),
+        (m.taken_at.map(|t| t.max(last) + gone), "it was taken"),
+        (
+            m.unechoed_since.map(|t| t + silent * 2),
+            "our answers do not reach it",
+        ),
+        (
+            m.idle_since.map(|t| (t + keep).saturating_sub(1)),
+            "it is not needed",
+        ),
+    ];
+    let mut next = Ms::MAX;
+    for (end, why) in ends {
+        match end {
+            Some(end) if ctx.now > end => return Err(why),
+            Some(end) => next = next.min(end + 1),
+            None => {}
         }
-        self.record_condemned(ctx, view);
     }
+    Ok(next)
 }
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -31,6 +31,17 @@
     pub(crate) types: BTreeMap<String, Stamped<MachineType>>,
     pub(crate) demands: BTreeMap<ShareId, Stamped<DemandRec>>,
     pub(crate) aborts: BTreeMap<JobId, u64>,
+    /// Machines that are given up.
+    pub(crate) condemned: BTreeSet<MachineId>,
+    changed: Changed,
+}
+
+/// Which machines' records changed since this was last asked for.
+#[derive(Default)]
+pub(crate) struct Changed {
+    /// Perhaps all of them.
+    pub(crate) all: bool,
+    pub(crate) machines: BTreeSet<MachineId>,
 }
 
 fn decode<T: DeserializeOwned>(key: &str, value: Value, version: u64) -> Option<Stamped<T>> {
@@ -49,6 +60,10 @@
         *self = Self {
             revision,
             ready: true,
+            changed: Changed {
+                all: true,
+                ..Changed::default()
+            },
             ..Self::default()
         };
         for item in items {
@@ -102,9 +117,17 @@
         }
         match kind {
             "node" => set(&mut self.nodes, NodeName::new(name), key, value, v),
-            "machine" => set(&mut self.machines, MachineId::new(name), key, value, v),
+            "machine" => {
+                let id = MachineId::new(name);
+                set(&mut self.machines, id.clone(), key, value, v);
+                self.machine_changed(id);
+            }
             "charter" => set(&mut self.charters, name.to_owned(), key, value, v),
-            "rig" => set(&mut self.types, name.to_owned(), key, value, v),
+            "rig" => {
+                // What a machine has is known by its type.
+                self.changed.all = true;
+                set(&mut self.types, name.to_owned(), key, value, v);
+            }
             "abort" => {
                 self.aborts.insert(JobId::new(name), v);
             }
@@ -133,7 +156,11 @@
         };
         match kind {
             "node" => drop(self.nodes.remove(&NodeName::new(name))),
-            "machine" => drop(self.machines.remove(&MachineId::new(name))),
+            "machine" => {
+                let id = MachineId::new(name);
+                self.machines.remove(&id);
+                self.machine_changed(id);
+            }
             "charter" => drop(self.charters.remove(name)),
             "rig" => drop(self.types.remove(name)),
             "abort" => drop(self.aborts.remove(&JobId::new(name))),
@@ -143,6 +170,21 @@
         }
     }
 
+    fn machine_changed(&mut self, id: MachineId) {
+        let record = self.machines.get(&id);
+        if record.is_some_and(|m| m.rec.condemned.is_some()) {
+            self.condemned.insert(id.clone());
+        } else {
+            self.condemned.remove(&id);
+        }
+        self.changed.machines.insert(id);
+    }
+
+    /// What changed since this was last asked for.
+    pub(crate) fn take_changed(&mut self) -> Changed {
+        std::mem::take(&mut self.changed)
+    }
+
     /// Version of the epoch counter, and its value.
     pub(crate) fn epoch(&self) -> (u64, u64) {
         self.epoch.as_ref().map_or((0, 0), |e| (e.version, e.rec))
--- a/crates/testkit/src/cloud.rs
+++ b/crates/testkit/src/cloud.rs
@@ -1,7 +1,7 @@
 //! A stand-in for the cloud.
 
 use crate::Ms;
-use forkshift_wire::cloud::{Machines, Rent};
+use forkshift_wire::cloud::{Machines, Rent, LIST_MOST};
 use forkshift_wire::MachineId;
 use rand::rngs::StdRng;
 use rand::Rng;
@@ -23,7 +23,7 @@
     pub(crate) machines: BTreeMap<MachineId, Rented>,
     requests: BTreeMap<String, Vec<MachineId>>,
     next: u32,
-    lists: VecDeque<(Ms, Value)>,
+    lists: VecDeque<(Ms, BTreeMap<String, Value>)>,
     pub(crate) down: bool,
     /// Machines of each zone and kind.
     pub(crate) capacity: u32,
@@ -59,7 +59,8 @@
         if self.down {
             return (503, json!({"error": "trouble"}));
         }
-        match path.split('?').next().unwrap_or_default() {
+        let (bare, query) = path.split_once('?').unwrap_or((path, ""));
+        match bare {
             "/catalog" => (200, catalog()),
             "/machines/delete" => {
                 let names: Machines = serde_json::from_slice(body).unwrap_or_default();
@@ -75,8 +76,19 @@
             "/machines" => {
                 let lag = rng.random_range(LIST_LAG / 2..LIST_LAG * 2);
                 let old = self.lists.iter().rev().find(|(t, _)| t + lag <= now);
-                let list = old.map_or(json!([]), |(_, l)| l.clone());
-                (200, json!({"berths": list, "has_next": false}))
+                let from = query.split('&').find_map(|q| q.strip_prefix("from="));
+                let from = from.unwrap_or_default();
+                let all = old.map(|(_, l)| l).into_iter().flatten();
+                let mut rest = all.filter(|(id, _)| id.as_str() > from);
+                let page: Vec<&Value> = rest
+                    .by_ref()
+                    .take(LIST_MOST as usize)
+                    .map(|(_, m)| m)
+                    .collect();
+                (
+                    200,
+                    json!({"berths": page, "has_next": rest.next().is_some()}),
+                )
             }
             _ => (400, json!({})),
         }
@@ -135,7 +147,7 @@
         if self.lists.back().is_some_and(|(t, _)| t + 500 > now) {
             return;
         }
-        let list: Vec<Value> = self
+        let list = self
             .machines
             .iter()
             .map(|(id, m)| {
@@ -144,11 +156,12 @@
                     (_, true) => "running",
                     _ => "booting",
                 };
-                json!({"uid": id, "addr": id.as_str(), "rig": m.machine_type, "yard": m.zone,
-                       "loaner": m.spot, "stage": stage, "held_s": (now - m.rented) as f64 / 1000.0})
+                let listed = json!({"uid": id, "addr": id.as_str(), "rig": m.machine_type, "yard": m.zone,
+                       "loaner": m.spot, "stage": stage, "held_s": (now - m.rented) as f64 / 1000.0});
+                (id.to_string(), listed)
             })
             .collect();
-        self.lists.push_back((now, json!(list)));
+        self.lists.push_back((now, list));
         while self.lists.len() > 40 {
             self.lists.pop_front();
         }
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -19,8 +19,6 @@
 const STEP: Ms = 10;
 /// A controller that nothing wakes looks at the clock this often.
 const IDLE: Ms = 50;
-const REPORT_MS: Ms = 1_000;
-const LEASE_MS: Ms = 10_000;
 /// Time of day when the world begins.
 const WALL_OFF: Ms = 1_000_000;
 const CANCEL_MS: Ms = 35_000;
@@ -39,6 +37,16 @@
     pub rps: f64,
     /// Changes a second that it takes.
     pub write_rps: f64,
+    /// Requests a second that the cloud takes.
+    pub cloud_rps: f64,
+    /// CPUs and GPUs that each team is guaranteed.
+    pub guarantee: (f64, f64),
+    /// CPUs and GPUs that each team may use.
+    pub limit: (f64, f64),
+    /// Between two reports of a worker.
+    pub report_ms: Ms,
+    /// Lease of a worker.
+    pub lease_ms: Ms,
 }
 
 impl Default for Size {
@@ -49,6 +57,45 @@
             capacity: 5,
             rps: 200.0,
             write_rps: 80.0,
+            cloud_rps: 5.0,
+            guarantee: (16.0, 8.0),
+            limit: (96.0, 24.0),
+            report_ms: 1_000,
+            lease_ms: 10_000,
+        }
+    }
+}
+
+impl Size {
+    /// Five controllers and some 1,860 machines.
+    pub fn five_by_1860() -> Self {
+        Self {
+            nodes: 5,
+            teams: 5,
+            capacity: 300,
+            rps: 700.0,
+            write_rps: 250.0,
+            cloud_rps: 8.0,
+            guarantee: (5_000.0, 1_000.0),
+            limit: (20_000.0, 4_000.0),
+            report_ms: 5_000,
+            lease_ms: 24_000,
+        }
+    }
+
+    /// Seven controllers, sixteen teams and some 810 machines.
+    pub fn seven_by_810() -> Self {
+        Self {
+            nodes: 7,
+            teams: 16,
+            capacity: 130,
+            rps: 300.0,
+            write_rps: 100.0,
+            cloud_rps: 4.0,
+            guarantee: (500.0, 250.0),
+            limit: (2_000.0, 900.0),
+            report_ms: 2_000,
+            lease_ms: 13_000,
         }
     }
 }
@@ -60,8 +107,15 @@
         teams,
         rps,
         write_rps,
+        cloud_rps,
+        guarantee: (cpus, gpus),
+        limit: (cpus_max, gpus_max),
+        report_ms,
+        lease_ms,
         ..
     } = size;
+    let seconds = |ms: &Ms| *ms as f64 / 1000.0;
+    let (report_s, lease_s) = (seconds(report_ms), seconds(lease_ms));
     let peers: String = (0..*nodes)
         .filter(|n| *n != node)
         .map(|n| {
@@ -69,16 +123,16 @@
         })
         .collect();
     let teams: String = (0..*teams)
-        .map(|t| format!("[[cluster.teams]]\nname = \"team-{t}\"\ngpus = 8.0\ngpus_max = 24.0\ncpus = 16.0\ncpus_max = 96.0\n"))
+        .map(|t| format!("[[cluster.teams]]\nname = \"team-{t}\"\ngpus = {gpus:?}\ngpus_max = {gpus_max:?}\ncpus = {cpus:?}\ncpus_max = {cpus_max:?}\n"))
         .collect();
     format!(
         "host_name = \"berth-{node}\"\ndomain = \"a\"\nbind = \"10.0.0.{0}:8080\"\ncluster_listen = \"10.0.0.{0}:8081\"\n\
          {peers}\n[external]\ncloud = \"10.2.0.2:8443\"\nstate = \"10.2.0.1:2379\"\n\
          [cluster]\ninitial_size = {nodes}\nzones = [\"a\", \"b\", \"c\"]\ntime_bound_ms = 250.0\n{teams}\
          [[cluster.objectives]]\nkind = \"wait\"\nclass = \"serve\"\nwithin_s = 8.0\nshare = 0.9\n\
-         [cluster.workers]\nreport_s = 1.0\nlease_s = 10.0\ngang_wait_s = 20.0\ngang_peer_s = 3.0\ncancel_s = 35.0\n\
+         [cluster.workers]\nreport_s = {report_s:?}\nlease_s = {lease_s:?}\ngang_wait_s = 20.0\ngang_peer_s = 3.0\ncancel_s = 35.0\n\
          [cluster.state]\nrps = {rps:?}\nwrite_rps = {write_rps:?}\nvalue_kb = 8.0\ntxn_ops = 12\n\
-         [cluster.cloud]\nrps = 5.0\nlist_lag_s = 4.0\n\
+         [cluster.cloud]\nrps = {cloud_rps:?}\nlist_lag_s = 4.0\n\
          [cluster.limits]\ncpu = 0.12\nmem_mb = 40.0\nsockets = 600\n",
         node + 1
     )
@@ -265,6 +319,7 @@
     outage_until: Ms,
     starts: u64,
     gangs: BTreeMap<(JobId, u64), Ms>,
+    most_machines: usize,
     /// Watches what truly happens.
     pub check: Checker,
 }
@@ -278,7 +333,7 @@
     /// A world of any size.
     pub fn sized(seed: u64, plans: Vec<Plan>, faults: Vec<Fault>, size: Size) -> Self {
         let limits = (0..size.teams)
-            .map(|t| (format!("team-{t}"), (96.0, 24.0)))
+            .map(|t| (format!("team-{t}"), size.limit))
             .collect();
         let mut world = Self {
             now: 0,
@@ -309,6 +364,7 @@
             outage_until: 0,
             starts: 0,
             gangs: BTreeMap::new(),
+            most_machines: 0,
             check: Checker::new(limits, CANCEL_MS),
         };
         for n in 0..size.nodes {
@@ -398,7 +454,7 @@
                     origin: Origin::Nobody,
                     ..message.clone()
                 };
-                let late = self.now + self.rng.random_range(1_000..LEASE_MS * 4);
+                let late = self.now + self.rng.random_range(1_000..self.size.lease_ms * 4);
                 self.at(late, Event::Arrive(copy));
             }
         }
@@ -454,6 +510,7 @@
         }
         self.cloud.tick(self.now);
         self.boot();
+        self.most_machines = self.most_machines.max(self.workers.len());
         self.tick_workers();
         self.tick_gangs();
         self.tick_users();
@@ -602,7 +659,7 @@
                 now,
                 truths: &self.truths,
                 check: &mut self.check,
-                lease_ms: LEASE_MS,
+                lease_ms: self.size.lease_ms,
             };
             w.tick(&mut around);
             if w.open.is_some_and(|(_, _, sent)| now >= sent + 4_000) {
@@ -613,7 +670,7 @@
             if w.open.is_none() && now >= w.next_report {
                 let report = w.report(now);
                 w.open = Some((report.seq, report.session, now));
-                w.next_report = now + REPORT_MS;
+                w.next_report = now + self.size.report_ms;
                 let body = serde_json::to_vec(&report).unwrap_or_default();
                 reports.push(Message {
                     origin: Origin::Worker {
@@ -687,7 +744,7 @@
                     now: self.now,
                     truths: &self.truths,
                     check: &mut self.check,
-                    lease_ms: LEASE_MS,
+                    lease_ms: self.size.lease_ms,
                 };
                 if cause == ExitCause::Done {
                     around.check.completed(task);
@@ -785,7 +842,7 @@
                     now,
                     truths: &self.truths,
                     check: &mut self.check,
-                    lease_ms: LEASE_MS,
+                    lease_ms: self.size.lease_ms,
                 };
                 let (status, body) = w.commands(&mut around, &m.body);
                 self.reply(&m.dest, m.origin, status, body);
@@ -837,7 +894,7 @@
                     now,
                     truths: &self.truths,
                     check: &mut self.check,
-                    lease_ms: LEASE_MS,
+                    lease_ms: self.size.lease_ms,
                 };
                 w.replied(&mut around, reply.token, &reply.orders);
                 return;
@@ -1021,6 +1078,11 @@
         left
     }
 
+    /// Most machines that were up at a time.
+    pub fn most_machines(&self) -> usize {
+        self.most_machines
+    }
+
     /// Puts and deletes that the state service has carried out.
     pub fn writes(&self) -> u64 {
         self.state.writes
--- a/crates/testkit/tests/days.rs
+++ b/crates/testkit/tests/days.rs
@@ -246,6 +246,7 @@
         capacity: 20,
         rps: 80.0,
         write_rps: 30.0,
+        ..Size::default()
     };
     let mut rng = StdRng::seed_from_u64(700);
     let plans = random_plans(&mut rng, 90).into_iter().map(|mut plan| {
@@ -281,6 +282,7 @@
         capacity: 200,
         rps: 80.0,
         write_rps: 30.0,
+        ..Size::default()
     };
     let mut rng = StdRng::seed_from_u64(701);
     let plans = (0..60).map(|n| {
--- /dev/null
+++ b/crates/testkit/tests/fleet.rs
@@ -0,0 +1,91 @@
+//! Days of large fleets in virtual time: as many machines as half again what
+//! the largest deployments have, fixed seeds, the rule checker on.
+
+use forkshift_testkit::{Fault, FaultKind, Plan, Size, World};
+use forkshift_wire::users::{JobKind, Priority};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Services that fill most of the fleet at the start, and arrays and gangs
+/// that come all the time.
+fn plans(seed: u64, size: &Size, services: u32, others: u32) -> Vec<Plan> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut plans = Vec::new();
+    for n in 0..services + others {
+        let service = n < services;
+        let at = if service {
+            rng.random_range(1_000..4_000)
+        } else {
+            rng.random_range(30_000..80_000)
+        };
+        let mut plan = Plan::random(&mut rng, n, at);
+        plan.spec.team = format!("team-{}", n as usize % size.teams);
+        if service {
+            plan.spec.kind = JobKind::Service;
+            plan.spec.class = "serve".to_owned();
+            plan.spec.priority = Priority::Production;
+            plan.spec.tasks = rng.random_range(2..12);
+            plan.spec.gpus = if n % 5 == 0 { 4.0 } else { 0.0 };
+            plan.spec.cpus = 6.0;
+            plan.spec.types = None;
+            plan.spec.zone = None;
+            plan.spec.one_zone = false;
+            plan.spec.spread = true;
+            plan.spec.spot = false;
+            plan.cancel_at = (n % 3 == 0).then(|| rng.random_range(60_000..100_000));
+        } else if plan.spec.kind == JobKind::Array {
+            plan.spec.tasks = rng.random_range(20..120);
+        }
+        plans.push(plan);
+    }
+    plans
+}
+
+fn play(
+    name: &str,
+    size: Size,
+    (services, others): (u32, u32),
+    machines: usize,
+    faults: Vec<Fault>,
+    end: u64,
+) {
+    let plans = plans(size.nodes as u64, &size, services, others);
+    let mut world = World::sized(size.nodes as u64, plans, faults, size);
+    world.run_until(end);
+    assert_eq!(world.check.broken, vec![], "{name}: rules broken");
+    assert_eq!(world.unserved(), Vec::<String>::new(), "{name}: unserved");
+    let peak = world.most_machines();
+    assert!(peak >= machines, "{name}: {peak} machines");
+    let most = (size.write_rps * end as f64 / 1000.0) as u64;
+    assert!(world.writes() < most, "{name}: {} writes", world.writes());
+}
+
+fn crash(at: u64, node: usize, count: usize, back: u64) -> Fault {
+    let kind = FaultKind::Crash { node, count, back };
+    Fault { at, kind }
+}
+
+#[test]
+fn five_controllers_with_1860_machines_take_over() {
+    let faults = vec![
+        crash(70_000, 0, 4, 3_000),
+        Fault {
+            at: 100_000,
+            kind: FaultKind::Outage(15_000),
+        },
+        crash(108_000, 0, 5, 300),
+    ];
+    let size = Size::five_by_1860();
+    play("five", size, (900, 120), 1_500, faults, 200_000);
+}
+
+#[test]
+fn seven_controllers_with_810_machines_take_over() {
+    let faults = vec![
+        crash(70_000, 1, 6, 6_000),
+        crash(100_000, 0, 7, 50),
+        crash(101_000, 0, 7, 6_000),
+    ];
+    let size = Size::seven_by_810();
+    play("seven", size, (420, 80), 650, faults, 200_000);
+}
