Connections need not be one a worker; calls to workers are bounded

Cause, from reading and sums: incoming connections were held to 0.6 of the sockets (1,174 of 1,957) and each worker kept one; calls to workers at a takeover were unbounded and each left a connection idle for 20 s. One surviving controller with 1,860 workers would have run out. Beyond 0.3 of the sockets a connection is closed behind its answer; on a full table the one idle for longest makes room. Calls under way to workers are held to 0.15, idle connections to 0.1 of the sockets. An answer that is too long ends the call as 413, and what was watched is read again in pages: the same watch would have failed for ever.

--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -89,10 +89,16 @@
     pub cloud_rps: f64,
     /// Lag of the cloud's machine list.
     pub list_lag_ms: Ms,
+    /// Calls to workers that may be under way at a time.
+    pub calls_most: usize,
     /// The operators' own settings.
     pub ops: Operator,
 }
 
+/// The part of the sockets that calls to workers may take at a time: whoever
+/// takes over tells its token to a whole fleet at once.
+const CALLS_PART: f64 = 0.15;
+
 impl Config {
     /// Takes over settings that were checked.
     pub fn new(settings: &Settings, ops: Operator) -> Self {
@@ -124,6 +130,7 @@
             value_bytes: (c.state.value_kb * 1024.0) as usize,
             cloud_rps: c.cloud.rps,
             list_lag_ms: ms(c.cloud.list_lag_s),
+            calls_most: (c.limits.sockets as f64 * CALLS_PART).max(1.0) as usize,
             ops,
         }
     }
--- a/crates/core/src/ctx.rs
+++ b/crates/core/src/ctx.rs
@@ -283,6 +283,8 @@
     /// Requests that other controllers have passed on: from whom, under which
     /// name, and until when.
     pub(crate) remote: BTreeMap<Token, (NodeName, u64, Ms)>,
+    /// Calls to workers that are under way.
+    pub(crate) worker_calls: usize,
     /// Machines, jobs and tasks looked at: the work of a step, counted.
     pub(crate) visits: u64,
     next_call: CallId,
@@ -308,6 +310,7 @@
             refused: Vec::new(),
             lacking: Vec::new(),
             remote: BTreeMap::new(),
+            worker_calls: 0,
             visits: 0,
             next_call: 0,
             interned: HashMap::new(),
@@ -501,6 +504,7 @@
         timeout: Ms,
         pending: Pending,
     ) -> CallId {
+        self.worker_calls += 1;
         self.call(
             Target::Worker(addr.to_owned()),
             "POST",
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -143,6 +143,9 @@
                 Input::Peer(message) => self.on_peer(&message),
                 Input::Answer { call, status, body } => {
                     if let Some(pending) = self.ctx.pending.remove(&call) {
+                        if matches!(pending, Pending::Commands { .. }) {
+                            self.ctx.worker_calls -= 1;
+                        }
                         if is_state(&pending) {
                             let now = self.ctx.now;
                             let Ctx { store, rng, .. } = &mut self.ctx;
@@ -322,7 +325,9 @@
     fn take_changes(&mut self, status: u16, body: &[u8]) -> bool {
         match serde_json::from_slice::<Changes>(body) {
             Ok(changes) if status == 200 => self.view.apply(changes.events, changes.revision),
-            _ if status == 410 => self.view.ready = false,
+            // Too far behind, or more has changed than an answer may hold: all
+            // is read again, in pages. The same watch would fail for ever.
+            _ if matches!(status, 410 | 413) => self.view.ready = false,
             _ => return false,
         }
         true
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -23,7 +23,9 @@
             return;
         };
         let any = m.push || !m.tasks.is_empty() || !m.exited.is_empty() || !m.orphans.is_empty();
-        if m.calling || m.addr.is_none() || ctx.now < m.retry_at || !any {
+        // What finds no free call is tried again soon: it is busy (`is_busy`).
+        let full = ctx.worker_calls >= ctx.cfg.calls_most;
+        if m.calling || m.addr.is_none() || ctx.now < m.retry_at || !any || full {
             return;
         }
         let mut orders = self.calm_orders(ctx, id);
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -678,7 +678,7 @@
         // Our own writes come back here; a pause lets them come together. Of
         // new jobs we are told by whoever accepted them.
         self.watch_at = self.watch_at.max(ctx.now + WATCH_GAP);
-        if status == 410 {
+        if matches!(status, 410 | 413) {
             self.reload = true;
         }
         let changes: Option<Changes> = serde_json::from_slice(body).ok().filter(|_| status == 200);
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -4,7 +4,9 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use forkshift_core::{Config, Effect, Input, Node, Reply, Target, Token};
-use forkshift_net::{Call, Client, Executor, PeerLink, Request, Response, ServerLimits};
+use forkshift_net::{
+    Call, Client, ClientLimits, Executor, PeerLink, Request, Response, ServerLimits,
+};
 use forkshift_wire::peer::MESSAGE_MOST;
 use forkshift_wire::settings::Settings;
 use forkshift_wire::NodeName;
@@ -31,6 +33,10 @@
 /// The part of the sockets that may be taken from outside; the rest is for
 /// our own calls.
 const INCOMING_PART: f64 = 0.6;
+/// The part beyond which connections from outside are not kept open.
+const ROOMY_PART: f64 = 0.3;
+/// The part that may be kept open to workers and services while idle.
+const IDLE_PART: f64 = 0.1;
 
 type Waiting = Rc<RefCell<HashMap<Token, Sender<Reply>>>>;
 
@@ -43,8 +49,10 @@
     let node = Node::new(config, rng.random_range(1..1 << 52), rng.random());
     let (sender, receiver) = async_channel::unbounded();
     let waiting: Waiting = Rc::default();
+    let sockets = settings.cluster.limits.sockets as f64;
     let limits = ServerLimits {
-        connections: (settings.cluster.limits.sockets as f64 * INCOMING_PART) as usize,
+        connections: (sockets * INCOMING_PART) as usize,
+        roomy: (sockets * ROOMY_PART) as usize,
         body: BODY_MOST,
         idle: IDLE,
         read: READ,
@@ -66,7 +74,12 @@
     let owner = Owner {
         node,
         ex: ex.clone(),
-        client: Rc::new(Client::new(8, Duration::from_secs(20), ANSWER_MOST)),
+        client: Rc::new(Client::new(ClientLimits {
+            per_host: 8,
+            idle: (sockets * IDLE_PART) as usize,
+            keep: Duration::from_secs(20),
+            largest: ANSWER_MOST,
+        })),
         state: settings.services.state,
         cloud: settings.services.cloud,
         links: links.collect(),
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -44,20 +44,31 @@
 /// Keeps connections for reuse.
 pub struct Client {
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
-    per_host: usize,
-    keep: Duration,
-    largest: u64,
+    limits: ClientLimits,
 }
 
+/// What bounds the client.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientLimits {
+    /// Idle connections that are kept to one host.
+    pub per_host: usize,
+    /// Idle connections that are kept in all.
+    pub idle: usize,
+    /// How long they are kept.
+    pub keep: Duration,
+    /// Largest answer, in bytes; a longer one ends the call with `TOO_LONG`.
+    pub largest: u64,
+}
+
+/// The status that stands for an answer that is longer than allowed.
+pub const TOO_LONG: u16 = 413;
+
 impl Client {
-    /// A client that keeps up to `per_host` idle connections to each host for
-    /// `keep`, and takes answers of up to `largest` bytes.
-    pub fn new(per_host: usize, keep: Duration, largest: u64) -> Self {
+    /// A client within such limits.
+    pub fn new(limits: ClientLimits) -> Self {
         Self {
             idle: RefCell::default(),
-            per_host,
-            keep,
-            largest,
+            limits,
         }
     }
 
@@ -82,7 +93,7 @@
 
     /// Closes connections that were not used for a while.
     pub fn sweep(&self) {
-        let keep = self.keep;
+        let keep = self.limits.keep;
         self.idle.borrow_mut().retain(|_, list| {
             list.retain(|idle| idle.since.elapsed() < keep);
             !list.is_empty()
@@ -93,7 +104,7 @@
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(&addr)?;
         while let Some(found) = list.pop() {
-            if found.since.elapsed() < self.keep && found.stream.is_quiet() {
+            if found.since.elapsed() < self.limits.keep && found.stream.is_quiet() {
                 return Some(found.stream);
             }
         }
@@ -123,14 +134,16 @@
         let mut res = async_h1::connect(stream.clone(), req).await?;
         let mut body = Vec::new();
         (&mut res)
-            .take(self.largest + 1)
+            .take(self.limits.largest + 1)
             .read_to_end(&mut body)
             .await?;
-        if body.len() as u64 > self.largest {
-            return Err(http_types::Error::from_str(
-                http_types::StatusCode::PayloadTooLarge,
-                "answer too long",
-            ));
+        if body.len() as u64 > self.limits.largest {
+            // Whoever asked must ask for less: the same again would be as long.
+            log::error!("{} {}: the answer is too long", call.addr, call.path);
+            return Ok(Outcome {
+                status: TOO_LONG,
+                body: Vec::new(),
+            });
         }
         let closing = res
             .header("connection")
@@ -147,8 +160,11 @@
 
     fn put_back(&self, addr: SocketAddr, stream: Option<Stream>) {
         let mut idle = self.idle.borrow_mut();
+        // Thousands of workers are called; most are not called again soon.
+        let all: usize = idle.values().map(Vec::len).sum();
         let list = idle.entry(addr).or_default();
-        if let (Some(stream), true) = (stream, list.len() < self.per_host) {
+        let room = list.len() < self.limits.per_host && all < self.limits.idle;
+        if let (Some(stream), true) = (stream, room) {
             let since = Instant::now();
             list.push(Idle { stream, since });
         }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,7 +7,7 @@
 mod server;
 mod stream;
 
-pub use client::{Call, Client, Outcome};
+pub use client::{Call, Client, ClientLimits, Outcome, TOO_LONG};
 pub use peers::{listen, PeerLink};
 pub use server::{serve, Request, Response, ServerLimits};
 
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -5,7 +5,8 @@
 use async_io::{Async, Timer};
 use futures_lite::{future, AsyncReadExt};
 use http_types::{Body, Method, StatusCode};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::TcpListener;
 use std::rc::Rc;
@@ -38,6 +39,9 @@
 pub struct ServerLimits {
     /// Connections at a time.
     pub connections: usize,
+    /// Beyond this many, a connection is closed behind its answer: there may be
+    /// more workers than sockets, and each reports now and then.
+    pub roomy: usize,
     /// Largest body.
     pub body: usize,
     /// A connection on which nothing moves for this long is closed.
@@ -46,6 +50,36 @@
     pub read: Duration,
 }
 
+/// A connection that has been idle for this long may be closed for another.
+const SPARE_IDLE: Duration = Duration::from_secs(1);
+
+/// A connection, and whether a request on it waits for its answer.
+type Entry = (Stream, Rc<Cell<bool>>);
+
+/// The connections that are open.
+#[derive(Default)]
+struct Table {
+    open: RefCell<BTreeMap<u64, Entry>>,
+    next: Cell<u64>,
+}
+
+impl Table {
+    fn len(&self) -> usize {
+        self.open.borrow().len()
+    }
+
+    /// Closes the connection that has been idle longest, if there is one.
+    fn close_idle(&self) {
+        let open = self.open.borrow();
+        let idle = open.values().filter(|(_, busy)| !busy.get());
+        let idle = idle.map(|(stream, _)| (stream.idle_for(), stream));
+        let oldest = idle.max_by_key(|(time, _)| *time);
+        if let Some((_, stream)) = oldest.filter(|(time, _)| *time >= SPARE_IDLE) {
+            stream.close();
+        }
+    }
+}
+
 /// Serves until the process ends.
 pub async fn serve<F, Fut>(ex: Executor, listener: TcpListener, limits: ServerLimits, handler: F)
 where
@@ -59,12 +93,14 @@
             return;
         }
     };
-    let open = Rc::new(Cell::new(0_usize));
+    let table: Rc<Table> = Rc::default();
     loop {
-        // Connections beyond the limit wait in the backlog, where the load
-        // balancer sees them as not accepted and goes elsewhere.
-        if open.get() >= limits.connections {
-            Timer::after(Duration::from_millis(20)).await;
+        // Nobody is shut out by those who sit idle. Connections beyond the
+        // limit wait in the backlog, where the load balancer sees them as not
+        // accepted and goes elsewhere.
+        if table.len() >= limits.connections {
+            table.close_idle();
+            Timer::after(Duration::from_millis(5)).await;
             continue;
         }
         let stream = match listener.accept().await {
@@ -75,23 +111,40 @@
                 continue;
             }
         };
-        open.set(open.get() + 1);
-        let (open, handler) = (open.clone(), handler.clone());
+        let id = table.next.get();
+        table.next.set(id + 1);
+        let busy = Rc::new(Cell::new(false));
+        let entry = (stream.clone(), busy.clone());
+        table.open.borrow_mut().insert(id, entry);
+        let (table, handler) = (table.clone(), handler.clone());
         ex.spawn(async move {
-            connection(&stream, limits, handler).await;
+            connection(&stream, limits, &table, &busy, handler).await;
             stream.close();
-            open.set(open.get() - 1);
+            table.open.borrow_mut().remove(&id);
         })
         .detach();
     }
 }
 
-async fn connection<F, Fut>(stream: &Stream, limits: ServerLimits, handler: F)
-where
+async fn connection<F, Fut>(
+    stream: &Stream,
+    limits: ServerLimits,
+    table: &Table,
+    busy: &Cell<bool>,
+    handler: F,
+) where
     F: Fn(Request) -> Fut + 'static,
     Fut: Future<Output = Response> + 'static,
 {
-    let endpoint = |req: http_types::Request| answer(req, limits, &handler);
+    let endpoint = |req: http_types::Request| async {
+        busy.set(true);
+        let mut answered = answer(req, limits, &handler).await;
+        busy.set(false);
+        if let (Ok(res), true) = (&mut answered, table.len() > limits.roomy) {
+            res.insert_header("connection", "close");
+        }
+        answered
+    };
     let serving = async_h1::accept(stream.clone(), endpoint);
     let idle = async {
         while stream.idle_for() < limits.idle {
