Silence of many machines: a cut zone is waited for, a blind holder gives up its shares

Now: silence of nearly all machines of a zone means that the zone is cut off; it is waited for until no lease there can be alive. Silence of nearly all machines means that we are cut off: the record of the controller says so and it hands its shares to one that is there. A controller that has lost the state service and a share's holder keeps the leases of that share's workers, without orders. The fleet test also showed that an answer to a request passed on could reach a later start of the asker under the same name: answers name the start.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -414,12 +414,21 @@
             return Reply::json(421, &Redirect::default());
         };
         let k = record.rec.share;
+        let keeps = self.keeps(k);
+        let entitled = self.ctx.entitled || self.holds_on();
         let Node { shares, ctx, .. } = self;
         let Some(share) = shares.get_mut(&k) else {
+            if keeps {
+                let (token, orders) = (report.token, Vec::new());
+                return Reply::json(200, &ReportReply { token, orders });
+            }
             let holder = self.view.holder(k).filter(|n| **n != self.ctx.cfg.node);
             let report_to = holder.map(|n| n.to_string());
             return Reply::json(421, &Redirect { report_to });
         };
+        if !entitled {
+            return Reply::json(421, &Redirect::default());
+        }
         if share.phase != Phase::Active {
             // The share is ours, so the lease may be renewed; what runs there
             // is not known yet.
--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -204,7 +204,10 @@
         let stamped = |rec| Stamped { rec, version: 1 };
         let mut view = View::default();
         for name in names {
-            let rec = stamped(NodeRec { inc: 1 });
+            let rec = stamped(NodeRec {
+                inc: 1,
+                blind: false,
+            });
             view.nodes.insert(NodeName::new(name), rec);
         }
         view.leader = Some(Stamped {
--- a/crates/core/src/ctx.rs
+++ b/crates/core/src/ctx.rs
@@ -2,6 +2,7 @@
 
 use crate::config::Config;
 use crate::records::{DemandRec, ShareId};
+use crate::silence::Silence;
 use crate::store::{StateCall, Store, Urgency};
 use crate::Ms;
 use forkshift_wire::peer::{Body, Envelope, VERSION};
@@ -280,9 +281,17 @@
     pub(crate) refused: Vec<Pending>,
     /// What shares of ours lack, for the leader that we are.
     pub(crate) lacking: Vec<(ShareId, u64, DemandRec)>,
-    /// Requests that other controllers have passed on: from whom, under which
-    /// name, and until when.
-    pub(crate) remote: BTreeMap<Token, (NodeName, u64, Ms)>,
+    /// Requests that other controllers have passed on.
+    pub(crate) remote: BTreeMap<Token, Remote>,
+    /// Whether we may answer from memory, as of this step.
+    pub(crate) entitled: bool,
+    /// When we last went on after standing still.
+    pub(crate) awake_since: Ms,
+    pub(crate) silence: Silence,
+    /// Until then we say that we hear no machine.
+    pub(crate) blind_until: Ms,
+    /// Which starts of peers were heard, and when last.
+    pub(crate) peers: BTreeMap<NodeName, (u64, Ms)>,
     /// Calls to workers that are under way.
     pub(crate) worker_calls: usize,
     /// Machines, jobs and tasks looked at: the work of a step, counted.
@@ -292,6 +301,17 @@
     names: Vec<String>,
 }
 
+/// A request that another controller has passed on.
+pub(crate) struct Remote {
+    from: NodeName,
+    /// The start of it that did. Another start may use the same name for
+    /// something else, and must not take the answer for its own.
+    inc: u64,
+    /// Its name for the request.
+    ask: u64,
+    until: Ms,
+}
+
 /// Time that the state service has for an answer.
 const STATE_TIMEOUT: Ms = 2_000;
 
@@ -310,6 +330,11 @@
             refused: Vec::new(),
             lacking: Vec::new(),
             remote: BTreeMap::new(),
+            entitled: false,
+            awake_since: 0,
+            silence: Silence::default(),
+            blind_until: 0,
+            peers: BTreeMap::new(),
             worker_calls: 0,
             visits: 0,
             next_call: 0,
@@ -353,29 +378,36 @@
     }
 
     /// A name for a request that another controller has passed on.
-    pub(crate) fn remote_token(&mut self, from: NodeName, ask: u64) -> Token {
+    pub(crate) fn remote_token(&mut self, from: NodeName, inc: u64, ask: u64) -> Token {
         self.next_call += 1;
         let token = Token(self.next_call | REMOTE);
         let until = self.now + REMOTE_MS;
-        self.remote.insert(token, (from, ask, until));
+        let remote = Remote {
+            from,
+            inc,
+            ask,
+            until,
+        };
+        self.remote.insert(token, remote);
         token
     }
 
     pub(crate) fn forget_remote(&mut self) {
         let now = self.now;
-        self.remote.retain(|_, (_, _, until)| now < *until);
+        self.remote.retain(|_, r| now < r.until);
     }
 
     pub(crate) fn respond(&mut self, token: Token, reply: Reply) {
         if token.is_remote() {
-            if let Some((node, ask, _)) = self.remote.remove(&token) {
+            if let Some(remote) = self.remote.remove(&token) {
                 let body = Body::Answer {
-                    ask,
+                    inc: remote.inc,
+                    ask: remote.ask,
                     status: reply.status,
                     body: reply.body,
                     retry_after_s: reply.retry_after_s,
                 };
-                self.tell(&node, 0, body);
+                self.tell(&remote.from, 0, body);
             }
             return;
         }
--- a/crates/core/src/forward.rs
+++ b/crates/core/src/forward.rs
@@ -108,7 +108,7 @@
     /// Another controller passes a request on to us.
     pub(crate) fn on_forward(
         &mut self,
-        from: NodeName,
+        (from, inc): (NodeName, u64),
         ask: u64,
         method: &str,
         path: &str,
@@ -117,7 +117,7 @@
         if self.ctx.remote.len() >= REMOTE_MOST || !path.starts_with("/submissions") {
             return;
         }
-        let token = self.ctx.remote_token(from, ask);
+        let token = self.ctx.remote_token(from, inc, ask);
         self.on_request(token, method, path, body);
     }
 
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -178,11 +178,19 @@
     /// Gives every share a holder that is alive, and brings shares back to
     /// controllers that have none.
     fn assign(&mut self, ctx: &mut Ctx, view: &View) {
-        let mut load: BTreeMap<&NodeName, u32> = view.nodes.keys().map(|n| (n, 0)).collect();
+        // Who hears no worker is given nothing, as long as there are others.
+        let all_blind = view.nodes.values().all(|n| n.rec.blind);
+        let blind = |n: &NodeName| !all_blind && view.nodes.get(n).is_some_and(|n| n.rec.blind);
+        let able = view.nodes.keys().filter(|n| !blind(n));
+        let mut load: BTreeMap<&NodeName, u32> = able.map(|n| (n, 0)).collect();
         let mut free = Vec::new();
         for k in (0..ctx.cfg.shares()).map(ShareId) {
             match view.holder(k) {
-                Some(holder) => *load.entry(holder).or_default() += 1,
+                Some(holder) => {
+                    if let Some(n) = load.get_mut(holder) {
+                        *n += 1;
+                    }
+                }
                 None => free.push(k),
             }
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod records;
 mod rounds;
 mod share;
+mod silence;
 mod store;
 mod tend;
 mod view;
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -89,6 +89,11 @@
         self.heard.is_some() && self.echo >= self.token
     }
 
+    /// Since when nothing was heard, once we were there to hear it.
+    pub(crate) fn last_sign(&self, awake_since: Ms) -> Ms {
+        self.heard.unwrap_or(0).max(self.since).max(awake_since)
+    }
+
     /// Makes every command void that is still on its way.
     pub(crate) fn raise(&mut self, now: Ms) {
         self.token += 1;
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -34,7 +34,7 @@
     /// moment the last extension was *sent*, less what clocks may drift: by
     /// then the lease is still alive at the state service, so nobody else can
     /// have been given our shares.
-    fn right_until(&self, ctx: &Ctx) -> Ms {
+    pub(crate) fn right_until(&self, ctx: &Ctx) -> Ms {
         let ttl = ctx.cfg.node_lease_ms();
         self.extended + ttl - ttl / 500
     }
@@ -59,6 +59,11 @@
         view.revision < self.seen_from
     }
 
+    /// When the last extension that succeeded was sent.
+    pub(crate) fn extended(&self) -> Ms {
+        self.extended
+    }
+
     pub(crate) fn is_registered(&self) -> bool {
         self.registered
     }
@@ -72,10 +77,16 @@
             return;
         }
         let mine = view.is_alive(&ctx.cfg.node, ctx.inc);
-        if !self.putting && (!mine || !self.registered) {
+        let blind = ctx.now < ctx.blind_until;
+        let node = view.nodes.get(&ctx.cfg.node);
+        let says = node.is_some_and(|n| n.rec.blind == blind);
+        if !self.putting && (!mine || !self.registered || !says) {
             let key = node_key(&ctx.cfg.node);
-            let version = view.nodes.get(&ctx.cfg.node).map_or(0, |n| n.version);
-            let rec = NodeRec { inc: ctx.inc };
+            let version = node.map_or(0, |n| n.version);
+            let rec = NodeRec {
+                inc: ctx.inc,
+                blind,
+            };
             self.putting = true;
             put_leased(ctx, key, version, &rec, lease, Pending::NodePut);
         }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -83,6 +83,7 @@
     moving: BTreeMap<ShareId, Ms>,
     seen: u64,
     status_at: Ms,
+    pub(crate) silence_at: Ms,
     /// Looks at cancellations that are to be repeated.
     pub(crate) later_polls: Vec<(Ms, Token, JobId, Ms)>,
 }
@@ -122,6 +123,7 @@
             moving: BTreeMap::new(),
             seen: 0,
             status_at: 0,
+            silence_at: 0,
             later_polls: Vec::new(),
         }
     }
@@ -130,6 +132,7 @@
     /// clock, `wall` the time of day, which may be off by some and is used
     /// only to tell how long ago a job was submitted.
     pub fn step(&mut self, now: Ms, wall: Ms, inputs: Vec<Input>) -> Vec<Effect> {
+        self.ctx.note_gap(now);
         self.ctx.now = self.ctx.now.max(now);
         self.ctx.wall = wall;
         for input in inputs {
@@ -181,6 +184,7 @@
     fn tick(&mut self) {
         self.member.tick(&mut self.ctx, &self.view);
         self.follow_view();
+        self.follow_silence();
         let machines = self.view.take_changed();
         self.leader.tick(&mut self.ctx, &self.view, &machines);
         self.follow_shares();
@@ -338,6 +342,7 @@
         let node = self.ctx.cfg.node.clone();
         let inc = self.ctx.inc;
         let mut handing = Vec::new();
+        let relief = self.relief();
         for (k, stamped) in &self.view.shares {
             let rec = &stamped.rec;
             if rec.holder != node || rec.inc != inc {
@@ -350,7 +355,11 @@
             if let Some(share) = self.shares.get_mut(k) {
                 if share.epoch == rec.epoch && !share.reload {
                     share.version = stamped.version;
-                    if let Some(to) = rec.want.as_ref().filter(|w| **w != node) {
+                    if let Some(to) = &relief {
+                        // Calls to machines that we do not hear end late; the
+                        // next holder's tokens make them void.
+                        handing.push((*k, to.clone()));
+                    } else if let Some(to) = rec.want.as_ref().filter(|w| **w != node) {
                         if self.view.nodes.contains_key(to) && share.is_quiet() {
                             handing.push((*k, to.clone()));
                         }
--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -30,6 +30,9 @@
         let from = NodeName::new(&from);
         // An earlier start of a peer may still have messages on the way.
         let alive = self.view.is_alive(&from, inc);
+        if self.ctx.cfg.nodes.contains(&from) {
+            self.heard_peer(&from, inc);
+        }
         match body {
             // What is passed on is as good as a user's own request, and its
             // answer is known by its number: the sender's lease does not matter.
@@ -38,8 +41,11 @@
                 method,
                 path,
                 body,
-            } => self.on_forward(from, ask, &method, &path, body),
+            } => self.on_forward((from, inc), ask, &method, &path, body),
+            // Meant for an earlier start of ours.
+            Body::Answer { inc: to, .. } if to != self.ctx.inc => {}
             Body::Answer {
+                inc: _,
                 ask,
                 status,
                 body,
@@ -53,6 +59,7 @@
                 self.on_forwarded(ask, reply);
             }
             _ if !alive => {}
+            Body::Alive => {}
             Body::Need {
                 writes,
                 requests,
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -93,6 +93,9 @@
 pub struct NodeRec {
     /// This start of it.
     pub inc: u64,
+    /// It hears no worker, and should be given no share.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub blind: bool,
 }
 
 /// The leader, on its lease.
--- a/crates/core/src/tend.rs
+++ b/crates/core/src/tend.rs
@@ -212,12 +212,15 @@
         return Err("it fails what it starts");
     }
     let silent = ctx.silent_ms();
-    let last = m.heard.unwrap_or(0).max(m.since);
+    let last = m.last_sign(ctx.awake_since);
     let keep = (m.boot_ms as f64 * ctx.cfg.ops.idle_boots) as Ms;
     let known = m.addr.is_some() || m.heard.is_some();
     let gone = ctx.cfg.report_ms * 2;
     let ends = [
-        (known.then_some(last + silent), "it is silent"),
+        (
+            known.then_some(last + ctx.silent_after(m.zone)),
+            "it is silent",
+        ),
         (m.taken_at.map(|t| t.max(last) + gone), "it was taken"),
         (
             m.unechoed_since.map(|t| t + silent * 2),
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -6,7 +6,7 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 
 /// Version of the format; others are refused.
-pub const VERSION: u16 = 3;
+pub const VERSION: u16 = 4;
 /// Largest message, in bytes.
 pub const MESSAGE_MOST: usize = 96 * 1024;
 
@@ -79,8 +79,12 @@
         /// The body, if there is one.
         body: Option<Vec<u8>>,
     },
+    /// The sender is there.
+    Alive,
     /// The answer to a request that was passed on.
     Answer {
+        /// The start of the receiver that passed it on.
+        inc: u64,
         /// The request.
         ask: u64,
         /// HTTP status.
