--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -9,6 +9,7 @@
 //! comes back sooner than other machines could boot.
 
 use crate::ctx::Ctx;
+use crate::machine::Machine;
 use crate::node::Node;
 use crate::records::ShareId;
 use crate::share::{Phase, Share};
@@ -23,6 +24,9 @@
 const ZONE_PART: f64 = 0.75;
 /// The part of all machines that must be silent for their holder to be.
 const BLIND_PART: f64 = 0.9;
+/// Boots until another machine runs what one has run: it has to be asked for
+/// and to fetch the images.
+const REPLACED_BOOTS: f64 = 1.3;
 /// Reports that a machine must have missed, at the longest pause between two.
 const MISSED: f64 = 1.25;
 /// Looks that a peer may miss and still be there.
@@ -40,13 +44,16 @@
 }
 
 impl Ctx {
-    /// How long a machine may be silent before it is given up. Once a
-    /// cancelled job's tasks must be gone, no lease can be alive any more that
-    /// a controller cut off with it has kept, so there is nothing to wait for.
-    pub(crate) fn silent_after(&self, zone: u16) -> Ms {
-        let patient = self.silence.blind || !self.entitled || self.silence.cut.contains(&zone);
+    /// How long a machine may be silent before it is given up. Nobody knows
+    /// for how long a zone stays cut off: its machines are waited for as long
+    /// as others would take to replace them, so that in no case more than
+    /// twice the time is lost.
+    pub(crate) fn silent_after(&self, machine: &Machine) -> Ms {
+        let silence = &self.silence;
+        let patient = silence.blind || !self.entitled || silence.cut.contains(&machine.zone);
         if patient {
-            self.cfg.cancel_ms.max(self.silent_ms())
+            let replaced = (machine.boot_ms as f64 * REPLACED_BOOTS) as Ms;
+            replaced.max(self.silent_ms())
         } else {
             self.silent_ms()
         }
--- a/crates/core/src/tend.rs
+++ b/crates/core/src/tend.rs
@@ -217,10 +217,7 @@
     let known = m.addr.is_some() || m.heard.is_some();
     let gone = ctx.cfg.report_ms * 2;
     let ends = [
-        (
-            known.then_some(last + ctx.silent_after(m.zone)),
-            "it is silent",
-        ),
+        (known.then_some(last + ctx.silent_after(m)), "it is silent"),
         (m.taken_at.map(|t| t.max(last) + gone), "it was taken"),
         (
             m.unechoed_since.map(|t| t + silent * 2),
