--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -65,8 +65,6 @@
     pub node: NodeName,
     /// All controllers, in order.
     pub nodes: Vec<NodeName>,
-    /// Zones of all controllers.
-    pub zones: BTreeMap<NodeName, String>,
     /// Teams by name.
     pub teams: BTreeMap<String, Team>,
     /// Shortest `wait` objective of each class, in seconds.
@@ -109,9 +107,6 @@
         nodes.push(settings.node.clone());
         nodes.sort();
         nodes.dedup();
-        let peers = settings.peers.iter().map(|p| (&p.node, &p.zone));
-        let all = peers.chain([(&settings.node, &settings.zone)]);
-        let zones = all.map(|(n, z)| (n.clone(), z.clone())).collect();
         let mut waits = BTreeMap::new();
         for o in c.objectives.iter().filter(|o| o.kind == "wait") {
             if let Some(class) = &o.class {
@@ -124,7 +119,6 @@
             node: settings.node.clone(),
             teams: spread_teams(&c.teams, nodes.len().max(c.nodes as usize)),
             nodes,
-            zones,
             waits,
             lease_ms: ms(c.workers.lease_s),
             report_ms: ms(c.workers.report_s),
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -660,13 +660,7 @@
                 })
                 .collect();
             let anywhere = shapes.iter().all(|s| s.zones.is_none());
-            let home = view.holder(*k).and_then(|n| ctx.cfg.zones.get(n));
-            let home = home.and_then(zone_no);
-            let offers = if anywhere {
-                few_zones(offers, home)
-            } else {
-                offers
-            };
+            let offers = if anywhere { few_zones(offers) } else { offers };
             for rental in plan(&shapes, &offers, RENT_MOST) {
                 let o = &offers[rental.offer];
                 let key = (o.machine_type, o.zone, o.spot);
@@ -930,12 +924,10 @@
     n
 }
 
-/// Keeps of each type and kind only two zones: that of the share's holder,
-/// which goes on hearing its workers if the zone is cut off, and else those
-/// where the fewest machines are held. Two are enough for what must be spread,
-/// and few calls are made.
-fn few_zones(mut offers: Vec<Offer>, home: Option<u16>) -> Vec<Offer> {
-    offers.sort_by_key(|o| (o.machine_type, o.spot, home != Some(o.zone), o.held));
+/// Keeps of each type and kind only the two zones where the fewest machines
+/// are held: two are enough for what must be spread, and few calls are made.
+fn few_zones(mut offers: Vec<Offer>) -> Vec<Offer> {
+    offers.sort_by_key(|o| (o.machine_type, o.spot, o.held));
     let mut seen: BTreeMap<(u16, bool), u32> = BTreeMap::new();
     offers.retain(|o| {
         let n = seen.entry((o.machine_type, o.spot)).or_default();
--- a/crates/net/src/peers.rs
+++ b/crates/net/src/peers.rs
@@ -102,9 +102,7 @@
         ex.spawn(async move {
             let reading = receive(stream.clone(), most, &*take);
             let idle = async {
-                while stream.idle_for() < IDLE {
-                    Timer::after(IDLE - stream.idle_for()).await;
-                }
+                stream.idle(IDLE).await;
                 Ok(())
             };
             if let Err(e) = future::or(reading, idle).await {
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -147,9 +147,7 @@
     };
     let serving = async_h1::accept(stream.clone(), endpoint);
     let idle = async {
-        while stream.idle_for() < limits.idle {
-            Timer::after(limits.idle - stream.idle_for()).await;
-        }
+        stream.idle(limits.idle).await;
         Ok(())
     };
     if let Err(e) = future::or(serving, idle).await {
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -1,6 +1,6 @@
 //! A TCP stream that can be shared and knows when it was last of use.
 
-use async_io::Async;
+use async_io::{Async, Timer};
 use futures_lite::io::{AsyncRead, AsyncWrite};
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -42,6 +42,18 @@
         self.0.opened.elapsed().saturating_sub(moved)
     }
 
+    /// Waits until nothing has moved for so long. Time passes between two looks
+    /// at the clock: a difference of durations once ended the process.
+    pub(crate) async fn idle(&self, most: Duration) {
+        loop {
+            let left = most.saturating_sub(self.idle_for());
+            if left.is_zero() {
+                return;
+            }
+            Timer::after(left).await;
+        }
+    }
+
     fn touch<T>(&self, moved: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
         if let Poll::Ready(Ok(_)) = &moved {
             let ms = self.0.opened.elapsed().as_millis() as u64;
