Machines just taken over do not hide that a zone is cut off; tests of silence and work

A zone cut and a cut holder at fleet size are tests now, and so is the count of what a report has looked at, which must not grow with the fleet.

--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -86,11 +86,15 @@
             if m.addr.is_none() && m.heard.is_none() {
                 continue;
             }
+            let is_silent = ctx.now > m.last_sign(ctx.awake_since) + quiet;
+            // Machines that have just been taken over say nothing yet. Counted
+            // as heard, they once hid that a zone was cut off.
+            if m.heard.is_none() && !is_silent {
+                continue;
+            }
             let (all, silent) = zones.entry(m.zone).or_default();
             *all += 1;
-            if ctx.now > m.last_sign(ctx.awake_since) + quiet {
-                *silent += 1;
-            }
+            *silent += u32::from(is_silent);
         }
     }
 }
--- a/crates/testkit/src/cloud.rs
+++ b/crates/testkit/src/cloud.rs
@@ -29,6 +29,8 @@
     pub(crate) capacity: u32,
     /// Machines that came to an end since this was last looked at.
     pub(crate) ended: Vec<MachineId>,
+    /// How many in all.
+    pub(crate) n_ended: usize,
 }
 
 /// How far the list lags.
@@ -46,6 +48,7 @@
             down: false,
             capacity,
             ended: Vec::new(),
+            n_ended: 0,
         }
     }
 
@@ -97,6 +100,7 @@
     /// A machine is no more.
     pub(crate) fn end(&mut self, id: &MachineId) {
         if self.machines.remove(id).is_some() {
+            self.n_ended += 1;
             self.ended.push(id.clone());
         }
     }
--- a/crates/testkit/src/faults.rs
+++ b/crates/testkit/src/faults.rs
@@ -4,6 +4,9 @@
 use rand::rngs::StdRng;
 use rand::Rng;
 
+/// All zones. Controllers are in them in turn.
+pub(crate) const ZONES: [&str; 3] = ["a", "b", "c"];
+
 /// What goes wrong.
 #[derive(Clone, Debug)]
 pub enum FaultKind {
@@ -31,6 +34,15 @@
         /// Messages are held back and delivered afterwards.
         hold: bool,
     },
+    /// A zone is cut off from everything, and goes on within.
+    ZoneCut {
+        /// Which.
+        zone: &'static str,
+        /// For how long.
+        time: Ms,
+        /// Messages are held back and delivered afterwards.
+        hold: bool,
+    },
     /// The state service refuses one controller.
     Refuse {
         /// Which.
@@ -94,7 +106,7 @@
 fn random_kind(rng: &mut StdRng) -> FaultKind {
     let node = rng.random_range(0..3);
     let time = rng.random_range(2_000..25_000);
-    match rng.random_range(0..16) {
+    match rng.random_range(0..17) {
         0 | 1 => FaultKind::Crash {
             node,
             count: rng.random_range(1..=3),
@@ -138,6 +150,11 @@
         14 => FaultKind::Taken {
             notice: if rng.random() { 0 } else { 4_000 },
         },
+        16 => FaultKind::ZoneCut {
+            zone: ZONES[rng.random_range(0..3)],
+            time,
+            hold: rng.random(),
+        },
         15 if rng.random() => FaultKind::LostAnswers(time),
         _ => FaultKind::LateCopies(time),
     }
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -2,7 +2,7 @@
 
 use crate::check::Checker;
 use crate::cloud::Cloud;
-use crate::faults::{Fault, FaultKind};
+use crate::faults::{Fault, FaultKind, ZONES};
 use crate::state::State;
 use crate::worker::{Around, Truth, Worker};
 use crate::Ms;
@@ -119,14 +119,14 @@
     let peers: String = (0..*nodes)
         .filter(|n| *n != node)
         .map(|n| {
-            format!("[[peers]]\nhost_name = \"berth-{n}\"\ndomain = \"a\"\nendpoint = \"10.0.0.{}:8081\"\n", n + 1)
+            format!("[[peers]]\nhost_name = \"berth-{n}\"\ndomain = \"{}\"\nendpoint = \"10.0.0.{}:8081\"\n", zone_of(n), n + 1)
         })
         .collect();
     let teams: String = (0..*teams)
         .map(|t| format!("[[cluster.teams]]\nname = \"team-{t}\"\ngpus = {gpus:?}\ngpus_max = {gpus_max:?}\ncpus = {cpus:?}\ncpus_max = {cpus_max:?}\n"))
         .collect();
     format!(
-        "host_name = \"berth-{node}\"\ndomain = \"a\"\nbind = \"10.0.0.{0}:8080\"\ncluster_listen = \"10.0.0.{0}:8081\"\n\
+        "host_name = \"berth-{node}\"\ndomain = \"{1}\"\nbind = \"10.0.0.{0}:8080\"\ncluster_listen = \"10.0.0.{0}:8081\"\n\
          {peers}\n[external]\ncloud = \"10.2.0.2:8443\"\nstate = \"10.2.0.1:2379\"\n\
          [cluster]\ninitial_size = {nodes}\nzones = [\"a\", \"b\", \"c\"]\ntime_bound_ms = 250.0\n{teams}\
          [[cluster.objectives]]\nkind = \"wait\"\nclass = \"serve\"\nwithin_s = 8.0\nshare = 0.9\n\
@@ -134,10 +134,16 @@
          [cluster.state]\nrps = {rps:?}\nwrite_rps = {write_rps:?}\nvalue_kb = 8.0\ntxn_ops = 12\n\
          [cluster.cloud]\nrps = {cloud_rps:?}\nlist_lag_s = 4.0\n\
          [cluster.limits]\ncpu = 0.12\nmem_mb = 40.0\nsockets = 600\n",
-        node + 1
+        node + 1,
+        zone_of(node)
     )
 }
 
+/// The zone of a controller.
+fn zone_of(node: usize) -> &'static str {
+    ZONES[node % ZONES.len()]
+}
+
 /// A job that a user will submit.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -320,6 +326,9 @@
     starts: u64,
     gangs: BTreeMap<(JobId, u64), Ms>,
     most_machines: usize,
+    /// The zone that is cut off, until when, and whether messages are held.
+    zone_cut: (&'static str, Ms, bool),
+    reports: u64,
     /// Watches what truly happens.
     pub check: Checker,
 }
@@ -365,6 +374,8 @@
             starts: 0,
             gangs: BTreeMap::new(),
             most_machines: 0,
+            zone_cut: ("", 0, false),
+            reports: 0,
             check: Checker::new(limits, CANCEL_MS),
         };
         for n in 0..size.nodes {
@@ -415,6 +426,21 @@
 
     /// Until when two ends are cut off from each other, and whether messages are held.
     fn cut(&self, origin: &Origin, dest: &Dest) -> (Ms, bool) {
+        let (zone, until, hold) = self.zone_cut;
+        let of_worker = |id: &MachineId| self.workers.get(id).is_some_and(|w| w.zone == zone);
+        let from_inside = match origin {
+            Origin::Node { node, .. } => zone_of(*node) == zone,
+            Origin::Worker { id, .. } => of_worker(id),
+            Origin::User { .. } | Origin::Nobody => false,
+        };
+        let to_inside = match dest {
+            Dest::Node(n) => zone_of(*n) == zone,
+            Dest::Worker(id) => of_worker(id),
+            Dest::State | Dest::Cloud => false,
+        };
+        if until > self.now && from_inside != to_inside {
+            return (until, hold);
+        }
         let node = |n: usize| self.hosts[n].cuts;
         let worker = |id: &MachineId| {
             self.workers
@@ -556,6 +582,7 @@
                     }
                 }
             }
+            FaultKind::ZoneCut { zone, time, hold } => self.zone_cut = (zone, now + time, hold),
             FaultKind::Refuse { node, time } => self.hosts[node].cuts.refuse = now + time,
             FaultKind::Slow { node, time } => self.hosts[node].cuts.slow = now + time,
             FaultKind::Outage(time) => {
@@ -672,6 +699,7 @@
                 w.open = Some((report.seq, report.session, now));
                 w.next_report = now + self.size.report_ms;
                 let body = serde_json::to_vec(&report).unwrap_or_default();
+                self.reports += 1;
                 reports.push(Message {
                     origin: Origin::Worker {
                         id: w.id.clone(),
@@ -1031,7 +1059,10 @@
         let Some(to) = to.filter(|n| *n < self.hosts.len()) else {
             return;
         };
-        let cut = self.hosts[from].cuts.state.max(self.hosts[to].cuts.state) > self.now;
+        let (zone, until, _) = self.zone_cut;
+        let apart = until > self.now && (zone_of(from) == zone) != (zone_of(to) == zone);
+        let state = self.hosts[from].cuts.state.max(self.hosts[to].cuts.state);
+        let cut = state > self.now || apart;
         let copies = match self.rng.random_range(0..20) {
             0 => 0,
             1 => 2,
@@ -1078,6 +1109,22 @@
         left
     }
 
+    /// Machines that the cloud has been told to delete, or has taken.
+    pub fn ended(&self) -> usize {
+        self.cloud.n_ended
+    }
+
+    /// Reports of workers so far, and what controllers that are up looked at.
+    pub fn work(&self) -> (u64, u64) {
+        let nodes = self.hosts.iter().filter_map(|h| h.node.as_ref());
+        (self.reports, nodes.map(Node::visits).sum())
+    }
+
+    /// Machines that are up.
+    pub fn machines(&self) -> usize {
+        self.workers.len()
+    }
+
     /// Most machines that were up at a time.
     pub fn most_machines(&self) -> usize {
         self.most_machines
--- a/crates/testkit/tests/fleet.rs
+++ b/crates/testkit/tests/fleet.rs
@@ -89,3 +89,72 @@
     let size = Size::seven_by_810();
     play("seven", size, (420, 80), 650, faults, 200_000);
 }
+
+/// A fleet of replicas that has come to rest.
+fn at_rest(size: Size, services: u32, faults: Vec<Fault>) -> World {
+    let mut plans = plans(9, &size, services, 0);
+    for plan in &mut plans {
+        plan.cancel_at = None;
+    }
+    let mut world = World::sized(9, plans, faults, size);
+    world.run_until(90_000);
+    world
+}
+
+/// Passes over all machines and jobs in every step once took more than a day's
+/// whole processor time on a fleet of 1,860 machines.
+#[test]
+fn the_work_of_a_report_does_not_grow_with_the_fleet() {
+    let per_report = |services| {
+        let size = Size {
+            capacity: 300,
+            ..Size::five_by_1860()
+        };
+        let mut world = at_rest(size, services, Vec::new());
+        let (reports, visits) = world.work();
+        world.run_until(110_000);
+        let (more_reports, more_visits) = world.work();
+        let part = (more_visits - visits) as f64 / (more_reports - reports) as f64;
+        (world.machines(), part)
+    };
+    let (few, small) = per_report(12);
+    let (many, large) = per_report(240);
+    assert!(many > few * 8, "{few} and {many} machines");
+    assert!(large < small * 1.5, "{small} and {large} visits a report");
+}
+
+/// A controller that lost its workers once took all of its machines for dead
+/// and had them deleted; so it did with the machines of a zone that was cut off.
+#[test]
+fn many_silent_machines_are_not_deleted() {
+    let size = Size {
+        report_ms: 1_000,
+        lease_ms: 10_000,
+        ..Size::five_by_1860()
+    };
+    let (at, time, hold) = (90_000, 7_000, true);
+    let cases = [
+        FaultKind::ZoneCut {
+            zone: "b",
+            time,
+            hold,
+        },
+        FaultKind::Cut {
+            node: 1,
+            state: false,
+            workers: true,
+            cloud: false,
+            time: 30_000,
+            hold,
+        },
+    ];
+    for kind in cases {
+        let name = format!("{kind:?}");
+        let mut world = at_rest(size, 40, vec![Fault { at, kind }]);
+        let (ended, machines) = (world.ended(), world.machines());
+        world.run_until(140_000);
+        assert_eq!(world.check.broken, vec![], "{name}: rules broken");
+        let gone = world.ended() - ended;
+        assert!(gone * 20 < machines, "{name}: {gone} of {machines} deleted");
+    }
+}
