A holder that does not know of its own last write reads before it answers

The holder's cancellation had landed and its answer was slow; another controller read it and told the user; the holder still answered queued from memory. Ruled out: a late creation, a second holder, answers passed on twice.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -107,8 +107,9 @@
             return Some(Reply::json(200, &status(&id, stage)));
         }
         if self.member.has_right(&self.ctx, &self.view) {
-            if let Some(share) = self.share_of(&id) {
-                return share.jobs.get(&id).map(|j| Reply::json(200, &j.status()));
+            if let Some(known) = self.remembered(&id) {
+                let unknown = Lookup::Submission(Reply::later("try again"));
+                return known.or_else(|| self.look_up(token, id, unknown));
             }
         }
         match self.judge(&spec) {
@@ -243,13 +244,20 @@
             return Some(Reply::json(200, &status(&id, stage)));
         }
         if self.member.has_right(&self.ctx, &self.view) {
-            if let Some(share) = self.share_of(&id) {
-                return share.jobs.get(&id).map(|j| Reply::json(200, &j.status()));
+            if let Some(Some(reply)) = self.remembered(&id) {
+                return Some(reply);
             }
         }
         self.look_up(token, id, Lookup::Question)
     }
 
+    /// What memory says of a job of ours: nothing, if its record may say more.
+    fn remembered(&mut self, id: &JobId) -> Option<Option<Reply>> {
+        let job = self.share_of(id)?.jobs.get(id)?;
+        let known = || Reply::json(200, &job.status());
+        Some(job.is_certain().then(known))
+    }
+
     /// Reads a job's record, for an answer that must not be older than what
     /// any node has told.
     fn look_up(&mut self, token: Token, id: JobId, why: Lookup) -> Option<Reply> {
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -219,6 +219,13 @@
         self.bound.is_empty() && (self.cancelled || self.is_complete())
     }
 
+    /// Whether memory tells how the job stands. While its last write or its
+    /// cancellation is under way the record may say more than we know: another
+    /// node may have read it there, and told, before our answer comes.
+    pub(crate) fn is_certain(&self) -> bool {
+        !self.is_complete() && (!self.cancelled || self.cancel_durable)
+    }
+
     pub(crate) fn final_stage(&self) -> JobStage {
         if self.cancelled {
             JobStage::Cancelled
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -328,6 +328,8 @@
     most_machines: usize,
     /// The zone that is cut off, until when, and whether messages are held.
     zone_cut: (&'static str, Ms, bool),
+    slow_state: Ms,
+    late_writes: Ms,
     reports: u64,
     /// Watches what truly happens.
     pub check: Checker,
@@ -375,6 +377,8 @@
             gangs: BTreeMap::new(),
             most_machines: 0,
             zone_cut: ("", 0, false),
+            slow_state: 0,
+            late_writes: 0,
             reports: 0,
             check: Checker::new(limits, CANCEL_MS),
         };
@@ -500,7 +504,11 @@
         if until > self.now || lost || deaf {
             return;
         }
-        let time = self.now + self.delay();
+        let mut time = self.now + self.delay();
+        let slow = matches!(from, Dest::State) && self.now < self.slow_state;
+        if slow && self.rng.random_range(0..4) == 0 {
+            time += self.rng.random_range(100..1_500);
+        }
         self.at(time, Event::Answer { to, status, body });
     }
 
@@ -589,6 +597,8 @@
                 self.state.set_down(true, now);
                 self.outage_until = now + time;
             }
+            FaultKind::SlowState(time) => self.slow_state = now + time,
+            FaultKind::LateWrites(time) => self.late_writes = now + time,
             FaultKind::CloudTrouble(time) => {
                 self.cloud.down = true;
                 self.cloud_until = now + time;
@@ -836,6 +846,13 @@
         let now = self.now;
         match m.dest.clone() {
             Dest::State => {
+                let txn = m.path == "/txn" && !matches!(m.origin, Origin::Nobody);
+                if txn && now < self.late_writes && self.rng.random_range(0..8) == 0 {
+                    let late = now + self.rng.random_range(2_000..12_000);
+                    let origin = Origin::Nobody;
+                    self.at(late, Event::Arrive(Message { origin, ..m }));
+                    return;
+                }
                 let refused = match &m.origin {
                     Origin::Node { node, .. } => self.hosts[*node].cuts.refuse > now,
                     _ => false,
