--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -65,6 +65,8 @@
     pub node: NodeName,
     /// All controllers, in order.
     pub nodes: Vec<NodeName>,
+    /// Zones of all controllers.
+    pub zones: BTreeMap<NodeName, String>,
     /// Teams by name.
     pub teams: BTreeMap<String, Team>,
     /// Shortest `wait` objective of each class, in seconds.
@@ -99,6 +101,9 @@
 /// takes over tells its token to a whole fleet at once.
 const CALLS_PART: f64 = 0.15;
 
+/// What a worker's try at a controller that does not answer takes.
+const TRY_MS: f64 = 5_000.0;
+
 impl Config {
     /// Takes over settings that were checked.
     pub fn new(settings: &Settings, ops: Operator) -> Self {
@@ -107,6 +112,9 @@
         nodes.push(settings.node.clone());
         nodes.sort();
         nodes.dedup();
+        let peers = settings.peers.iter().map(|p| (&p.node, &p.zone));
+        let all = peers.chain([(&settings.node, &settings.zone)]);
+        let zones = all.map(|(n, z)| (n.clone(), z.clone())).collect();
         let mut waits = BTreeMap::new();
         for o in c.objectives.iter().filter(|o| o.kind == "wait") {
             if let Some(class) = &o.class {
@@ -119,6 +127,7 @@
             node: settings.node.clone(),
             teams: spread_teams(&c.teams, nodes.len().max(c.nodes as usize)),
             nodes,
+            zones,
             waits,
             lease_ms: ms(c.workers.lease_s),
             report_ms: ms(c.workers.report_s),
@@ -140,6 +149,17 @@
         self.nodes.len() as u32
     }
 
+    /// The part of a zone's workers that find a controller inside before their
+    /// leases end, if the zone is cut off: each try at one outside takes them
+    /// 4 s without an answer and 1 s more.
+    pub fn kept_in_cut(&self, zone: &str) -> f64 {
+        let inside = self.zones.values().filter(|z| *z == zone).count() as f64;
+        let others = self.nodes.len().saturating_sub(1).max(1) as f64;
+        let time = self.lease_ms.saturating_sub(self.report_ms) as f64;
+        let tries = time / TRY_MS;
+        1.0 - (1.0 - (inside / others).min(1.0)).powf(tries)
+    }
+
     /// How long a controller's own lease at the state service lives: a crash
     /// must be noticed, and its share loaded elsewhere, well within the lease
     /// of the workers that reported to it.
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -24,6 +24,9 @@
 const ZONE_PART: f64 = 0.75;
 /// The part of all machines that must be silent for their holder to be.
 const BLIND_PART: f64 = 0.9;
+/// The part of a cut zone's workers that must be able to keep their leases for
+/// the zone to be waited for.
+const KEPT_LEAST: f64 = 0.6;
 /// Boots until another machine runs what one has run: it has to be asked for
 /// and to fetch the images.
 const REPLACED_BOOTS: f64 = 1.3;
@@ -47,10 +50,16 @@
     /// How long a machine may be silent before it is given up. Nobody knows
     /// for how long a zone stays cut off: its machines are waited for as long
     /// as others would take to replace them, so that in no case more than
-    /// twice the time is lost.
+    /// twice the time is lost. Where most workers cannot find a controller
+    /// inside before their leases end, what ran there is lost anyway, and is
+    /// better begun elsewhere at once.
     pub(crate) fn silent_after(&self, machine: &Machine) -> Ms {
         let silence = &self.silence;
-        let patient = silence.blind || !self.entitled || silence.cut.contains(&machine.zone);
+        let cut = || {
+            let zone = self.name_of(machine.zone.into()).unwrap_or_default();
+            silence.cut.contains(&machine.zone) && self.cfg.kept_in_cut(&zone) >= KEPT_LEAST
+        };
+        let patient = silence.blind || !self.entitled || cut();
         if patient {
             let replaced = (machine.boot_ms as f64 * REPLACED_BOOTS) as Ms;
             replaced.max(self.silent_ms())
@@ -202,6 +211,30 @@
 
     const SETTINGS: &str = include_str!("../../../examples/settings.toml");
 
+    /// Waiting for a zone where leases end anyway once cost more than the cut.
+    #[test]
+    fn a_zone_is_waited_for_where_leases_can_be_kept() {
+        let mut cfg = Config::new(
+            &Settings::parse(SETTINGS).expect("the example is good"),
+            Operator::default(),
+        );
+        let cases = [
+            ("two of five inside, long leases", 5, 2, 24_000, 5_000, true),
+            ("one of seven, short leases", 7, 1, 13_000, 2_000, false),
+            ("two of seven, short leases", 7, 2, 13_000, 2_000, false),
+            ("nobody inside", 5, 0, 60_000, 1_000, false),
+            ("one of three, long leases", 3, 1, 24_000, 3_000, true),
+        ];
+        for (name, nodes, inside, lease, report, waits) in cases {
+            cfg.nodes = (0..nodes).map(|n| NodeName::new(&n.to_string())).collect();
+            let zone = |n: usize| if n < inside { "in" } else { "out" }.to_owned();
+            let zones = cfg.nodes.iter().enumerate();
+            cfg.zones = zones.map(|(n, name)| (name.clone(), zone(n))).collect();
+            (cfg.lease_ms, cfg.report_ms) = (lease, report);
+            assert_eq!(cfg.kept_in_cut("in") >= KEPT_LEAST, waits, "{name}");
+        }
+    }
+
     /// A holder that lost the state service and its peers once answered its
     /// workers without a bound of its own, so that a task cancelled through its
     /// successor could stay for as long as the cut lasted.
