--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -45,10 +45,7 @@
             .filter(|m| is_usable(m, ctx))
             .map(|m| m.id.clone())
             .collect();
-        let mut hosts: Vec<Host> = usable
-            .iter()
-            .map(|id| self.host(&self.machines[id]))
-            .collect();
+        let mut hosts: Vec<Host> = usable.iter().map(|id| host(&self.machines[id])).collect();
         let (ids, mut wants) = self.wants(ctx, &usable);
         let mut quotas = self.quotas.clone();
         let weights = ctx.cfg.ops.weights;
@@ -85,31 +82,6 @@
         self.lack(ctx, view, &usable, hosts, wants, quotas);
     }
 
-    /// A machine as a round sees it.
-    fn host(&self, m: &Machine) -> Host {
-        let mut coming: BTreeMap<u32, f64> = BTreeMap::new();
-        let mut there = BTreeSet::new();
-        for task in &m.tasks {
-            let Some(job) = self.jobs.get(&task.job) else {
-                continue;
-            };
-            let runs = job
-                .bound
-                .get(&task.index)
-                .is_some_and(|b| b.running_since.is_some());
-            if runs {
-                there.insert(job.image);
-            } else {
-                coming.insert(job.image, job.spec.image_gb);
-            }
-        }
-        let coming = coming.iter().filter(|(image, _)| !there.contains(image));
-        Host {
-            fetching_gb: coming.map(|(_, gb)| gb).sum(),
-            ..host(m)
-        }
-    }
-
     /// The zone of every machine.
     pub(crate) fn zones(&self) -> BTreeMap<MachineId, u16> {
         let machines = self.machines.values();
@@ -174,7 +146,7 @@
         for machine in self.machines.values() {
             if machine.draining {
                 draining.push(machine.id.clone());
-                hosts.push(self.host(machine));
+                hosts.push(host(machine));
             }
         }
         for machine in self.machines.values() {
@@ -299,7 +271,6 @@
                     price: t.price / 3600.0,
                     fetch_rate: t.fetch_gb_per_s,
                     images: BTreeSet::new(),
-                    fetching_gb: 0.0,
                     held: false,
                     delay: t.boot_s,
                 });
@@ -551,7 +522,6 @@
         price: m.price,
         fetch_rate: m.fetch_rate,
         images: m.images.iter().map(|(i, _)| *i).collect(),
-        fetching_gb: 0.0,
         held: false,
         delay: 0.0,
     }
