One way to end a write, to stop what is left of a job, to note an idle machine

A clean-up without change of behaviour: budget and silence share one period; a zone's worth of waiting is worked out once a look and not with every machine; a machine's verdict is worked out once; the bound on answers without a right, the end of a watch and the set of all machines have one name each; a report asks who else holds a share only where it is not ours.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -107,9 +107,12 @@
             return Some(Reply::json(200, &status(&id, stage)));
         }
         if self.member.has_right(&self.ctx, &self.view) {
-            if let Some(known) = self.remembered(&id) {
+            if let Some(reply) = self.remembered(&id) {
+                return Some(reply);
+            }
+            if self.share_of(&id).is_some() {
                 let unknown = Lookup::Submission(Reply::later("try again"));
-                return known.or_else(|| self.look_up(token, id, unknown));
+                return self.look_up(token, id, unknown);
             }
         }
         match self.judge(&spec) {
@@ -244,7 +247,7 @@
             return Some(Reply::json(200, &status(&id, stage)));
         }
         if self.member.has_right(&self.ctx, &self.view) {
-            if let Some(Some(reply)) = self.remembered(&id) {
+            if let Some(reply) = self.remembered(&id) {
                 return Some(reply);
             }
         }
@@ -252,10 +255,9 @@
     }
 
     /// What memory says of a job of ours: nothing, if its record may say more.
-    fn remembered(&mut self, id: &JobId) -> Option<Option<Reply>> {
+    fn remembered(&mut self, id: &JobId) -> Option<Reply> {
         let job = self.share_of(id)?.jobs.get(id)?;
-        let known = || Reply::json(200, &job.status());
-        Some(job.is_certain().then(known))
+        job.is_certain().then(|| Reply::json(200, &job.status()))
     }
 
     /// Reads a job's record, for an answer that must not be older than what
@@ -422,21 +424,20 @@
             return Reply::json(421, &Redirect::default());
         };
         let k = record.rec.share;
-        let keeps = self.keeps(k);
-        let entitled = self.ctx.entitled || self.holds_on();
-        let Node { shares, ctx, .. } = self;
-        let Some(share) = shares.get_mut(&k) else {
-            if keeps {
+        if !self.shares.contains_key(&k) {
+            if self.keeps(k) {
                 let (token, orders) = (report.token, Vec::new());
                 return Reply::json(200, &ReportReply { token, orders });
             }
             let holder = self.view.holder(k).filter(|n| **n != self.ctx.cfg.node);
             let report_to = holder.map(|n| n.to_string());
             return Reply::json(421, &Redirect { report_to });
-        };
-        if !entitled {
-            return Reply::json(421, &Redirect::default());
         }
+        let entitled = self.ctx.entitled || self.holds_on();
+        let Node { shares, ctx, .. } = self;
+        let Some(share) = shares.get_mut(&k).filter(|_| entitled) else {
+            return Reply::json(421, &Redirect::default());
+        };
         if share.phase != Phase::Active {
             // The share is ours, so the lease may be renewed; what runs there
             // is not known yet.
--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -60,17 +60,12 @@
     (all, all.times(1.0 - FIXED_PART))
 }
 
-/// Milliseconds between two looks.
-fn period(ctx: &Ctx) -> Ms {
-    crate::ms(ctx.cfg.ops.assign_s).max(100)
-}
-
 /// A grant that begins now.
 fn grant(ctx: &Ctx, leader: NodeName, inc: u64, rate: Use) -> Grant {
     Grant {
         leader,
         inc,
-        until: ctx.now + period(ctx) * VALID_LOOKS,
+        until: ctx.now + ctx.beat_ms() * VALID_LOOKS,
         rate,
     }
 }
@@ -102,7 +97,7 @@
         if ctx.now < self.next {
             return;
         }
-        self.next = ctx.now + period(ctx);
+        self.next = ctx.now + ctx.beat_ms();
         // What was needed a moment ago may be needed again.
         let need = ctx.store.take_need(ctx.now);
         self.need = need.most(&self.need.times(0.7));
@@ -127,7 +122,7 @@
             granted: true,
         };
         self.needs.insert(ctx.cfg.node.clone(), ours);
-        let valid = period(ctx) * VALID_LOOKS;
+        let valid = ctx.beat_ms() * VALID_LOOKS;
         self.needs
             .retain(|n, need| ctx.now < need.at + valid && view.is_alive(n, need.inc));
         let n = ctx.cfg.nodes.len().max(1) as f64;
--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -104,6 +104,14 @@
         ctx.txn(urgency, &txn, Pending::JobTxn { share, epoch, jobs });
     }
 
+    /// A job that was being written, or its record read, is looked at again.
+    fn write_ended(&mut self, id: &JobId) -> Option<&mut Job> {
+        let job = self.jobs.get_mut(id)?;
+        job.writing = false;
+        self.dirty.touch(id);
+        Some(job)
+    }
+
     pub(crate) fn on_txn(
         &mut self,
         ctx: &mut Ctx,
@@ -113,12 +121,11 @@
         body: &[u8],
     ) {
         let reply: TxnReply = serde_json::from_slice(body).unwrap_or_default();
+        let (share, epoch) = (self.id, self.epoch);
         for write in jobs {
-            let Some(job) = self.jobs.get_mut(&write.id) else {
+            let Some(job) = self.write_ended(&write.id) else {
                 continue;
             };
-            job.writing = false;
-            self.dirty.touch(&write.id);
             if status == 200 {
                 self.written(ctx, finals, &write, reply.revision);
                 continue;
@@ -134,14 +141,13 @@
             // Without an answer, perhaps it was carried out, perhaps it will
             // be. Writing again on the same conditions is safe either way. If
             // the share's record has changed, the view will tell whose it is.
-            if status != 409 || reply.failed.contains(&share_key(self.id)) {
+            if status != 409 || reply.failed.contains(&share_key(share)) {
                 continue;
             }
             for block in &write.blocks {
-                let key = live_key(self.id, &write.id, *block);
+                let key = live_key(share, &write.id, *block);
                 if reply.failed.contains(&key) {
                     job.writing = true;
-                    let (share, epoch) = (self.id, self.epoch);
                     let (id, block) = (write.id.clone(), *block);
                     let pending = Pending::JobFix {
                         share,
@@ -166,11 +172,9 @@
         status: u16,
         body: &[u8],
     ) {
-        let Some(job) = self.jobs.get_mut(id) else {
+        let Some(job) = self.write_ended(id) else {
             return;
         };
-        job.writing = false;
-        self.dirty.touch(id);
         let found: Option<Item> = serde_json::from_slice(body).ok();
         match (status, found) {
             (200, Some(item)) => {
@@ -205,11 +209,9 @@
         status: u16,
         body: &[u8],
     ) {
-        let Some(job) = self.jobs.get_mut(id) else {
+        let Some(job) = self.write_ended(id) else {
             return;
         };
-        job.writing = false;
-        self.dirty.touch(id);
         job.retry_at = ctx.now + RETRY;
         let item: Option<Item> = serde_json::from_slice(body).ok().filter(|_| status == 200);
         let Some(item) = item else { return };
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -149,6 +149,12 @@
         self.nodes.len() as u32
     }
 
+    /// For how long a worker may be answered after a cancellation that we have
+    /// not heard of: its lease ends in time all the same.
+    pub fn grace_ms(&self) -> Ms {
+        self.cancel_ms.saturating_sub(self.lease_ms)
+    }
+
     /// The part of a zone's workers that find a controller inside before their
     /// leases end, if the zone is cut off: each try at one outside takes them
     /// 4 s without an answer and 1 s more.
--- a/crates/core/src/ctx.rs
+++ b/crates/core/src/ctx.rs
@@ -267,6 +267,12 @@
     reply.revision
 }
 
+/// Whether a watch must begin anew: it is too far behind, or more has changed
+/// than an answer may hold. The same watch would fail for ever.
+pub(crate) fn is_watch_lost(status: u16) -> bool {
+    matches!(status, 410 | 413)
+}
+
 /// Time, settings, and a way out.
 pub(crate) struct Ctx {
     pub(crate) now: Ms,
@@ -343,6 +349,11 @@
         }
     }
 
+    /// Milliseconds between two looks at who is there and what is needed.
+    pub(crate) fn beat_ms(&self) -> Ms {
+        crate::ms(self.cfg.ops.assign_s).max(100)
+    }
+
     /// A number that stands for a name within this process.
     pub(crate) fn intern(&mut self, name: &str) -> u32 {
         if let Some(n) = self.interned.get(name) {
--- a/crates/core/src/evidence.rs
+++ b/crates/core/src/evidence.rs
@@ -205,11 +205,19 @@
         if !job.is_gang() || job.is_complete() {
             return;
         }
+        self.stop_rest(id);
+        self.drop_unsent(id);
+    }
+
+    /// Has every task of a job stopped that is not being stopped yet.
+    pub(crate) fn stop_rest(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
         for binding in job.bound.values_mut() {
             binding.stop.get_or_insert(Stop::after(0.0));
             self.look.touch(&binding.machine);
         }
-        self.drop_unsent(id);
     }
 
     /// Tasks whose start was never sent need no evidence.
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -111,7 +111,8 @@
             self.active = false;
             return;
         }
-        if !self.active {
+        let anew = !self.active;
+        if anew {
             log::info!("leader from now on");
             *self = Self {
                 nodes: std::mem::take(&mut self.nodes),
@@ -122,8 +123,8 @@
                 active_since: ctx.now,
                 ..Self::new(ctx.cfg.cloud_rps)
             };
-            self.follow_all_machines(ctx, view);
-        } else if changed.all {
+        }
+        if anew || changed.all {
             self.follow_all_machines(ctx, view);
         }
         for id in &changed.machines {
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -89,6 +89,13 @@
         self.heard.is_some() && self.echo >= self.token
     }
 
+    /// Notes whether nothing needs it. Returns true if that is new.
+    pub(crate) fn note_empty(&mut self, empty: bool, now: Ms) -> bool {
+        let anew = empty && self.idle_since.is_none();
+        self.idle_since = empty.then(|| self.idle_since.unwrap_or(now));
+        anew
+    }
+
     /// Since when nothing was heard, once we were there to hear it.
     pub(crate) fn last_sign(&self, awake_since: Ms) -> Ms {
         self.heard.unwrap_or(0).max(self.since).max(awake_since)
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -2,7 +2,7 @@
 
 use crate::budget::Budget;
 use crate::config::Config;
-use crate::ctx::{revision_of, Ctx, Effect, Input, Pending, Token};
+use crate::ctx::{is_watch_lost, revision_of, Ctx, Effect, Input, Pending, Token};
 use crate::forward::Forward;
 use crate::leader::Leader;
 use crate::member::Member;
@@ -329,9 +329,8 @@
     fn take_changes(&mut self, status: u16, body: &[u8]) -> bool {
         match serde_json::from_slice::<Changes>(body) {
             Ok(changes) if status == 200 => self.view.apply(changes.events, changes.revision),
-            // Too far behind, or more has changed than an answer may hold: all
-            // is read again, in pages. The same watch would fail for ever.
-            _ if matches!(status, 410 | 413) => self.view.ready = false,
+            // All is read again, in pages.
+            _ if is_watch_lost(status) => self.view.ready = false,
             _ => return false,
         }
         true
--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -344,21 +344,18 @@
     /// Notes since when a machine has been of no use.
     fn note_idle(&mut self, ctx: &Ctx, usable: &[MachineId], hosts: &[Host]) {
         for machine in self.machines.values_mut().filter(|m| m.draining) {
-            let empty = machine.tasks.is_empty();
-            if empty && machine.idle_since.is_none() {
+            if machine.note_empty(machine.tasks.is_empty(), ctx.now) {
                 self.look.touch(&machine.id);
             }
-            machine.idle_since = empty.then(|| machine.idle_since.unwrap_or(ctx.now));
         }
         for (id, host) in usable.iter().zip(hosts) {
             let Some(machine) = self.machines.get_mut(id) else {
                 continue;
             };
             let empty = machine.tasks.is_empty() && host.free == machine.total;
-            if empty && machine.idle_since.is_none() {
+            if machine.note_empty(empty, ctx.now) {
                 self.look.touch(id);
             }
-            machine.idle_since = empty.then(|| machine.idle_since.unwrap_or(ctx.now));
         }
     }
 
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -1,7 +1,7 @@
 //! A share that this controller holds: its jobs and its machines.
 
 use crate::agenda::Agenda;
-use crate::ctx::{Ctx, Pending, Reply};
+use crate::ctx::{is_watch_lost, Ctx, Pending, Reply};
 use crate::job::{Binding, Job, Sent, Stop};
 use crate::machine::Machine;
 use crate::records::{
@@ -183,11 +183,7 @@
     pub(crate) fn activate(&mut self, ctx: &mut Ctx, view: &View) {
         self.phase = Phase::Active;
         self.active_since = ctx.now;
-        let all = Changed {
-            all: true,
-            ..Changed::default()
-        };
-        self.sync_machines(ctx, view, &all);
+        self.sync_machines(ctx, view, &Changed::everything());
         let prefix = live_prefix(self.id);
         let items = std::mem::take(&mut self.loaded);
         let mut blocks = Vec::new();
@@ -678,7 +674,7 @@
         // Our own writes come back here; a pause lets them come together. Of
         // new jobs we are told by whoever accepted them.
         self.watch_at = self.watch_at.max(ctx.now + WATCH_GAP);
-        if matches!(status, 410 | 413) {
+        if is_watch_lost(status) {
             self.reload = true;
         }
         let changes: Option<Changes> = serde_json::from_slice(body).ok().filter(|_| status == 200);
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -40,7 +40,7 @@
 /// What silence has been taken for.
 #[derive(Default)]
 pub(crate) struct Silence {
-    /// Zones that are cut off.
+    /// Zones that are cut off, and worth waiting for.
     cut: BTreeSet<u16>,
     /// No machine is heard.
     blind: bool,
@@ -55,11 +55,7 @@
     /// better begun elsewhere at once.
     pub(crate) fn silent_after(&self, machine: &Machine) -> Ms {
         let silence = &self.silence;
-        let cut = || {
-            let zone = self.name_of(machine.zone.into()).unwrap_or_default();
-            silence.cut.contains(&machine.zone) && self.cfg.kept_in_cut(&zone) >= KEPT_LEAST
-        };
-        let patient = silence.blind || !self.entitled || cut();
+        let patient = silence.blind || !self.entitled || silence.cut.contains(&machine.zone);
         if patient {
             let replaced = (machine.boot_ms as f64 * REPLACED_BOOTS) as Ms;
             replaced.max(self.silent_ms())
@@ -79,11 +75,6 @@
         let heard = self.peers.get(node).filter(|(i, _)| *i == inc);
         heard.is_some_and(|(_, at)| self.now < at + self.beat_ms() * PEER_LOOKS)
     }
-
-    /// Between two signs of life to peers.
-    fn beat_ms(&self) -> Ms {
-        crate::ms(self.cfg.ops.assign_s).max(100)
-    }
 }
 
 impl Share {
@@ -122,11 +113,9 @@
             return;
         }
         self.silence_at = self.ctx.now + self.ctx.beat_ms();
-        let us = self.ctx.cfg.node.clone();
-        for node in self.ctx.cfg.nodes.clone() {
-            if node != us {
-                self.ctx.tell(&node, 0, Body::Alive);
-            }
+        let cfg = self.ctx.cfg.clone();
+        for node in cfg.nodes.iter().filter(|n| **n != cfg.node) {
+            self.ctx.tell(node, 0, Body::Alive);
         }
         let mut zones = BTreeMap::new();
         for share in self.shares.values().filter(|s| s.phase == Phase::Active) {
@@ -138,9 +127,13 @@
         let most =
             |n: u32, all: u32, part: f64| all >= LEAST && f64::from(n) >= part * f64::from(all);
         let blind = self.ctx.entitled && most(silent, all, BLIND_PART);
+        let kept = |zone: u16| {
+            let name = self.ctx.name_of(zone.into()).unwrap_or_default();
+            cfg.kept_in_cut(&name) >= KEPT_LEAST
+        };
         let cut = zones
             .into_iter()
-            .filter(|(_, (all, silent))| most(*silent, *all, ZONE_PART))
+            .filter(|(zone, (all, silent))| most(*silent, *all, ZONE_PART) && kept(*zone))
             .map(|(zone, _)| zone)
             .collect();
         if blind && !self.ctx.silence.blind {
@@ -176,8 +169,7 @@
     /// cancellation before our lease ran out, and by `cancel_ms` after that
     /// what we kept alive must be gone.
     pub(crate) fn holds_on(&self) -> bool {
-        let grace = self.ctx.cfg.cancel_ms.saturating_sub(self.ctx.cfg.lease_ms);
-        let until = self.member.right_until(&self.ctx) + grace;
+        let until = self.member.right_until(&self.ctx) + self.ctx.cfg.grace_ms();
         let peers = self.ctx.peers.iter();
         let mut there = peers.filter(|(n, (inc, _))| self.ctx.is_peer_there(n, *inc));
         self.ctx.now < until || there.next().is_some()
@@ -193,7 +185,7 @@
             return false;
         };
         let extended = self.member.extended();
-        let grace = self.ctx.cfg.cancel_ms.saturating_sub(self.ctx.cfg.lease_ms);
+        let grace = self.ctx.cfg.grace_ms();
         let lease = self.ctx.cfg.node_lease_ms();
         self.ctx.now > extended + lease * 6 / 10
             && self.ctx.now + lease / 500 < extended + grace
--- a/crates/core/src/tend.rs
+++ b/crates/core/src/tend.rs
@@ -1,7 +1,7 @@
 //! What a holder does for its share between the messages.
 
 use crate::ctx::Ctx;
-use crate::job::{Sent, Stop};
+use crate::job::Sent;
 use crate::machine::Machine;
 use crate::share::Share;
 use crate::view::View;
@@ -121,18 +121,14 @@
     fn follow_cancelled(&mut self, ctx: &Ctx) {
         let late = (ctx.cfg.cancel_ms as f64 * CANCEL_PART) as Ms;
         for id in self.cancels.take(ctx.now) {
-            let Some(job) = self.jobs.get_mut(&id) else {
+            self.stop_rest(&id);
+            let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
             let due = job.cancelled_at + late;
-            let mut holding = Vec::new();
-            for binding in job.bound.values_mut() {
-                binding.stop.get_or_insert(Stop::after(0.0));
-                self.look.touch(&binding.machine);
-                holding.push(binding.machine.clone());
-            }
             if ctx.now >= due {
-                for machine in holding {
+                let holding = job.bound.values().map(|b| b.machine.clone());
+                for machine in holding.collect::<Vec<MachineId>>() {
                     self.condemn(&machine, "it may hold a cancelled task");
                 }
             }
@@ -149,9 +145,10 @@
             return;
         };
         ctx.visits += 1;
-        if let Err(why) = verdict(ctx, machine) {
+        let deadline = verdict(ctx, machine).unwrap_or_else(|why| {
             self.condemn(id, why);
-        }
+            Ms::MAX
+        });
         self.record_condemned(ctx, view, id);
         self.note_address(ctx, view, id);
         self.give_away(ctx, view, id);
@@ -159,7 +156,6 @@
         let Some(machine) = self.machines.get(id) else {
             return;
         };
-        let deadline = verdict(ctx, machine).unwrap_or(Ms::MAX);
         let again = if self.is_busy(view, machine) {
             let soon = ctx.now + (ctx.cfg.report_ms / BUSY_LOOKS).max(1);
             soon.max(machine.retry_at)
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -44,6 +44,15 @@
     pub(crate) machines: BTreeSet<MachineId>,
 }
 
+impl Changed {
+    pub(crate) fn everything() -> Self {
+        Self {
+            all: true,
+            ..Self::default()
+        }
+    }
+}
+
 fn decode<T: DeserializeOwned>(key: &str, value: Value, version: u64) -> Option<Stamped<T>> {
     match serde_json::from_value(value) {
         Ok(rec) => Some(Stamped { rec, version }),
@@ -60,10 +69,7 @@
         *self = Self {
             revision,
             ready: true,
-            changed: Changed {
-                all: true,
-                ..Changed::default()
-            },
+            changed: Changed::everything(),
             ..Self::default()
         };
         for item in items {
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -67,7 +67,7 @@
 }
 
 impl Size {
-    /// Five controllers and some 1,860 machines.
+    /// Five controllers, and room for some 1,860 machines, spot ones apart.
     pub fn five_by_1860() -> Self {
         Self {
             nodes: 5,
@@ -83,7 +83,8 @@
         }
     }
 
-    /// Seven controllers, sixteen teams and some 810 machines.
+    /// Seven controllers, sixteen teams, and room for some 810 machines, spot
+    /// ones apart.
     pub fn seven_by_810() -> Self {
         Self {
             nodes: 7,
