--- /dev/null
+++ b/crates/core/src/budget/tests.rs
@@ -0,0 +1,121 @@
+//! Tests of `budget`.
+
+use super::*;
+use crate::config::{Config, Operator};
+use crate::records::{LeaderRec, NodeRec};
+use crate::view::Stamped;
+use forkshift_wire::peer::Envelope;
+use forkshift_wire::settings::Settings;
+use std::rc::Rc;
+
+const SETTINGS: &str = include_str!("../../../../examples/settings.toml");
+
+fn ctx(node: &str, names: &[&str]) -> Ctx {
+    let settings = Settings::parse(SETTINGS).expect("the example is good");
+    let mut cfg = Config::new(&settings, Operator::default());
+    cfg.node = NodeName::new(node);
+    cfg.nodes = names.iter().map(|n| NodeName::new(n)).collect();
+    let mut ctx = Ctx::new(Rc::new(cfg), 1, 1);
+    ctx.now = 10_000;
+    ctx
+}
+
+fn view(names: &[&str]) -> View {
+    let stamped = |rec| Stamped { rec, version: 1 };
+    let mut view = View::default();
+    for name in names {
+        let rec = stamped(NodeRec {
+            inc: 1,
+            blind: false,
+        });
+        view.nodes.insert(NodeName::new(name), rec);
+    }
+    view.leader = Some(Stamped {
+        rec: LeaderRec {
+            node: NodeName::new(names[0]),
+            inc: 1,
+        },
+        version: 1,
+    });
+    view
+}
+
+/// Whatever is needed by whom, and whoever is heard: the sum of what all
+/// may use stays within the limit, and need is served before ease.
+#[test]
+fn the_sum_of_all_grants_stays_within_the_limit() {
+    let names = ["n0", "n1", "n2", "n3"];
+    let view = view(&names);
+    // Changes a second that n1 to n3 need, and whether they are heard
+    // and keep to grants.
+    let cases = [
+        ("quiet", [0.0, 0.0, 0.0], [true, true, true]),
+        ("one is busy", [500.0, 0.0, 0.0], [true, true, true]),
+        ("all are busy", [500.0, 500.0, 500.0], [true, true, true]),
+        ("one is new", [500.0, 500.0, 0.0], [true, false, true]),
+        ("all are new", [500.0, 500.0, 0.0], [false, false, false]),
+    ];
+    for (name, needs, granted) in cases {
+        let mut leader = ctx("n0", &names);
+        let mut budget = Budget::default();
+        let others = names.iter().skip(1).zip(needs).zip(granted);
+        for ((n, writes), granted) in others.clone() {
+            let rate = Use {
+                requests: 0.0,
+                writes,
+            };
+            budget.on_need(10_000, NodeName::new(n), 1, rate, granted);
+        }
+        budget.tick(&mut leader, &view);
+        let mut rates = vec![budget.rate(&leader, &view).writes];
+        for ((n, _), granted) in others {
+            let member = ctx(n, &names);
+            let mut own = Budget::default();
+            for effect in &leader.out {
+                let crate::ctx::Effect::Tell { node, message } = effect else {
+                    continue;
+                };
+                let body = Envelope::decode(message).map(|e| e.body);
+                let Ok(Body::Grant { writes, requests }) = body else {
+                    continue;
+                };
+                if node.to_string() == **n && granted {
+                    let rate = Use::from_milli(requests, writes);
+                    own.on_grant(&member, NodeName::new("n0"), 1, rate);
+                }
+            }
+            rates.push(own.rate(&member, &view).writes);
+        }
+        let limit = leader.cfg.write_rps;
+        let sum: f64 = rates.iter().sum();
+        assert!(sum <= limit * 0.951, "{name}: {rates:?} of {limit}");
+        assert!(sum > limit * 0.9, "{name}: {rates:?} of {limit}");
+        if name == "one is busy" {
+            assert!(rates[1] > limit / 2.0, "{name}: {rates:?}");
+        }
+    }
+}
+
+/// A grant ends with its time, and with the leader that gave it.
+#[test]
+fn a_grant_is_void_under_another_leader_and_after_its_time() {
+    let names = ["n0", "n1"];
+    let mut member = ctx("n1", &names);
+    let mut own = Budget::default();
+    let rate = Use {
+        requests: 0.0,
+        writes: 1_000.0,
+    };
+    own.on_grant(&member, NodeName::new("n0"), 1, rate);
+    let mut view = view(&names);
+    assert!(own.rate(&member, &view).writes > 1_000.0);
+    if let Some(leader) = view.leader.as_mut() {
+        leader.rec.inc = 2;
+    }
+    assert!(own.rate(&member, &view).writes < 1_000.0);
+    if let Some(leader) = view.leader.as_mut() {
+        leader.rec.inc = 1;
+    }
+    member.now += 60_000;
+    assert!(own.rate(&member, &view).writes < 1_000.0);
+}
--- /dev/null
+++ b/crates/sched/src/quota/tests.rs
@@ -0,0 +1,29 @@
+//! Tests of `quota`.
+
+use super::*;
+
+#[test]
+fn limits_count_cpus_and_gpus_and_zero_means_none() {
+    let quota = |used: f64| Quota {
+        guarantee: Resources::new(0.0, 4.0, 0.0),
+        limit: Resources::new(0.0, 8.0, 0.0),
+        used: Resources::new(0.0, used, 0.0),
+    };
+    let gpu = Resources::new(0.0, 2.0, 16.0);
+    let cpu = Resources::new(1.0, 0.0, 1.0);
+    let cases = [
+        (quota(0.0), gpu, true, true),
+        (quota(3.0), gpu, true, false),
+        (quota(6.0), gpu, true, false),
+        (quota(7.0), gpu, false, false),
+        (quota(0.0), cpu, true, true),
+        (quota(9.0), cpu, false, false),
+        (Quota::default(), gpu, true, false),
+    ];
+    for (i, (q, task, allowed, guaranteed)) in cases.into_iter().enumerate() {
+        assert_eq!(q.allows(&task), allowed, "case {i}");
+        assert_eq!(q.guarantees(&task), guaranteed, "case {i}");
+    }
+    assert!(quota(0.0).could_allow(&gpu, 4));
+    assert!(!quota(0.0).could_allow(&gpu, 5));
+}
--- /dev/null
+++ b/crates/wire/src/peer/tests.rs
@@ -0,0 +1,49 @@
+//! Tests of `peer`.
+
+use super::*;
+
+#[test]
+fn only_whole_messages_of_this_version_are_taken() {
+    let message = Envelope {
+        version: VERSION,
+        from: "berth-1".to_owned(),
+        inc: 7,
+        epoch: 3,
+        body: Body::Cancel {
+            id: "j-1".to_owned(),
+        },
+    };
+    let good = message.encode().unwrap();
+    assert_eq!(Envelope::decode(&good).unwrap(), message);
+    let mut newer = good.clone();
+    newer[0] = 1;
+    let mut tag = good.clone();
+    let at = tag.len() - 8;
+    tag[at] = 9;
+    let mut long = good.clone();
+    long.push(0);
+    // A length inside the message that promises more than there is.
+    let mut lies = good.clone();
+    lies[2..6].copy_from_slice(&u32::MAX.to_le_bytes());
+    let cases = [
+        ("empty", vec![]),
+        ("truncated", good[..good.len() - 1].to_vec()),
+        ("half a version", good[..1].to_vec()),
+        ("trailing byte", long),
+        ("another version", newer),
+        ("unknown body", tag),
+        ("lying length", lies),
+        ("oversized", vec![0; MESSAGE_MOST + 1]),
+    ];
+    for (name, bytes) in cases {
+        assert!(Envelope::decode(&bytes).is_err(), "{name}");
+    }
+    let spec = "x".repeat(MESSAGE_MOST);
+    let body = Body::NewJob {
+        share: 0,
+        spec,
+        at: 0,
+        revision: 0,
+    };
+    assert!(Envelope { body, ..message }.encode().is_err());
+}
--- /dev/null
+++ b/crates/wire/src/users/tests.rs
@@ -0,0 +1,57 @@
+//! Tests of `users`.
+
+use super::*;
+use serde_json::json;
+
+fn sample() -> serde_json::Value {
+    json!({"uid":"j-000412","roster":"train","crew":"vision","shape":"group","rank":"urgent","shifts":16,
+        "cpus":8.0,"accelerators":1.0,"mem_gb":64.0,"kit":"img-07","image_gb":6.2,
+        "rigs":["g8"],"yard":null,"same_place":true,"scatter":false,"loaner":true,
+        "expect_s":240.0,"bookmark_s":30.0,"stow_s":4.0,"due_s":900.0,"later":[1]})
+}
+
+#[test]
+fn submissions_are_checked_field_by_field() {
+    assert!(JobSpec::parse(sample().to_string().as_bytes()).is_ok());
+    let cases = [
+        ("uid", json!("x-1")),
+        ("uid", json!(7)),
+        ("shape", json!("heap")),
+        ("rank", json!("top")),
+        ("shifts", json!(0)),
+        ("shifts", json!(100_001)),
+        ("shifts", json!(1.5)),
+        ("cpus", json!(-1.0)),
+        ("cpus", json!("8")),
+        ("accelerators", json!(null)),
+        ("rigs", json!([])),
+        ("rigs", json!("g8")),
+        ("same_place", json!(0)),
+        ("due_s", json!(-2.0)),
+    ];
+    for (field, value) in cases {
+        let mut body = sample();
+        body[field] = value.clone();
+        let read = JobSpec::parse(body.to_string().as_bytes());
+        assert!(read.is_err(), "{field} = {value}");
+    }
+    for field in ["uid", "roster", "crew", "cpus", "loaner", "expect_s"] {
+        let mut body = sample();
+        body.as_object_mut().unwrap().remove(field);
+        assert!(
+            JobSpec::parse(body.to_string().as_bytes()).is_err(),
+            "{field}"
+        );
+    }
+    for field in ["rigs", "yard", "due_s"] {
+        let mut body = sample();
+        body.as_object_mut().unwrap().remove(field);
+        assert!(
+            JobSpec::parse(body.to_string().as_bytes()).is_ok(),
+            "{field}"
+        );
+    }
+    for body in ["", "[]", "nope", "{}", "null", "{\"uid\":"] {
+        assert!(JobSpec::parse(body.as_bytes()).is_err(), "{body:?}");
+    }
+}
--- a/crates/wire/src/workers.rs
+++ b/crates/wire/src/workers.rs
@@ -168,34 +168,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_report_is_read_as_the_protocol_writes_it() {
-        let text = r#"{"berth":"host-000231","addr":"10.1.0.232:9000","rig":"g8","yard":"a","loaner":true,
-            "watch":1,"tally":88,"baton":41,"recall_s":null,"news":{"x":1},
-            "shifts":[{"shift":"j-000412/3","try":2,"stage":"running"},
-                      {"shift":"j-000398/0","try":1,"stage":"exited","cause":"stopped","stored":true}]}"#;
-        let report: Report = serde_json::from_str(text).unwrap();
-        assert_eq!((report.session, report.seq, report.token), (1, 88, 41));
-        assert!(report.spot && report.notice_s.is_none());
-        assert_eq!(report.tasks[0].stage, TaskStage::Running);
-        assert_eq!(report.tasks[1].cause, Some(ExitCause::Stopped));
-        assert!(report.tasks[1].saved);
-    }
-
-    #[test]
-    fn commands_are_written_in_the_platform_s_words() {
-        let order = Order {
-            verb: Verb::Stop,
-            task: "j-000377/1".parse().unwrap(),
-            attempt: 1,
-            grace_s: Some(10.0),
-        };
-        assert_eq!(
-            serde_json::to_value(&order).unwrap(),
-            serde_json::json!({"verb":"kill","shift":"j-000377/1","try":1,"leave_s":10.0})
-        );
-    }
-}
+mod tests;
