Workers are answered without a right on evidence alone, evicted without a write

Cause: an old holder went on answering its workers for as long as it heard any peer. If its lease had run out before an outage, its successor could confirm cancellations and end; the old holder then kept the tasks' leases alive for as long as the outage lasted. A new holder that was still loading a share did the same, and so did others for a holder they did not hear, as both counted from the wrong moment. A machine that hung with a cancelled task was given up by a record that no write could make, and the deadline began anew at a takeover.

Now heartbeats say which epochs their sender has seen, and echo the receiver's last: workers are answered until the moment for which all others vouch, or our own right's end, and cancel_s less a lease. Whoever hears of a higher epoch stops at once. For others' workers, and while loading, the last holder's word that nothing cancelled is left on a machine takes that place. A machine that may hold a cancelled task is deleted by its holder itself after 0.6 of the time if record or leader have not done it. The time of the first request is kept in the job's record. Starts are sent by right only.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -3,7 +3,7 @@
 use crate::ctx::{revision_of, Creation, Ctx, Lookup, Pending, Reply, Token};
 use crate::node::Node;
 use crate::records::{abort_key, job_key, live_key, total_of, BlockRec, HeadRec, JobRec, ShareId};
-use crate::share::Phase;
+use crate::share::{Phase, TOKEN_BITS};
 use crate::store::Urgency;
 use crate::Ms;
 use forkshift_sched::{Quota, Resources};
@@ -175,6 +175,7 @@
         let head = HeadRec {
             spec: spec.clone(),
             cancelled: false,
+            cancelled_at: 0,
             at: self.ctx.wall,
             block: BlockRec::default(),
         };
@@ -425,7 +426,7 @@
         };
         let k = record.rec.share;
         if !self.shares.contains_key(&k) {
-            if self.keeps(k) {
+            if self.keeps(k, &report.machine) {
                 let (token, orders) = (report.token, Vec::new());
                 return Reply::json(200, &ReportReply { token, orders });
             }
@@ -433,20 +434,24 @@
             let report_to = holder.map(|n| n.to_string());
             return Reply::json(421, &Redirect { report_to });
         }
-        let entitled = self.ctx.entitled || self.holds_on();
+        let share = self.shares.get(&k);
+        let entitled = share.is_some_and(|s| self.ctx.entitled || self.holds_on(s));
+        let bridges = share.is_some_and(|s| self.bridges(s, &report.machine));
+        let newest = self.view.epoch().1;
+        let first = share.map(|s| s.first_token(&record.rec));
         let Node { shares, ctx, .. } = self;
         let Some(share) = shares.get_mut(&k).filter(|_| entitled) else {
             return Reply::json(421, &Redirect::default());
         };
         if share.phase != Phase::Active {
-            // The share is ours, so the lease may be renewed; what runs there
-            // is not known yet.
-            let token = (share.epoch << 24).max(record.rec.floor + 1);
-            if report.token > token {
-                return Reply::json(421, &Redirect::default());
-            }
-            let orders = Vec::new();
-            return Reply::json(200, &ReportReply { token, orders });
+            let token = first.filter(|t| report.token <= *t && bridges);
+            return match token {
+                Some(token) => {
+                    let orders = Vec::new();
+                    Reply::json(200, &ReportReply { token, orders })
+                }
+                None => Reply::json(421, &Redirect::default()),
+            };
         }
         if share
             .machines
@@ -455,6 +460,10 @@
         {
             // Somebody newer holds the machine. A 200 would be dropped, and
             // the worker would stay here while its lease runs out.
+            let epoch = report.token >> TOKEN_BITS;
+            if epoch > newest {
+                share.supersede(&format!("{} has a token of epoch {epoch}", report.machine));
+            }
             return Reply::json(421, &Redirect::default());
         }
         share.ingest(ctx, &report);
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -77,6 +77,8 @@
     pub report_ms: Ms,
     /// Within this a cancelled job's tasks must be gone.
     pub cancel_ms: Ms,
+    /// Bound on the error of the time of day.
+    pub clock_off_ms: Ms,
     /// Within this a gang must be complete.
     pub gang_wait_ms: Ms,
     /// Requests a second to the state service, of all controllers.
@@ -101,6 +103,9 @@
 /// takes over tells its token to a whole fleet at once.
 const CALLS_PART: f64 = 0.15;
 
+/// The part of the time for a cancellation that is kept for drift and late timers.
+const LATE_PART: f64 = 0.01;
+
 /// What a worker's try at a controller that does not answer takes.
 const TRY_MS: f64 = 5_000.0;
 
@@ -132,6 +137,7 @@
             lease_ms: ms(c.workers.lease_s),
             report_ms: ms(c.workers.report_s),
             cancel_ms: ms(c.workers.cancel_s),
+            clock_off_ms: c.clock_off_ms.max(0.0) as Ms,
             gang_wait_ms: ms(c.workers.gang_wait_s),
             state_rps: c.state.rps,
             write_rps: c.state.write_rps,
@@ -152,7 +158,19 @@
     /// For how long a worker may be answered after a cancellation that we have
     /// not heard of: its lease ends in time all the same.
     pub fn grace_ms(&self) -> Ms {
-        self.cancel_ms.saturating_sub(self.lease_ms)
+        self.in_time_ms().saturating_sub(self.lease_ms)
+    }
+
+    /// For how long a worker may be answered by a new holder that does not know
+    /// yet what was cancelled: the cancellation may be a lease old.
+    pub fn bridge_ms(&self) -> Ms {
+        self.in_time_ms().saturating_sub(self.lease_ms * 2)
+    }
+
+    /// The time that a cancellation has, less what clocks drift and timers are
+    /// late by.
+    fn in_time_ms(&self) -> Ms {
+        (self.cancel_ms as f64 * (1.0 - LATE_PART)) as Ms
     }
 
     /// The part of a zone's workers that find a controller inside before their
--- a/crates/core/src/ctx.rs
+++ b/crates/core/src/ctx.rs
@@ -4,6 +4,7 @@
 use crate::records::{DemandRec, ShareId};
 use crate::silence::Silence;
 use crate::store::{StateCall, Store, Urgency};
+use crate::vouch::{Peer, Vouched};
 use crate::Ms;
 use forkshift_wire::peer::{Body, Envelope, VERSION};
 use forkshift_wire::state::{Txn, TxnReply};
@@ -225,6 +226,12 @@
     Delete {
         machines: Vec<MachineId>,
     },
+    /// A holder's own deletion.
+    Evict {
+        share: ShareId,
+        epoch: u64,
+        machines: Vec<MachineId>,
+    },
     Removed {
         machines: Vec<MachineId>,
     },
@@ -296,8 +303,9 @@
     pub(crate) silence: Silence,
     /// Until then we say that we hear no machine.
     pub(crate) blind_until: Ms,
-    /// Which starts of peers were heard, and when last.
-    pub(crate) peers: BTreeMap<NodeName, (u64, Ms)>,
+    /// Peers that were heard.
+    pub(crate) peers: BTreeMap<NodeName, Peer>,
+    pub(crate) vouched: Vouched,
     /// Calls to workers that are under way.
     pub(crate) worker_calls: usize,
     /// Machines, jobs and tasks looked at: the work of a step, counted.
@@ -341,6 +349,7 @@
             silence: Silence::default(),
             blind_until: 0,
             peers: BTreeMap::new(),
+            vouched: Vouched::default(),
             worker_calls: 0,
             visits: 0,
             next_call: 0,
@@ -354,6 +363,12 @@
         crate::ms(self.cfg.ops.assign_s).max(100)
     }
 
+    /// How long ago a time of day was, at the most: it was read by another
+    /// controller, and both clocks may be off.
+    pub(crate) fn since_wall(&self, wall: Ms) -> Ms {
+        self.wall.saturating_sub(wall) + self.cfg.clock_off_ms * 2
+    }
+
     /// A number that stands for a name within this process.
     pub(crate) fn intern(&mut self, name: &str) -> u32 {
         if let Some(n) = self.interned.get(name) {
--- a/crates/core/src/evidence.rs
+++ b/crates/core/src/evidence.rs
@@ -27,7 +27,8 @@
         let Some(machine) = self.machines.get_mut(&report.machine) else {
             return false;
         };
-        if (report.session, report.seq) <= (machine.session, machine.seq) {
+        // What comes from a machine after its deletion was answered is old.
+        if machine.deleted || (report.session, report.seq) <= (machine.session, machine.seq) {
             return false;
         }
         if machine.heard.is_none() {
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -84,7 +84,12 @@
     pub(crate) done: Ranges,
     pub(crate) bound: BTreeMap<u32, Binding>,
     pub(crate) cancelled: bool,
-    pub(crate) cancelled_at: Ms,
+    /// Time of day at which the first request to cancel it came, for whoever
+    /// takes it over: no user can have been told before.
+    pub(crate) cancelled_wall: Ms,
+    /// How long ago that was when this holder learnt of it, and when it did.
+    pub(crate) cancelled_for: Ms,
+    pub(crate) cancelled_since: Ms,
     /// The cancellation is written.
     pub(crate) cancel_durable: bool,
     pub(crate) cancel_waiters: Vec<Token>,
@@ -125,7 +130,9 @@
             done: Ranges::default(),
             bound: BTreeMap::new(),
             cancelled: false,
-            cancelled_at: 0,
+            cancelled_wall: 0,
+            cancelled_for: 0,
+            cancelled_since: 0,
             cancel_durable: false,
             cancel_waiters: Vec::new(),
             writing: false,
@@ -239,6 +246,11 @@
         self.waited + now.saturating_sub(self.since)
     }
 
+    /// How long ago its cancellation was asked for.
+    pub(crate) fn cancel_age(&self, now: Ms) -> Ms {
+        self.cancelled_for + now.saturating_sub(self.cancelled_since)
+    }
+
     /// Up to `most` tasks that wait for a place.
     pub(crate) fn waiting(&self, most: usize) -> Vec<u32> {
         if self.cancelled {
@@ -289,6 +301,7 @@
         HeadRec {
             spec: (*self.spec).clone(),
             cancelled: self.cancelled,
+            cancelled_at: self.cancelled_wall,
             at: self.at,
             block: self.block_rec(0),
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,6 +30,7 @@
 mod store;
 mod tend;
 mod view;
+mod vouch;
 
 pub use config::{Config, Operator};
 pub use ctx::{CallId, Effect, Input, Reply, Target, Token};
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -69,6 +69,11 @@
     /// It is being given to another share: nothing is placed here unless its
     /// record comes back changed, and still ours.
     pub(crate) leaving: Option<u64>,
+    /// The cloud has answered our own deletion of it: nothing is on it, and
+    /// nothing will be. Its record may say so only later.
+    pub(crate) deleted: bool,
+    /// Before this its deletion is not asked for again by us.
+    pub(crate) delete_at: Ms,
     /// Before this it is not looked at again whether its tasks fit elsewhere.
     pub(crate) full_house_until: Ms,
     /// It is being emptied, to be returned.
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -489,6 +489,15 @@
                 self.leader
                     .on_delete(&mut self.ctx, &self.view, machines, status, body);
             }
+            Pending::Evict {
+                share,
+                epoch,
+                machines,
+            } => {
+                if let Some(s) = self.shares.get_mut(&share).filter(|s| s.epoch == epoch) {
+                    s.on_evicted(&self.ctx, &machines, status);
+                }
+            }
             Pending::Removed { machines } => self.leader.on_removed(&machines, status),
         }
     }
@@ -528,5 +537,6 @@
             | Pending::MachineList { .. }
             | Pending::Rent { .. }
             | Pending::Delete { .. }
+            | Pending::Evict { .. }
     )
 }
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -29,7 +29,10 @@
             return;
         }
         let mut orders = self.calm_orders(ctx, id);
-        orders.extend(self.starts(id));
+        // Without a right somebody else may have confirmed a cancellation.
+        if ctx.entitled {
+            orders.extend(self.starts(id));
+        }
         let Some(machine) = self.machines.get_mut(id) else {
             return;
         };
@@ -199,7 +202,8 @@
             return;
         }
         job.cancelled = true;
-        job.cancelled_at = ctx.now;
+        job.cancelled_wall = ctx.wall;
+        job.cancelled_since = ctx.now;
         job.touch(0);
         for binding in job.bound.values_mut() {
             binding.stop = Some(Stop::after(0.0));
--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -58,8 +58,12 @@
                 };
                 self.on_forwarded(ask, reply);
             }
+            Body::Heartbeat(beat) => {
+                if self.ctx.cfg.nodes.contains(&from) {
+                    self.on_heartbeat(&from, inc, beat);
+                }
+            }
             _ if !alive => {}
-            Body::Alive => {}
             Body::Need {
                 writes,
                 requests,
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -169,6 +169,10 @@
     pub placed: u32,
 }
 
+fn is_never(t: &u64) -> bool {
+    *t == 0
+}
+
 fn is_none(n: &u32) -> bool {
     *n == 0
 }
@@ -267,6 +271,10 @@
     /// Its user was told that it is cancelled.
     #[serde(default)]
     pub cancelled: bool,
+    /// Time of day at which that was first asked for, in milliseconds: the
+    /// deadline for its tasks outlives the holder that told the user.
+    #[serde(default, skip_serializing_if = "is_never")]
+    pub cancelled_at: u64,
     /// Time of day at which it was submitted, in milliseconds.
     #[serde(default)]
     pub at: u64,
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -23,6 +23,8 @@
 const WATCH_PART: f64 = 0.1;
 /// Least pause between two of them.
 const WATCH_GAP: Ms = 200;
+/// A token is an epoch above a counter of this many bits.
+pub(crate) const TOKEN_BITS: u32 = 24;
 
 /// How far a share is.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -92,6 +94,9 @@
     /// Shown again only in sight of this revision.
     pub(crate) demand_from: u64,
     pub(crate) reload: bool,
+    /// Somebody has seen a higher epoch of it, which our view has not: without
+    /// a right of our own we answer for it no more.
+    pub(crate) superseded: bool,
 }
 
 impl Share {
@@ -141,6 +146,7 @@
             demand_putting: false,
             demand_from: 0,
             reload: false,
+            superseded: false,
         };
         share.list(ctx, "");
         share
@@ -234,7 +240,9 @@
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.cancelled = true;
                 job.cancel_durable = true;
-                job.cancelled_at = ctx.now;
+                job.cancelled_wall = head.cancelled_at;
+                job.cancelled_for = ctx.since_wall(head.cancelled_at);
+                job.cancelled_since = ctx.now;
                 self.cancels.touch(&id);
             }
         }
@@ -283,6 +291,20 @@
         }
     }
 
+    /// Somebody has seen a higher epoch of the share.
+    pub(crate) fn supersede(&mut self, how: &str) {
+        if !self.superseded {
+            log::info!("share {}: not ours any more, {how}", self.id);
+            self.superseded = true;
+        }
+    }
+
+    /// The first token that is used for a machine: above those of earlier
+    /// holders of the share, and of the machine's earlier shares.
+    pub(crate) fn first_token(&self, rec: &MachineRec) -> u64 {
+        (self.epoch << TOKEN_BITS).max(rec.floor + 1)
+    }
+
     /// Asks for a round before its time.
     pub(crate) fn hurry(&mut self, ctx: &Ctx) {
         let gap = crate::ms(ctx.cfg.ops.round_gap_s);
@@ -410,7 +432,7 @@
             session: 0,
             seq: 0,
             echo: 0,
-            token: (self.epoch << 24).max(rec.floor + 1),
+            token: self.first_token(rec),
             unechoed_since: None,
             heard: None,
             since: ctx.now,
@@ -432,6 +454,8 @@
             errors: BTreeSet::new(),
             full_until: 0,
             leaving: None,
+            deleted: false,
+            delete_at: 0,
             full_house_until: 0,
             draining: false,
             idle_since: None,
@@ -441,15 +465,20 @@
     /// The machine's record is gone: the cloud has answered that it was
     /// deleted, so nothing that was on it is left.
     fn drop_machine(&mut self, ctx: &Ctx, id: &MachineId) {
-        let Some(machine) = self.machines.get(id) else {
+        if !self.machines.contains_key(id) {
             return;
-        };
-        let tasks: Vec<TaskRef> = machine.tasks.iter().cloned().collect();
-        for task in tasks {
-            self.unbind(&task.job, task.index);
         }
+        self.unbind_all(ctx, id);
         self.machines.remove(id);
         self.look.forget(id);
+    }
+
+    /// Nothing that was on a machine is left.
+    pub(crate) fn unbind_all(&mut self, ctx: &Ctx, id: &MachineId) {
+        let tasks = self.machines.get(id).map(|m| m.tasks.clone());
+        for task in tasks.into_iter().flatten() {
+            self.unbind(&task.job, task.index);
+        }
         self.hurry(ctx);
     }
 
--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -11,10 +11,8 @@
 use crate::ctx::Ctx;
 use crate::machine::Machine;
 use crate::node::Node;
-use crate::records::ShareId;
 use crate::share::{Phase, Share};
 use crate::Ms;
-use forkshift_wire::peer::Body;
 use forkshift_wire::NodeName;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -71,9 +69,9 @@
         }
     }
 
-    fn is_peer_there(&self, node: &NodeName, inc: u64) -> bool {
-        let heard = self.peers.get(node).filter(|(i, _)| *i == inc);
-        heard.is_some_and(|(_, at)| self.now < at + self.beat_ms() * PEER_LOOKS)
+    pub(crate) fn is_peer_there(&self, node: &NodeName, inc: u64) -> bool {
+        let peer = self.peers.get(node).filter(|p| p.inc == inc);
+        peer.is_some_and(|p| self.now < p.heard + self.beat_ms() * PEER_LOOKS)
     }
 }
 
@@ -100,23 +98,18 @@
 }
 
 impl Node {
-    /// Notes that a peer is there.
-    pub(crate) fn heard_peer(&mut self, from: &NodeName, inc: u64) {
-        let now = self.ctx.now;
-        self.ctx.peers.insert(from.clone(), (inc, now));
-    }
-
     /// Tells peers that we are here, and judges the silence of machines.
     pub(crate) fn follow_silence(&mut self) {
         self.ctx.entitled = self.member.has_right(&self.ctx, &self.view);
+        if self.ctx.entitled {
+            self.ctx.vouched.prove(self.member.right_until(&self.ctx));
+        }
         if self.ctx.now < self.silence_at {
             return;
         }
         self.silence_at = self.ctx.now + self.ctx.beat_ms();
         let cfg = self.ctx.cfg.clone();
-        for node in cfg.nodes.iter().filter(|n| **n != cfg.node) {
-            self.ctx.tell(node, 0, Body::Alive);
-        }
+        self.send_heartbeats();
         let mut zones = BTreeMap::new();
         for share in self.shares.values().filter(|s| s.phase == Phase::Active) {
             share.count_silent(&self.ctx, &mut zones);
@@ -163,34 +156,6 @@
         let least = others.min_by_key(|(n, _)| held(n));
         least.map(|(n, _)| n.clone())
     }
-
-    /// Until when we answer workers of shares that are ours although we have
-    /// no right any more: a successor cannot have told anybody of a
-    /// cancellation before our lease ran out, and by `cancel_ms` after that
-    /// what we kept alive must be gone.
-    pub(crate) fn holds_on(&self) -> bool {
-        let until = self.member.right_until(&self.ctx) + self.ctx.cfg.grace_ms();
-        let peers = self.ctx.peers.iter();
-        let mut there = peers.filter(|(n, (inc, _))| self.ctx.is_peer_there(n, *inc));
-        self.ctx.now < until || there.next().is_some()
-    }
-
-    /// Whether we keep the lease of a worker alive that another controller
-    /// holds: we are cut off from the state service and from that controller,
-    /// and so, it seems, is the worker. It is given no orders, and its own
-    /// token back. The holder may tell of a cancellation at any time, so by
-    /// `cancel_ms` after we were cut off what we kept alive must be gone.
-    pub(crate) fn keeps(&self, share: ShareId) -> bool {
-        let Some(holder) = self.view.shares.get(&share).map(|s| &s.rec) else {
-            return false;
-        };
-        let extended = self.member.extended();
-        let grace = self.ctx.cfg.grace_ms();
-        let lease = self.ctx.cfg.node_lease_ms();
-        self.ctx.now > extended + lease * 6 / 10
-            && self.ctx.now + lease / 500 < extended + grace
-            && !self.ctx.is_peer_there(&holder.holder, holder.inc)
-    }
 }
 
 #[cfg(test)]
--- a/crates/core/src/tend.rs
+++ b/crates/core/src/tend.rs
@@ -1,18 +1,27 @@
 //! What a holder does for its share between the messages.
 
-use crate::ctx::Ctx;
+use crate::ctx::{Ctx, Pending};
 use crate::job::Sent;
 use crate::machine::Machine;
 use crate::share::Share;
 use crate::view::View;
 use crate::Ms;
 use forkshift_sched::Resources;
+use forkshift_wire::cloud::{Machines, DELETE_MOST};
 use forkshift_wire::{MachineId, TaskRef};
+use std::collections::BTreeSet;
 use std::fmt;
 
 /// A machine that may hold a task of a cancelled job is given up after this
 /// part of the time in which the task must be gone.
 const CANCEL_PART: f64 = 0.35;
+/// By this part of it the machine is given up even if its holder has just
+/// learnt of the cancellation.
+const PATIENCE_PART: f64 = 0.5;
+/// After this part of it the holder has the machine deleted itself.
+const EVICT_PART: f64 = 0.6;
+/// Reports that a new holder gives a machine to tell that a task is gone.
+const TRIES: u64 = 2;
 /// Jobs that failed on a machine, none of which ran there since, before the
 /// machine is given up.
 const ERRORS_MOST: usize = 2;
@@ -117,23 +126,90 @@
 
     /// Stops tasks of cancelled jobs, those too that a holder before us did
     /// not stop, and gives up the machines that may still hold one when the
-    /// time is nearly up.
-    fn follow_cancelled(&mut self, ctx: &Ctx) {
-        let late = (ctx.cfg.cancel_ms as f64 * CANCEL_PART) as Ms;
+    /// time is nearly up. The time counts from the first request, also when
+    /// that came to an earlier holder. If the record of a machine cannot be
+    /// written, or the leader does not act on it, we have it deleted ourselves.
+    fn follow_cancelled(&mut self, ctx: &mut Ctx) {
+        let part = |part: f64| (ctx.cfg.cancel_ms as f64 * part) as Ms;
+        let (give_up, patience, evict) = (part(CANCEL_PART), part(PATIENCE_PART), part(EVICT_PART));
+        // Whoever takes a job over tries to stop its tasks first, if there is time.
+        let tries = ctx.cfg.report_ms * TRIES;
+        let mut overdue = BTreeSet::new();
         for id in self.cancels.take(ctx.now) {
             self.stop_rest(&id);
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
-            let due = job.cancelled_at + late;
-            if ctx.now >= due {
-                let holding = job.bound.values().map(|b| b.machine.clone());
-                for machine in holding.collect::<Vec<MachineId>>() {
-                    self.condemn(&machine, "it may hold a cancelled task");
+            let age = job.cancel_age(ctx.now);
+            let at_least = (job.cancelled_for + tries).min(patience);
+            let due = give_up.max(at_least);
+            let holding: BTreeSet<MachineId> =
+                job.bound.values().map(|b| b.machine.clone()).collect();
+            if age >= due {
+                for machine in &holding {
+                    self.condemn(machine, "it may hold a cancelled task");
                 }
             }
+            if age >= evict {
+                overdue.extend(holding);
+            }
             let next = ctx.now + ctx.cfg.report_ms;
-            self.cancels.wake(&id, if next < due { due } else { next });
+            let wake = if age < due && next > ctx.now + due - age {
+                ctx.now + due - age
+            } else {
+                next
+            };
+            self.cancels.wake(&id, wake);
+        }
+        self.evict(ctx, overdue);
+    }
+
+    /// Has machines deleted without a record that says so. That is always
+    /// allowed: it only ends things. None of them is used again: we hold them
+    /// as given up until their records say so, and whoever takes over finds
+    /// machines with records from which nothing is heard, and starts nothing
+    /// there. What they held counts as being there until the cloud has answered
+    /// us, or until the record is gone.
+    fn evict(&mut self, ctx: &mut Ctx, overdue: BTreeSet<MachineId>) {
+        let mut due = Vec::new();
+        for id in overdue {
+            let machine = self.machines.get_mut(&id);
+            let Some(m) = machine.filter(|m| !m.deleted && ctx.now >= m.delete_at) else {
+                continue;
+            };
+            if due.len() < DELETE_MOST {
+                m.delete_at = ctx.now + ctx.cfg.report_ms;
+                due.push(id);
+            }
+        }
+        if due.is_empty() {
+            return;
+        }
+        log::info!(
+            "share {}: {} machines are returned at once, they may hold cancelled tasks",
+            self.id,
+            due.len()
+        );
+        let machines = due.clone();
+        let body = serde_json::to_vec(&Machines { machines }).unwrap_or_default();
+        let (share, epoch, machines) = (self.id, self.epoch, due);
+        let pending = Pending::Evict {
+            share,
+            epoch,
+            machines,
+        };
+        ctx.cloud("POST", "/machines/delete".to_owned(), Some(body), pending);
+    }
+
+    /// What the cloud has answered to a deletion of ours.
+    pub(crate) fn on_evicted(&mut self, ctx: &Ctx, machines: &[MachineId], status: u16) {
+        for id in machines.iter().filter(|_| status == 200) {
+            if let Some(machine) = self.machines.get_mut(id) {
+                machine.deleted = true;
+                machine.orphans.clear();
+                machine.exited.clear();
+                self.unbind_all(ctx, id);
+            }
         }
     }
 
--- /dev/null
+++ b/crates/core/src/vouch.rs
@@ -0,0 +1,239 @@
+//! What other controllers vouch for, and for how long workers may be answered
+//! on it without a right.
+//!
+//! Whoever answers a worker's report keeps its lease alive, and with it a task
+//! whose cancellation another controller may have confirmed. By `cancel_ms`
+//! after that the task must be gone, whatever else fails: so the last answer
+//! that carries no order to stop it must come `cancel_ms` less a worker's lease
+//! after the confirmation at the latest (`Config::grace_ms`). All bounds here
+//! have this form: nothing can have been confirmed before some moment, and
+//! workers are answered until that moment and the grace. Only the moment moves.
+//!
+//! It moves on evidence alone. Heartbeats carry the time at which they were
+//! sent, and echo the receiver's last one: a statement is true as of the
+//! moment at which the heartbeat that it echoes was *sent*, by the receiver's
+//! own clock. However late it comes, it proves nothing about a later time, and
+//! no two clocks are compared.
+
+use crate::ctx::Ctx;
+use crate::node::Node;
+use crate::records::ShareId;
+use crate::share::{Phase, Share};
+use crate::view::View;
+use crate::Ms;
+use forkshift_wire::peer::{Body, Echo, Heartbeat, Settled};
+use forkshift_wire::{MachineId, NodeName};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A share with more machines than this that may hold a cancelled task makes
+/// no statement about any: heartbeats stay small.
+const UNSETTLED_MOST: usize = 100;
+
+/// A controller that was heard.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Peer {
+    /// This start of it.
+    pub(crate) inc: u64,
+    /// When it was heard last.
+    pub(crate) heard: Ms,
+    /// Its clock when it sent its last heartbeat.
+    pub(crate) sent: Option<u64>,
+}
+
+/// Which epochs a controller had seen, as of some moment or later.
+#[derive(Debug)]
+struct Seen {
+    since: Ms,
+    epochs: BTreeMap<ShareId, u64>,
+}
+
+/// Machines of a share that may hold a task of a job whose cancellation was
+/// confirmed before some moment; no other machine of it does.
+#[derive(Debug)]
+struct Unsettled {
+    since: Ms,
+    machines: BTreeSet<MachineId>,
+}
+
+/// What other controllers have stated.
+#[derive(Debug, Default)]
+pub(crate) struct Vouched {
+    peers: BTreeMap<NodeName, Seen>,
+    shares: BTreeMap<ShareId, Unsettled>,
+    /// Until then nobody can have been given our shares, by our own lease.
+    proven: Ms,
+}
+
+impl Vouched {
+    /// We have a right until then.
+    pub(crate) fn prove(&mut self, until: Ms) {
+        self.proven = self.proven.max(until);
+    }
+
+    /// Before this moment nobody can have confirmed a cancellation in our
+    /// stead. Only a holder of the share under a higher epoch can, once it has
+    /// seen that epoch in its view. As long as every other controller vouches
+    /// for not having seen one, nobody has. A controller that is not heard
+    /// vouches for nothing, nor does one that has restarted and was not served
+    /// since. One whose view is complete has read it after its start, so it
+    /// vouches for its earlier starts as well.
+    fn unclaimed_until(&self, ctx: &Ctx, share: &Share) -> Ms {
+        let cfg = &ctx.cfg;
+        let others = cfg.nodes.iter().filter(|n| **n != cfg.node);
+        let vouched = others.map(|n| {
+            let seen = self.peers.get(n);
+            let unclaimed = seen.filter(|s| {
+                let epoch = s.epochs.get(&share.id).copied().unwrap_or(0);
+                epoch <= share.epoch
+            });
+            unclaimed.map_or(0, |s| s.since)
+        });
+        self.proven.max(vouched.min().unwrap_or(Ms::MAX))
+    }
+
+    /// Before this moment no cancellation can have been confirmed of a task
+    /// that may still be on a machine.
+    fn settled_until(&self, share: ShareId, machine: &MachineId) -> Option<Ms> {
+        let settled = self.shares.get(&share);
+        let settled = settled.filter(|u| !u.machines.contains(machine));
+        settled.map(|u| u.since)
+    }
+}
+
+impl Share {
+    /// Machines that may hold a task of a cancelled job, or something that
+    /// is not known here.
+    fn unsettled(&self) -> BTreeSet<&MachineId> {
+        let cancelled = self.jobs.values().filter(|j| j.cancelled);
+        let holding = cancelled.flat_map(|j| j.bound.values().map(|b| &b.machine));
+        let strays = self.machines.values().filter(|m| !m.orphans.is_empty());
+        holding.chain(strays.map(|m| &m.id)).collect()
+    }
+
+    fn settled(&self) -> Option<Settled> {
+        let unsettled = self.unsettled();
+        (self.phase == Phase::Active && unsettled.len() <= UNSETTLED_MOST).then(|| Settled {
+            share: self.id.0,
+            unsettled: unsettled.iter().map(ToString::to_string).collect(),
+        })
+    }
+}
+
+impl View {
+    /// The epochs that were seen; none while the view is not complete.
+    fn epochs(&self) -> Option<Vec<(u32, u64)>> {
+        let shares = self.shares.iter();
+        let epochs = || shares.map(|(k, s)| (k.0, s.rec.epoch)).collect();
+        self.ready.then(epochs)
+    }
+}
+
+impl Node {
+    /// Notes that a peer is there.
+    pub(crate) fn heard_peer(&mut self, from: &NodeName, inc: u64) {
+        let heard = self.ctx.now;
+        let known = self.ctx.peers.get(from).filter(|p| p.inc == inc);
+        let sent = known.and_then(|p| p.sent);
+        self.ctx
+            .peers
+            .insert(from.clone(), Peer { inc, heard, sent });
+    }
+
+    /// Tells all peers that we are here, and what they may rely on.
+    pub(crate) fn send_heartbeats(&mut self) {
+        let cfg = self.ctx.cfg.clone();
+        let epochs = self.view.epochs();
+        // While we have a right nobody else can have confirmed anything, so
+        // what we know of our shares is all there is.
+        let entitled = self.ctx.entitled;
+        let shares = self.shares.values().filter(|_| entitled);
+        let settled: Vec<Settled> = shares.filter_map(Share::settled).collect();
+        for node in cfg.nodes.iter().filter(|n| **n != cfg.node) {
+            let peer = self.ctx.peers.get(node);
+            let echo = peer.and_then(|p| p.sent.map(|sent| Echo { inc: p.inc, sent }));
+            let body = Body::Heartbeat(Heartbeat {
+                sent: self.ctx.now,
+                echo,
+                epochs: epochs.clone(),
+                settled: settled.clone(),
+            });
+            self.ctx.tell(node, 0, body);
+        }
+    }
+
+    /// Takes in what a peer states. Whether its lease lives does not matter:
+    /// in an outage nobody can know.
+    pub(crate) fn on_heartbeat(&mut self, from: &NodeName, inc: u64, beat: Heartbeat) {
+        if let Some(peer) = self.ctx.peers.get_mut(from).filter(|p| p.inc == inc) {
+            peer.sent = peer.sent.max(Some(beat.sent));
+        }
+        let epochs = beat.epochs.iter().flatten();
+        let epochs: BTreeMap<ShareId, u64> = epochs.map(|(k, e)| (ShareId(*k), *e)).collect();
+        for (k, epoch) in &epochs {
+            if let Some(share) = self.shares.get_mut(k).filter(|s| s.epoch < *epoch) {
+                share.supersede(&format!("{from} has seen epoch {epoch}"));
+            }
+        }
+        // An echo of an earlier start of ours is not of our clock.
+        let echo = beat.echo.filter(|e| e.inc == self.ctx.inc);
+        let Some(since) = echo.map(|e| e.sent.min(self.ctx.now)) else {
+            return;
+        };
+        let vouched = &mut self.ctx.vouched;
+        let newer = vouched.peers.get(from).is_none_or(|s| since > s.since);
+        if beat.epochs.is_some() && newer {
+            vouched.peers.insert(from.clone(), Seen { since, epochs });
+        }
+        for settled in beat.settled {
+            let k = ShareId(settled.share);
+            let machines = settled.unsettled.iter().map(|m| MachineId::new(m));
+            let machines = machines.collect();
+            if vouched.shares.get(&k).is_none_or(|u| since > u.since) {
+                vouched.shares.insert(k, Unsettled { since, machines });
+            }
+        }
+    }
+
+    /// Whether we answer workers of a share of ours although we have no right
+    /// any more. Once our lease has run out another controller may be given the
+    /// share and confirm cancellations that we never hear of.
+    pub(crate) fn holds_on(&self, share: &Share) -> bool {
+        let until = self.ctx.vouched.unclaimed_until(&self.ctx, share);
+        !share.superseded && self.ctx.now < until.saturating_add(self.ctx.cfg.grace_ms())
+    }
+
+    /// Whether a worker may be answered by somebody who does not know which of
+    /// its tasks are cancelled: the last holder that had a right has stated that
+    /// none is that was cancelled before.
+    fn is_settled(&self, share: ShareId, machine: &MachineId) -> bool {
+        let until = self.ctx.vouched.settled_until(share, machine);
+        until.is_some_and(|t| self.ctx.now < t + self.ctx.cfg.grace_ms())
+    }
+
+    /// Whether a worker of a share that we are still loading is answered. What
+    /// an earlier holder confirmed and could not carry out is not known yet.
+    /// The worker's last answer from that holder came before the
+    /// confirmation, else it would have carried the order to stop; it is less
+    /// than a lease old, or the worker's session would be over.
+    pub(crate) fn bridges(&self, share: &Share, machine: &MachineId) -> bool {
+        self.ctx.now < share.active_since + self.ctx.cfg.bridge_ms()
+            || self.is_settled(share.id, machine)
+    }
+
+    /// Whether we keep the lease of a worker alive that another controller
+    /// holds: we are cut off from the state service and from that controller,
+    /// and so, it seems, is the worker. It is given no orders, and its own
+    /// token back.
+    pub(crate) fn keeps(&self, share: ShareId, machine: &MachineId) -> bool {
+        let Some(holder) = self.view.shares.get(&share).map(|s| &s.rec) else {
+            return false;
+        };
+        let lease = self.ctx.cfg.node_lease_ms();
+        self.ctx.now > self.member.extended() + lease * 6 / 10
+            && !self.ctx.is_peer_there(&holder.holder, holder.inc)
+            && self.is_settled(share, machine)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/core/src/vouch/tests.rs
@@ -0,0 +1,247 @@
+//! Tests of `vouch`.
+
+use super::*;
+use crate::config::{Config, Operator};
+use crate::records::ShareRec;
+use crate::view::Stamped;
+use forkshift_wire::settings::Settings;
+
+const SETTINGS: &str = include_str!("../../../../examples/settings.toml");
+/// When the last extension of our lease that succeeded was sent.
+const SENT: Ms = 50_000;
+const OURS: ShareId = ShareId(0);
+const THEIRS: ShareId = ShareId(1);
+const EPOCH: u64 = 5;
+
+fn node() -> Node {
+    let settings = Settings::parse(SETTINGS).expect("the example is good");
+    let mut cfg = Config::new(&settings, Operator::default());
+    let names = ["north", "south"].map(NodeName::new);
+    cfg.nodes = [cfg.node.clone()].into_iter().chain(names).collect();
+    let mut node = Node::new(cfg, 1, 1);
+    let held = |holder: &NodeName, inc| Stamped {
+        rec: ShareRec {
+            holder: holder.clone(),
+            inc,
+            epoch: EPOCH,
+            want: None,
+        },
+        version: 1,
+    };
+    let us = node.ctx.cfg.node.clone();
+    node.view.shares.insert(OURS, held(&us, 1));
+    node.view
+        .shares
+        .insert(THEIRS, held(&NodeName::new("north"), 7));
+    let share = Share::new(&mut node.ctx, OURS, EPOCH, 1);
+    node.shares.insert(OURS, share);
+    node.member.on_extend(&node.ctx, SENT, 200);
+    let until = node.member.right_until(&node.ctx);
+    node.ctx.vouched.prove(until);
+    node
+}
+
+/// What a peer states: as of which of our heartbeats, and which epoch of our
+/// share it has seen; none: it has read nothing since it started.
+#[derive(Clone, Copy)]
+struct Says {
+    from: &'static str,
+    to_inc: u64,
+    as_of: Ms,
+    epoch: Option<u64>,
+}
+
+fn says(from: &'static str, as_of: Ms, epoch: Option<u64>) -> Says {
+    let to_inc = 1;
+    Says {
+        from,
+        to_inc,
+        as_of,
+        epoch,
+    }
+}
+
+fn tell(node: &mut Node, says: Says, settled: Vec<Settled>) {
+    let from = NodeName::new(says.from);
+    let beat = Heartbeat {
+        sent: 1,
+        echo: Some(Echo {
+            inc: says.to_inc,
+            sent: says.as_of,
+        }),
+        epochs: says.epoch.map(|e| vec![(OURS.0, e)]),
+        settled,
+    };
+    node.heard_peer(&from, 7);
+    node.on_heartbeat(&from, 7, beat);
+}
+
+/// Once, an old holder answered its workers for as long as it heard any peer,
+/// though a third controller may have confirmed a cancellation in its stead
+/// just before an outage. It goes on only on the word of all of them.
+#[test]
+fn workers_are_answered_without_a_right_on_evidence_alone() {
+    let cfg = node().ctx.cfg.clone();
+    let own = cfg.node_lease_ms() - cfg.node_lease_ms() / 500;
+    let grace = cfg.grace_ms();
+    assert!(grace + cfg.lease_ms < cfg.cancel_ms);
+    let end = SENT + own + grace;
+    let later = end + 10_000;
+    let seen = Some(EPOCH);
+    let taken = Some(EPOCH + 1);
+    let both = |a, b| vec![says("north", a, seen), says("south", b, seen)];
+    let cases: Vec<(&str, Vec<Says>, Ms, bool)> = vec![
+        ("nobody is heard, in time", vec![], end - 1, true),
+        ("nobody is heard, too late", vec![], end, false),
+        (
+            "one of two vouches",
+            vec![says("north", later, seen)],
+            end,
+            false,
+        ),
+        ("both vouch", both(later, later), later, true),
+        (
+            "both vouched for a while",
+            both(end, later),
+            end + grace - 1,
+            true,
+        ),
+        (
+            "both vouched too long ago",
+            both(end, later),
+            end + grace,
+            false,
+        ),
+        (
+            "one has restarted and read nothing",
+            vec![says("north", later, seen), says("south", later, None)],
+            end,
+            false,
+        ),
+        (
+            "one vouched before it restarted",
+            vec![
+                says("north", later, seen),
+                says("south", end, seen),
+                says("south", later, None),
+            ],
+            end + grace,
+            false,
+        ),
+        (
+            "one has seen our successor",
+            vec![says("north", later, seen), says("south", later, taken)],
+            SENT + own,
+            false,
+        ),
+        (
+            "a late copy that has, as of long ago",
+            vec![says("north", SENT, taken)],
+            SENT + own,
+            false,
+        ),
+        (
+            "what they vouch for is of our clock before a restart",
+            vec![
+                says("north", later, seen),
+                Says {
+                    to_inc: 99,
+                    ..says("south", later, seen)
+                },
+            ],
+            end,
+            false,
+        ),
+        (
+            "a late copy proves nothing new",
+            vec![
+                says("north", later, seen),
+                says("south", SENT + own + 1, seen),
+            ],
+            end + grace,
+            false,
+        ),
+    ];
+    for (name, told, now, holds) in cases {
+        let mut node = node();
+        node.ctx.now = now;
+        for says in told {
+            tell(&mut node, says, vec![]);
+        }
+        let share = &node.shares[&OURS];
+        assert_eq!(node.holds_on(share), holds, "{name}");
+    }
+}
+
+/// A worker whose holder is lost is answered by others only while nothing that
+/// was confirmed can still be on it; so is one whose share is being loaded.
+#[test]
+fn what_is_kept_for_others_ends_in_time() {
+    let cfg = node().ctx.cfg.clone();
+    let own = cfg.node_lease_ms();
+    let grace = cfg.grace_ms();
+    let settled = |share: ShareId, unsettled: &[&str]| Settled {
+        share: share.0,
+        unsettled: unsettled.iter().map(|m| (*m).to_owned()).collect(),
+    };
+    let none: &[&str] = &[];
+    let held: &[&str] = &["m-1"];
+    // As of when the holder stated what, whether it is there, now.
+    let cases = [
+        ("cut off", Some((SENT, none)), false, SENT + own, true),
+        (
+            "it holds a cancelled task",
+            Some((SENT, held)),
+            false,
+            SENT + own,
+            false,
+        ),
+        ("nothing was stated", None, false, SENT + own, false),
+        (
+            "its holder is there",
+            Some((SENT, none)),
+            true,
+            SENT + own,
+            false,
+        ),
+        (
+            "we are served",
+            Some((SENT, none)),
+            false,
+            SENT + own / 2,
+            false,
+        ),
+        (
+            "nearly too long",
+            Some((SENT, none)),
+            false,
+            SENT + grace - 1,
+            true,
+        ),
+        ("too long", Some((SENT, none)), false, SENT + grace, false),
+    ];
+    for (name, stated, there, now, keeps) in cases {
+        let mut node = node();
+        node.ctx.now = SENT;
+        if let Some((as_of, unsettled)) = stated {
+            let settled = vec![settled(THEIRS, unsettled), settled(OURS, unsettled)];
+            tell(&mut node, says("north", as_of, Some(EPOCH)), settled);
+        }
+        node.ctx.now = now;
+        if there {
+            node.heard_peer(&NodeName::new("north"), 7);
+        } else {
+            node.ctx.peers.clear();
+        }
+        let machine = MachineId::new("m-1");
+        assert_eq!(node.keeps(THEIRS, &machine), keeps, "{name}: another's");
+        // While we load a share the same holds, whoever else is there; besides,
+        // what an earlier holder confirmed is a lease old at the most.
+        let stated = stated.is_some_and(|(_, held)| held.is_empty());
+        let in_time = (stated && now < SENT + grace) || now < SENT + cfg.bridge_ms();
+        let mut share = node.shares.remove(&OURS).expect("it is ours");
+        share.active_since = SENT;
+        assert_eq!(node.bridges(&share, &machine), in_time, "{name}: ours");
+    }
+    assert!(cfg.bridge_ms() + cfg.lease_ms * 2 < cfg.cancel_ms);
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -6,7 +6,7 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 
 /// Version of the format; others are refused.
-pub const VERSION: u16 = 4;
+pub const VERSION: u16 = 5;
 /// Largest message, in bytes.
 pub const MESSAGE_MOST: usize = 96 * 1024;
 
@@ -80,7 +80,7 @@
         body: Option<Vec<u8>>,
     },
     /// The sender is there.
-    Alive,
+    Heartbeat(Heartbeat),
     /// The answer to a request that was passed on.
     Answer {
         /// The start of the receiver that passed it on.
@@ -96,6 +96,39 @@
     },
 }
 
+/// That a controller is there, and what the receiver may rely on. A statement
+/// is true as of the moment at which the heartbeat that it echoes was sent.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Heartbeat {
+    /// The sender's steady clock, for the echo.
+    pub sent: u64,
+    /// The last heartbeat that the sender had from the receiver.
+    pub echo: Option<Echo>,
+    /// Shares with the highest epochs that the sender has seen; none while it
+    /// has not read them since it started.
+    pub epochs: Option<Vec<(u32, u64)>>,
+    /// Shares that the sender holds by right.
+    pub settled: Vec<Settled>,
+}
+
+/// Names a heartbeat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Echo {
+    /// The start of the controller that sent it.
+    pub inc: u64,
+    /// That controller's steady clock.
+    pub sent: u64,
+}
+
+/// Where tasks of cancelled jobs may be left.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Settled {
+    /// The share.
+    pub share: u32,
+    /// Its machines that may hold one; all others hold none.
+    pub unsettled: Vec<String>,
+}
+
 /// Why a message is refused.
 #[derive(Debug, thiserror::Error)]
 pub enum BadMessage {
