--- a/crates/core/src/silence.rs
+++ b/crates/core/src/silence.rs
@@ -11,10 +11,8 @@
 use crate::ctx::Ctx;
 use crate::machine::Machine;
 use crate::node::Node;
-use crate::records::ShareId;
 use crate::share::{Phase, Share};
 use crate::Ms;
-use forkshift_wire::peer::Body;
 use forkshift_wire::NodeName;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -71,9 +69,9 @@
         }
     }
 
-    fn is_peer_there(&self, node: &NodeName, inc: u64) -> bool {
-        let heard = self.peers.get(node).filter(|(i, _)| *i == inc);
-        heard.is_some_and(|(_, at)| self.now < at + self.beat_ms() * PEER_LOOKS)
+    pub(crate) fn is_peer_there(&self, node: &NodeName, inc: u64) -> bool {
+        let peer = self.peers.get(node).filter(|p| p.inc == inc);
+        peer.is_some_and(|p| self.now < p.heard + self.beat_ms() * PEER_LOOKS)
     }
 }
 
@@ -100,23 +98,18 @@
 }
 
 impl Node {
-    /// Notes that a peer is there.
-    pub(crate) fn heard_peer(&mut self, from: &NodeName, inc: u64) {
-        let now = self.ctx.now;
-        self.ctx.peers.insert(from.clone(), (inc, now));
-    }
-
     /// Tells peers that we are here, and judges the silence of machines.
     pub(crate) fn follow_silence(&mut self) {
         self.ctx.entitled = self.member.has_right(&self.ctx, &self.view);
+        if self.ctx.entitled {
+            self.ctx.vouched.prove(self.member.right_until(&self.ctx));
+        }
         if self.ctx.now < self.silence_at {
             return;
         }
         self.silence_at = self.ctx.now + self.ctx.beat_ms();
         let cfg = self.ctx.cfg.clone();
-        for node in cfg.nodes.iter().filter(|n| **n != cfg.node) {
-            self.ctx.tell(node, 0, Body::Alive);
-        }
+        self.send_heartbeats();
         let mut zones = BTreeMap::new();
         for share in self.shares.values().filter(|s| s.phase == Phase::Active) {
             share.count_silent(&self.ctx, &mut zones);
@@ -163,124 +156,7 @@
         let least = others.min_by_key(|(n, _)| held(n));
         least.map(|(n, _)| n.clone())
     }
-
-    /// Until when we answer workers of shares that are ours although we have
-    /// no right any more: a successor cannot have told anybody of a
-    /// cancellation before our lease ran out, and by `cancel_ms` after that
-    /// what we kept alive must be gone.
-    pub(crate) fn holds_on(&self) -> bool {
-        let until = self.member.right_until(&self.ctx) + self.ctx.cfg.grace_ms();
-        let peers = self.ctx.peers.iter();
-        let mut there = peers.filter(|(n, (inc, _))| self.ctx.is_peer_there(n, *inc));
-        self.ctx.now < until || there.next().is_some()
-    }
-
-    /// Whether we keep the lease of a worker alive that another controller
-    /// holds: we are cut off from the state service and from that controller,
-    /// and so, it seems, is the worker. It is given no orders, and its own
-    /// token back. The holder may tell of a cancellation at any time, so by
-    /// `cancel_ms` after we were cut off what we kept alive must be gone.
-    pub(crate) fn keeps(&self, share: ShareId) -> bool {
-        let Some(holder) = self.view.shares.get(&share).map(|s| &s.rec) else {
-            return false;
-        };
-        let extended = self.member.extended();
-        let grace = self.ctx.cfg.grace_ms();
-        let lease = self.ctx.cfg.node_lease_ms();
-        self.ctx.now > extended + lease * 6 / 10
-            && self.ctx.now + lease / 500 < extended + grace
-            && !self.ctx.is_peer_there(&holder.holder, holder.inc)
-    }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::config::{Config, Operator};
-    use crate::records::ShareRec;
-    use crate::view::Stamped;
-    use forkshift_wire::settings::Settings;
-
-    const SETTINGS: &str = include_str!("../../../examples/settings.toml");
-
-    /// Waiting for a zone where leases end anyway once cost more than the cut.
-    #[test]
-    fn a_zone_is_waited_for_where_leases_can_be_kept() {
-        let mut cfg = Config::new(
-            &Settings::parse(SETTINGS).expect("the example is good"),
-            Operator::default(),
-        );
-        let cases = [
-            ("two of five inside, long leases", 5, 2, 24_000, 5_000, true),
-            ("one of seven, short leases", 7, 1, 13_000, 2_000, false),
-            ("two of seven, short leases", 7, 2, 13_000, 2_000, false),
-            ("nobody inside", 5, 0, 60_000, 1_000, false),
-            ("one of three, long leases", 3, 1, 24_000, 3_000, true),
-        ];
-        for (name, nodes, inside, lease, report, waits) in cases {
-            cfg.nodes = (0..nodes).map(|n| NodeName::new(&n.to_string())).collect();
-            let zone = |n: usize| if n < inside { "in" } else { "out" }.to_owned();
-            let zones = cfg.nodes.iter().enumerate();
-            cfg.zones = zones.map(|(n, name)| (name.clone(), zone(n))).collect();
-            (cfg.lease_ms, cfg.report_ms) = (lease, report);
-            assert_eq!(cfg.kept_in_cut("in") >= KEPT_LEAST, waits, "{name}");
-        }
-    }
-
-    /// A holder that lost the state service and its peers once answered its
-    /// workers without a bound of its own, so that a task cancelled through its
-    /// successor could stay for as long as the cut lasted.
-    #[test]
-    fn what_is_kept_alive_without_a_right_ends_in_time() {
-        let settings = Settings::parse(SETTINGS).expect("the example is good");
-        let mut node = Node::new(Config::new(&settings, Operator::default()), 1, 1);
-        let cfg = node.ctx.cfg.clone();
-        let other = NodeName::new("elsewhere");
-        let rec = ShareRec {
-            holder: other.clone(),
-            inc: 7,
-            epoch: 1,
-            want: None,
-        };
-        let share = ShareId(0);
-        node.view.shares.insert(share, Stamped { rec, version: 1 });
-        let sent = 50_000;
-        node.member.on_extend(&node.ctx, sent, 200);
-        let own = cfg.node_lease_ms();
-        let grace = cfg.cancel_ms - cfg.lease_ms;
-        // A successor can tell of a cancellation once our lease has run out,
-        // a holder that we do not hear from the moment we are cut off.
-        let held = sent + own + grace + cfg.lease_ms;
-        assert!(held <= sent + own + cfg.cancel_ms);
-        let cases = [
-            ("the state service answers", 100, false, true, false),
-            ("cut off", own, false, true, true),
-            ("cut off, but its holder is there", own, true, true, false),
-            ("nearly too long", grace - 100, false, true, true),
-            (
-                "too long for others' workers",
-                grace + 1,
-                false,
-                true,
-                false,
-            ),
-            ("too long", own + grace + 1, false, false, false),
-            (
-                "an outage: peers are there",
-                own + grace + 1,
-                true,
-                true,
-                false,
-            ),
-        ];
-        for (name, after, peer, holds, keeps) in cases {
-            node.ctx.now = sent + after;
-            node.ctx.peers.clear();
-            if peer {
-                node.heard_peer(&other, 7);
-            }
-            assert_eq!(node.holds_on(), holds, "{name}: our own workers");
-            assert_eq!(node.keeps(share), keeps, "{name}: others' workers");
-        }
-    }
-}
+mod tests;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -6,7 +6,7 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 
 /// Version of the format; others are refused.
-pub const VERSION: u16 = 4;
+pub const VERSION: u16 = 5;
 /// Largest message, in bytes.
 pub const MESSAGE_MOST: usize = 96 * 1024;
 
@@ -80,7 +80,7 @@
         body: Option<Vec<u8>>,
     },
     /// The sender is there.
-    Alive,
+    Heartbeat(Heartbeat),
     /// The answer to a request that was passed on.
     Answer {
         /// The start of the receiver that passed it on.
@@ -96,6 +96,39 @@
     },
 }
 
+/// That a controller is there, and what the receiver may rely on. A statement
+/// is true as of the moment at which the heartbeat that it echoes was sent.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Heartbeat {
+    /// The sender's steady clock, for the echo.
+    pub sent: u64,
+    /// The last heartbeat that the sender had from the receiver.
+    pub echo: Option<Echo>,
+    /// Shares with the highest epochs that the sender has seen; none while it
+    /// has not read them since it started.
+    pub epochs: Option<Vec<(u32, u64)>>,
+    /// Shares that the sender holds by right.
+    pub settled: Vec<Settled>,
+}
+
+/// Names a heartbeat.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub struct Echo {
+    /// The start of the controller that sent it.
+    pub inc: u64,
+    /// That controller's steady clock.
+    pub sent: u64,
+}
+
+/// Where tasks of cancelled jobs may be left.
+#[derive(Clone, Debug, PartialEq, BorshSerialize, BorshDeserialize)]
+pub struct Settled {
+    /// The share.
+    pub share: u32,
+    /// Its machines that may hold one; all others hold none.
+    pub unsettled: Vec<String>,
+}
+
 /// Why a message is refused.
 #[derive(Debug, thiserror::Error)]
 pub enum BadMessage {
@@ -135,52 +168,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn only_whole_messages_of_this_version_are_taken() {
-        let message = Envelope {
-            version: VERSION,
-            from: "berth-1".to_owned(),
-            inc: 7,
-            epoch: 3,
-            body: Body::Cancel {
-                id: "j-1".to_owned(),
-            },
-        };
-        let good = message.encode().unwrap();
-        assert_eq!(Envelope::decode(&good).unwrap(), message);
-        let mut newer = good.clone();
-        newer[0] = 1;
-        let mut tag = good.clone();
-        let at = tag.len() - 8;
-        tag[at] = 9;
-        let mut long = good.clone();
-        long.push(0);
-        // A length inside the message that promises more than there is.
-        let mut lies = good.clone();
-        lies[2..6].copy_from_slice(&u32::MAX.to_le_bytes());
-        let cases = [
-            ("empty", vec![]),
-            ("truncated", good[..good.len() - 1].to_vec()),
-            ("half a version", good[..1].to_vec()),
-            ("trailing byte", long),
-            ("another version", newer),
-            ("unknown body", tag),
-            ("lying length", lies),
-            ("oversized", vec![0; MESSAGE_MOST + 1]),
-        ];
-        for (name, bytes) in cases {
-            assert!(Envelope::decode(&bytes).is_err(), "{name}");
-        }
-        let spec = "x".repeat(MESSAGE_MOST);
-        let body = Body::NewJob {
-            share: 0,
-            spec,
-            at: 0,
-            revision: 0,
-        };
-        assert!(Envelope { body, ..message }.encode().is_err());
-    }
-}
+mod tests;
