An outage that a majority has seen from its start keeps leases alive

Controllers now say for how long they have been refused. A majority that was refused without a break since before our right ended shows that our lease cannot have run out, whoever is not heard; one that was served since, or has seen a higher epoch, overrules it. Ruled out: counting a restarted controller as harmless, as it may have held the share before it ended.

--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -149,7 +149,7 @@
     pause_until: Ms,
     backoff: Ms,
     /// The last answer was a 503.
-    out: bool,
+    out_since: Option<Ms>,
     /// What was sent since the need was last asked for.
     sent: Use,
     sent_since: Ms,
@@ -171,7 +171,7 @@
             writes: Bucket::new(write_rps),
             pause_until: 0,
             backoff: BACKOFF_LEAST,
-            out: false,
+            out_since: None,
             sent: Use::default(),
             sent_since: 0,
         }
@@ -227,7 +227,12 @@
 
     /// Whether the service refuses us.
     pub(crate) fn is_out(&self) -> bool {
-        self.out
+        self.out_since.is_some()
+    }
+
+    /// Since when it has, without an answer in between.
+    pub(crate) fn out_since(&self) -> Option<Ms> {
+        self.out_since
     }
 
     pub(crate) fn len(&self) -> usize {
@@ -243,13 +248,13 @@
                 self.writes.drain();
             }
             503 => {
-                self.out = true;
+                self.out_since.get_or_insert(now);
                 let pause = rng.random_range(self.backoff / 2..=self.backoff);
                 self.pause_until = self.pause_until.max(now + pause);
                 self.backoff = (self.backoff * 2).min(BACKOFF_MOST);
             }
             _ => {
-                self.out = false;
+                self.out_since = None;
                 self.backoff = BACKOFF_LEAST;
                 self.pause_until = 0;
             }
@@ -268,13 +273,13 @@
         let mut from = (Urgency::Member, 0);
         while let Some(place) = self.first(from, changes) {
             from = (place.0, place.1 + 1);
-            if self.out && place.0 == Urgency::User {
+            if self.is_out() && place.0 == Urgency::User {
                 late.extend(self.remove(&place));
                 continue;
             }
             let member = place.0 == Urgency::Member;
             if !member && now < self.pause_until {
-                if !self.out || place.0 > Urgency::User {
+                if !self.is_out() || place.0 > Urgency::User {
                     break;
                 }
                 continue;
--- a/crates/core/src/vouch.rs
+++ b/crates/core/src/vouch.rs
@@ -47,6 +47,14 @@
     epochs: BTreeMap<ShareId, u64>,
 }
 
+/// Since when the state service has refused a controller, at the latest, as
+/// of some moment or later; none: it was served last.
+#[derive(Clone, Copy, Debug)]
+struct Refused {
+    since: Ms,
+    from: Option<Ms>,
+}
+
 /// Machines of a share that may hold a task of a job whose cancellation was
 /// confirmed before some moment; no other machine of it does.
 #[derive(Debug)]
@@ -59,6 +67,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Vouched {
     peers: BTreeMap<NodeName, Seen>,
+    refused: BTreeMap<NodeName, Refused>,
     shares: BTreeMap<ShareId, Unsettled>,
     /// Until then nobody can have been given our shares, by our own lease.
     proven: Ms,
@@ -88,7 +97,28 @@
             });
             unclaimed.map_or(0, |s| s.since)
         });
-        self.proven.max(vouched.min().unwrap_or(Ms::MAX))
+        let vouched = vouched.min().unwrap_or(Ms::MAX);
+        self.proven.max(vouched).max(self.out_until(ctx))
+    }
+
+    /// Until then the state service was out for everybody, and has been since
+    /// before our right ended: our lease has not run out, so nobody has our
+    /// shares, whoever is not heard. The service refuses a single controller
+    /// alone, so two that are refused at a time would do; a majority is asked
+    /// for, and that nobody says otherwise.
+    fn out_until(&self, ctx: &Ctx) -> Ms {
+        let in_time = |from: Option<Ms>| from.is_some_and(|t| t < self.proven);
+        let served = |r: &Refused| r.from.is_none() && r.since > self.proven;
+        if !in_time(ctx.store.out_since()) || self.refused.values().any(served) {
+            return 0;
+        }
+        let refused = self.refused.values().filter(|r| in_time(r.from));
+        let mut since: Vec<Ms> = refused.map(|r| r.since).collect();
+        since.sort_unstable_by(|a, b| b.cmp(a));
+        // With us they are a majority.
+        let others = ctx.cfg.nodes.len() / 2;
+        let last = others.checked_sub(1).and_then(|n| since.get(n));
+        last.copied().unwrap_or(0)
     }
 
     /// Before this moment no cancellation can have been confirmed of a task
@@ -147,6 +177,8 @@
         // what we know of our shares is all there is.
         let entitled = self.ctx.entitled;
         let shares = self.shares.values().filter(|_| entitled);
+        let refused_for = self.ctx.store.out_since();
+        let refused_for = refused_for.map(|t| self.ctx.now.saturating_sub(t));
         let settled: Vec<Settled> = shares.filter_map(Share::settled).collect();
         for node in cfg.nodes.iter().filter(|n| **n != cfg.node) {
             let peer = self.ctx.peers.get(node);
@@ -155,6 +187,7 @@
                 sent: self.ctx.now,
                 echo,
                 epochs: epochs.clone(),
+                refused_for,
                 settled: settled.clone(),
             });
             self.ctx.tell(node, 0, body);
@@ -184,6 +217,15 @@
         if beat.epochs.is_some() && newer {
             vouched.peers.insert(from.clone(), Seen { since, epochs });
         }
+        if vouched.refused.get(from).is_none_or(|r| since > r.since) {
+            // The message took some time, so it began before that.
+            let from_when = beat.refused_for.map(|t| self.ctx.now.saturating_sub(t));
+            let refused = Refused {
+                since,
+                from: from_when,
+            };
+            vouched.refused.insert(from.clone(), refused);
+        }
         for settled in beat.settled {
             let k = ShareId(settled.share);
             let machines = settled.unsettled.iter().map(|m| MachineId::new(m));
--- a/crates/core/src/vouch/tests.rs
+++ b/crates/core/src/vouch/tests.rs
@@ -49,6 +49,7 @@
     to_inc: u64,
     as_of: Ms,
     epoch: Option<u64>,
+    refused_for: Option<Ms>,
 }
 
 fn says(from: &'static str, as_of: Ms, epoch: Option<u64>) -> Says {
@@ -58,6 +59,7 @@
         to_inc,
         as_of,
         epoch,
+        refused_for: None,
     }
 }
 
@@ -70,6 +72,7 @@
             sent: says.as_of,
         }),
         epochs: says.epoch.map(|e| vec![(OURS.0, e)]),
+        refused_for: says.refused_for,
         settled,
     };
     node.heard_peer(&from, 7);
@@ -173,6 +176,88 @@
     }
 }
 
+/// Losing all leases in an outage whenever one controller has restarted would
+/// be dear. Controllers that were refused together, from before our right ended
+/// until now, prove that nobody else can have been given anything.
+#[test]
+fn an_outage_that_a_majority_has_seen_from_the_start_is_one() {
+    let cfg = node().ctx.cfg.clone();
+    let right = SENT + cfg.node_lease_ms() - cfg.node_lease_ms() / 500;
+    let now = right + cfg.grace_ms() + 10_000;
+    let seen = Some(EPOCH);
+    let refused = |from, since: Ms| Says {
+        refused_for: Some(now - since),
+        ..says(from, now - 100, seen)
+    };
+    let restarted = says("south", now - 100, None);
+    // Since when we are refused; what is heard; whether workers are answered.
+    let cases: Vec<(&str, Option<Ms>, Vec<Says>, bool)> = vec![
+        (
+            "both since before",
+            Some(SENT),
+            vec![refused("north", SENT)],
+            true,
+        ),
+        (
+            "we later than our right",
+            Some(right),
+            vec![refused("north", SENT)],
+            false,
+        ),
+        (
+            "the other later",
+            Some(SENT),
+            vec![refused("north", right)],
+            false,
+        ),
+        ("we are served", None, vec![refused("north", SENT)], false),
+        ("nobody else", Some(SENT), vec![], false),
+        (
+            "the third was served",
+            Some(SENT),
+            vec![refused("north", SENT), restarted],
+            false,
+        ),
+        (
+            "the third has restarted, and is refused",
+            Some(SENT),
+            vec![
+                refused("north", SENT),
+                Says {
+                    refused_for: Some(1_000),
+                    ..restarted
+                },
+            ],
+            true,
+        ),
+        (
+            "the third has seen our successor",
+            Some(SENT),
+            vec![
+                refused("north", SENT),
+                Says {
+                    epoch: Some(EPOCH + 1),
+                    ..refused("south", SENT)
+                },
+            ],
+            false,
+        ),
+    ];
+    for (name, ours, told, holds) in cases {
+        let mut node = node();
+        let Ctx { store, rng, .. } = &mut node.ctx;
+        if let Some(since) = ours {
+            store.heard(503, since, rng);
+        }
+        node.ctx.now = now;
+        for says in told {
+            tell(&mut node, says, vec![]);
+        }
+        let share = &node.shares[&OURS];
+        assert_eq!(node.holds_on(share), holds, "{name}");
+    }
+}
+
 /// A worker whose holder is lost is answered by others only while nothing that
 /// was confirmed can still be on it; so is one whose share is being loaded.
 #[test]
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -107,6 +107,9 @@
     /// Shares with the highest epochs that the sender has seen; none while it
     /// has not read them since it started.
     pub epochs: Option<Vec<(u32, u64)>>,
+    /// For how long the state service has refused the sender, in milliseconds;
+    /// none: it was served last.
+    pub refused_for: Option<u64>,
     /// Shares that the sender holds by right.
     pub settled: Vec<Settled>,
 }
