--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -1,6 +1,6 @@
 //! Requests from users, workers and probes.
 
-use crate::ctx::{revision_of, Creation, Ctx, Lookup, Pending, Reply, Token};
+use crate::ctx::{revision_of, AbortPoll, Creation, Ctx, Lookup, Pending, Reply, Token};
 use crate::node::Node;
 use crate::records::{abort_key, job_key, live_key, total_of, BlockRec, HeadRec, JobRec, ShareId};
 use crate::share::{Phase, TOKEN_BITS};
@@ -210,10 +210,9 @@
                 let revision = revision_of(body);
                 self.homes.insert(id.clone(), share);
                 self.tell_new_job(share, &spec, revision);
-                let ours = self.shares.get_mut(&share);
-                if let Some(share) = ours.filter(|s| s.phase == Phase::Active) {
+                if let Some(share) = self.shares.get_mut(&share) {
                     let at = self.ctx.wall;
-                    share.add_job(&mut self.ctx, spec, at, revision);
+                    share.told_of(&mut self.ctx, spec, at, revision);
                 }
                 let reply = Reply::json(201, &status(&id, JobStage::Queued));
                 self.ctx.respond(token, reply);
@@ -257,7 +256,15 @@
 
     /// What memory says of a job of ours: nothing, if its record may say more.
     fn remembered(&mut self, id: &JobId) -> Option<Reply> {
-        let job = self.share_of(id)?.jobs.get(id)?;
+        let share = self.share_of(id)?;
+        let (k, epoch) = (share.id, share.epoch);
+        // The view may have gone on in this very batch, and the share with it.
+        let still_ours = self
+            .view
+            .shares
+            .get(&k)
+            .is_some_and(|s| s.rec.epoch == epoch);
+        let job = self.share_of(id).filter(|_| still_ours)?.jobs.get(id)?;
         job.is_certain().then(|| Reply::json(200, &job.status()))
     }
 
@@ -289,8 +296,20 @@
         code: u16,
         body: &[u8],
     ) {
+        // What was told meanwhile is newer than what was read.
+        if let Some(stage) = self.finals.get(&id) {
+            let reply = Reply::json(200, &status(&id, stage));
+            return self.ctx.respond(token, reply);
+        }
         let record = match code {
             200 => read_job(body),
+            // It was accepted after the read.
+            404 if self.homes.get(&id).is_some() || self.share_of(&id).is_some() => {
+                if self.ctx.now < until {
+                    return self.read_job(token, id, why, until);
+                }
+                None
+            }
             404 => {
                 let reply = match why {
                     Lookup::Submission(otherwise) => otherwise,
@@ -326,15 +345,26 @@
         if let Some(stage) = self.finals.get(&id) {
             return Some(Reply::json(200, &status(&id, stage)));
         }
+        let right = self.member.has_right(&self.ctx, &self.view);
         let Node { shares, ctx, .. } = self;
         let ours = shares
             .values_mut()
             .find(|s| s.phase == Phase::Active && s.jobs.contains_key(&id));
         if let Some(share) = ours {
             share.cancel(ctx, &id);
-            if let Some(job) = share.jobs.get_mut(&id) {
-                job.cancel_waiters.push(token);
+            let job = share.jobs.get_mut(&id)?;
+            // An earlier holder may have told the user already; what is left of
+            // the job may take long to end.
+            if job.cancel_durable {
+                return Some(Reply::json(200, &status(&id, JobStage::Cancelled)));
             }
+            // Stopping is always allowed, but it is not for us to confirm it.
+            if !right {
+                return Some(Reply::later("not now"));
+            }
+            job.cancel_waiters.push(token);
+            let until = ctx.now + ANSWER_MS;
+            self.cancel_ends.push_back((until, token, id));
             return None;
         }
         self.look_up(token, id, Lookup::Abort)
@@ -344,54 +374,80 @@
     fn pass_abort(&mut self, token: Token, id: JobId, share: ShareId) {
         let until = self.ctx.now + ANSWER_MS * 3 / 4;
         self.tell_cancel(&id, share);
-        if self.view.aborts.contains_key(&id) {
-            return self.poll_abort(token, id, until);
+        let known = self.view.aborts.get(&id).copied();
+        let key = abort_key(&id);
+        let poll = AbortPoll {
+            token,
+            id,
+            version: known.unwrap_or(0),
+            until,
+        };
+        if known.is_some() {
+            return self.poll_abort(poll);
         }
         let txn = Txn {
             conds: Vec::new(),
-            writes: vec![Write::put(abort_key(&id), true.into())],
+            writes: vec![Write::put(key, true.into())],
         };
-        self.ctx
-            .txn(Urgency::User, &txn, Pending::Abort { token, id, until });
+        self.ctx.txn(Urgency::User, &txn, Pending::Abort(poll));
     }
 
-    pub(crate) fn on_abort_put(&mut self, token: Token, id: JobId, until: Ms, code: u16) {
+    pub(crate) fn on_abort_put(&mut self, mut poll: AbortPoll, code: u16, body: &[u8]) {
         if code == 200 {
-            self.poll_abort(token, id, until);
+            poll.version = revision_of(body);
+            self.poll_abort(poll);
         } else {
-            self.ctx.respond(token, Reply::later("not now"));
+            self.ctx.respond(poll.token, Reply::later("not now"));
         }
     }
 
-    fn poll_abort(&mut self, token: Token, id: JobId, until: Ms) {
-        let path = format!("/kv/{}", job_key(&id));
-        self.ctx
-            .read(Urgency::User, path, Pending::AbortPoll { token, id, until });
+    fn poll_abort(&mut self, poll: AbortPoll) {
+        let path = format!("/kv/{}", job_key(&poll.id));
+        self.ctx.read(Urgency::User, path, Pending::AbortPoll(poll));
     }
 
-    pub(crate) fn on_abort_poll(
-        &mut self,
-        token: Token,
-        id: JobId,
-        until: Ms,
-        code: u16,
-        body: &[u8],
-    ) {
+    pub(crate) fn on_abort_poll(&mut self, poll: AbortPoll, code: u16, body: &[u8]) {
+        let AbortPoll {
+            token,
+            id,
+            version,
+            until,
+        } = &poll;
         let record = if code == 200 { read_job(body) } else { None };
         match record {
             Some(record) if record.stage.is_final() => {
                 self.finals.insert(id.clone(), record.stage);
-                let reply = Reply::json(200, &status(&id, record.stage));
-                self.ctx.respond(token, reply);
-                if let Some(version) = self.view.aborts.get(&id) {
-                    crate::share::remove_key(&mut self.ctx, abort_key(&id), *version);
-                }
+                let reply = Reply::json(200, &status(id, record.stage));
+                self.ctx.respond(*token, reply);
+                // The holder may have been told by message, and have done it
+                // before any view showed the key: it is for us to remove.
+                crate::share::remove_key(&mut self.ctx, abort_key(id), *version);
             }
-            _ if self.ctx.now < until => {
-                self.later_polls
-                    .push((self.ctx.now + POLL_MS, token, id, until))
+            _ if code == 503 => self.ctx.respond(*token, Reply::later("not now")),
+            _ if self.ctx.now < *until => self.later_polls.push((self.ctx.now + POLL_MS, poll)),
+            _ => self.ctx.respond(*token, Reply::later("being cancelled")),
+        }
+    }
+
+    /// Answers users whose cancellation could not be written in time.
+    pub(crate) fn end_waits(&mut self) {
+        let now = self.ctx.now;
+        while self
+            .cancel_ends
+            .front()
+            .is_some_and(|(until, ..)| now >= *until)
+        {
+            let Some((_, token, id)) = self.cancel_ends.pop_front() else {
+                return;
+            };
+            let Some(job) = self.share_of(&id).and_then(|s| s.jobs.get_mut(&id)) else {
+                continue;
+            };
+            let waiting = job.cancel_waiters.len();
+            job.cancel_waiters.retain(|t| *t != token);
+            if job.cancel_waiters.len() < waiting {
+                self.ctx.respond(token, Reply::later("being cancelled"));
             }
-            _ => self.ctx.respond(token, Reply::later("being cancelled")),
         }
     }
 
@@ -399,11 +455,11 @@
     pub(crate) fn repeat_polls(&mut self) {
         let now = self.ctx.now;
         let polls = std::mem::take(&mut self.later_polls);
-        for (at, token, id, until) in polls {
+        for (at, poll) in polls {
             if now >= at {
-                self.poll_abort(token, id, until);
+                self.poll_abort(poll);
             } else {
-                self.later_polls.push((at, token, id, until));
+                self.later_polls.push((at, poll));
             }
         }
     }
@@ -490,3 +546,6 @@
         (self.cfg.lease_ms as f64 * self.cfg.ops.silent_leases) as Ms
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/core/src/api/tests.rs
@@ -0,0 +1,131 @@
+//! Tests of `api`.
+
+use super::*;
+use crate::fixture::{answer_to, Fixture, EPOCH};
+use crate::job::Sent;
+use serde_json::json;
+
+fn is_lookup(pending: &Pending) -> bool {
+    matches!(pending, Pending::Lookup { .. })
+}
+
+fn record(f: &mut Fixture, id: &JobId, stage: JobStage) -> serde_json::Value {
+    let spec = (*f.share().jobs[id].spec).clone();
+    let rec = JobRec {
+        spec,
+        share: f.share,
+        stage,
+    };
+    json!({"key": job_key(id), "data": rec, "stamp": 7})
+}
+
+/// Who asks to cancel a job is answered at once where it is known how it
+/// stands, and refused at once by a holder without a right.
+#[test]
+fn a_cancellation_has_its_answer_at_once() {
+    #[derive(Debug)]
+    enum Case {
+        /// An earlier holder has written it; tasks are left.
+        Written,
+        /// It has to be written.
+        New,
+        /// It has to be written, by somebody else.
+        NoRight,
+    }
+    let answers = [
+        (Case::Written, Some(200)),
+        (Case::New, None),
+        (Case::NoRight, Some(503)),
+    ];
+    for (case, status) in answers {
+        let mut f = Fixture::new();
+        let id = f.job("j-1", JobKind::Service, 1);
+        f.bind(&id, 0, Sent::Inherited);
+        match case {
+            Case::Written => {
+                let job = f.share().jobs.get_mut(&id).expect("it is there");
+                (job.cancelled, job.cancel_durable) = (true, true);
+            }
+            Case::New => {}
+            Case::NoRight => f.lose_right(),
+        }
+        let answer = f.ask(1, "POST", "/submissions/j-1/abort");
+        assert_eq!(answer.as_ref().map(|a| a.0), status, "{case:?}");
+        assert!(
+            f.share().jobs[&id].cancelled,
+            "{case:?}: its tasks are stopped"
+        );
+        // Nobody waits for longer than users do.
+        if status.is_none() {
+            let mut later = None;
+            for _ in 0..50 {
+                later = later.or(answer_to(&f.step(100), 1));
+            }
+            assert_eq!(later.map(|a| a.0), Some(503), "{case:?}: at last");
+        }
+    }
+}
+
+/// What was read before something newer was told is not told any more.
+#[test]
+fn an_answer_is_never_older_than_what_was_told_meanwhile() {
+    let stage = |answer: Option<(u16, String)>| {
+        let (status, body) = answer.expect("an answer");
+        let told = serde_json::from_str::<JobStatus>(&body).ok();
+        (status, told.map(|t| t.stage))
+    };
+    // It was told to be over while its record was read.
+    let mut f = Fixture::new();
+    let id = f.job("j-1", JobKind::Service, 1);
+    let old = record(&mut f, &id, JobStage::Queued);
+    f.share().forget_job(&id, 9);
+    assert_eq!(f.ask(1, "GET", "/submissions/j-1"), None);
+    f.node.finals.insert(id.clone(), JobStage::Cancelled);
+    let effects = f.answer(is_lookup, 200, &old);
+    let cancelled = (200, Some(JobStage::Cancelled));
+    assert_eq!(stage(answer_to(&effects, 1)), cancelled, "over meanwhile");
+    // It was accepted here while its record was not found: it is read again.
+    let mut f = Fixture::new();
+    assert_eq!(f.ask(1, "GET", "/submissions/j-2"), None);
+    let id = f.job("j-2", JobKind::Service, 1);
+    let new = record(&mut f, &id, JobStage::Queued);
+    let share = f.share;
+    f.node.homes.insert(id, share);
+    let effects = f.answer(is_lookup, 404, &json!({"ledger_rev": 5}));
+    assert_eq!(answer_to(&effects, 1), None, "accepted meanwhile");
+    let effects = f.answer(is_lookup, 200, &new);
+    assert_eq!(stage(answer_to(&effects, 1)), (200, Some(JobStage::Queued)));
+    // Nothing is known of it: it is not there.
+    let mut f = Fixture::new();
+    assert_eq!(f.ask(1, "GET", "/submissions/j-3"), None);
+    let effects = f.answer(is_lookup, 404, &json!({"ledger_rev": 5}));
+    assert_eq!(stage(answer_to(&effects, 1)), (404, None));
+}
+
+/// The view may show within a batch that the share has changed hands, before
+/// the share is let go.
+#[test]
+fn memory_answers_only_under_the_epoch_that_the_view_shows() {
+    for (epoch, answers) in [(EPOCH, true), (EPOCH + 1, false)] {
+        let mut f = Fixture::new();
+        let id = f.job("j-1", JobKind::Service, 1);
+        let share = f.share;
+        let rec = f.node.view.shares.get_mut(&share).expect("it is there");
+        rec.rec.epoch = epoch;
+        let answer = f.node.remembered(&id);
+        assert_eq!(answer.is_some(), answers, "epoch {epoch}");
+    }
+}
+
+/// A cancellation that is left before its job is seen is carried out when it is.
+#[test]
+fn a_cancellation_may_be_seen_before_its_job() {
+    let mut f = Fixture::new();
+    let id = JobId::parse("j-1").expect("an id");
+    f.node.view.aborts.insert(id.clone(), 6);
+    f.step(1);
+    f.job("j-1", JobKind::Service, 1);
+    f.step(1);
+    let job = f.share().jobs.get(&id);
+    assert!(job.is_none_or(|j| j.cancelled));
+}
--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -8,10 +8,9 @@
 use crate::ctx::{Ctx, JobWrite, Pending, Reply, Token};
 use crate::job::{Job, Sent};
 use crate::node::Finals;
-use crate::records::{abort_key, job_key, live_key, share_key, JobRec};
+use crate::records::{job_key, live_key, share_key, JobRec};
 use crate::share::Share;
 use crate::store::Urgency;
-use crate::view::View;
 use crate::Ms;
 use forkshift_wire::state::{Cond, Item, Txn, TxnReply, Write};
 use forkshift_wire::users::JobStage;
@@ -35,7 +34,7 @@
 impl Share {
     /// Writes what has changed. Mere progress waits for `progress`, so that a
     /// job is written at most once a round.
-    pub(crate) fn flush(&mut self, ctx: &mut Ctx, view: &View, progress: bool) {
+    pub(crate) fn flush(&mut self, ctx: &mut Ctx, progress: bool) {
         if progress {
             for id in std::mem::take(&mut self.progress) {
                 self.dirty.touch(&id);
@@ -55,7 +54,7 @@
                 self.dirty.wake(&id, job.retry_at);
                 continue;
             }
-            match part(self, job, ctx, view, progress) {
+            match part(self, job, ctx, progress) {
                 Some(part) => parts.push(part),
                 None if job.blocks.values().any(|b| b.is_dirty()) => {
                     self.progress.insert(id);
@@ -131,9 +130,9 @@
                 continue;
             }
             job.retry_at = ctx.now + RETRY;
-            if status == 503 && write.cancel {
-                // The cancellation is tried again all the same; whoever
-                // asked for it is told at once to come back.
+            if status == 503 {
+                // The write is tried again all the same; whoever waits for it
+                // is told at once to come back.
                 for token in std::mem::take(&mut job.cancel_waiters) {
                     ctx.respond(token, Reply::later("not now"));
                 }
@@ -218,11 +217,20 @@
         let Ok(rec) = serde_json::from_value::<JobRec>(item.value) else {
             return;
         };
-        if rec.stage.is_final() && job.bound.is_empty() {
-            finals.insert(id.clone(), rec.stage);
-            let waiters = std::mem::take(&mut job.cancel_waiters);
-            answer(ctx, waiters, id, rec.stage);
-            self.forget_job(id, item.version);
+        if !rec.stage.is_final() {
+            return;
+        }
+        finals.insert(id.clone(), rec.stage);
+        let waiters = std::mem::take(&mut job.cancel_waiters);
+        answer(ctx, waiters, id, rec.stage);
+        // The job's record may be older than its head was, which the watch may
+        // still show: a job that was over once came back, for ever.
+        let revision = job.blocks.values().map(|b| b.stamp).max().unwrap_or(0);
+        let revision = revision.max(item.version);
+        self.stop_rest(id);
+        self.drop_unsent(id);
+        if self.jobs.get(id).is_some_and(|j| j.bound.is_empty()) {
+            self.forget_job(id, revision);
         }
     }
 
@@ -277,7 +285,7 @@
 }
 
 /// A job's part of the next transaction, if it has any.
-fn part(share: &Share, job: &Job, ctx: &Ctx, view: &View, progress: bool) -> Option<Part> {
+fn part(share: &Share, job: &Job, ctx: &Ctx, progress: bool) -> Option<Part> {
     let id = &job.spec.id;
     let last = job.is_over();
     let cancel = job.cancelled && !job.cancel_durable;
@@ -343,16 +351,6 @@
         bytes += 700;
         writes.push(Write::put(job_key(id), to_value(rec).unwrap_or_default()));
     }
-    if last && job.final_stage() == JobStage::Cancelled {
-        if let Some(version) = view.aborts.get(id) {
-            let key = abort_key(id);
-            conds.push(Cond {
-                key: key.clone(),
-                version: *version,
-            });
-            writes.push(Write::Remove { remove: key });
-        }
-    }
     Some(Part {
         write: JobWrite {
             id: id.clone(),
@@ -367,3 +365,6 @@
         urgency,
     })
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/ctx.rs
+++ b/crates/core/src/ctx.rs
@@ -151,7 +151,9 @@
     Extend {
         sent: Ms,
     },
-    NodePut,
+    NodePut {
+        lease: u64,
+    },
     LeaderPut,
     ViewList,
     ViewWatch,
@@ -172,16 +174,8 @@
         why: Lookup,
         until: Ms,
     },
-    Abort {
-        token: Token,
-        id: JobId,
-        until: Ms,
-    },
-    AbortPoll {
-        token: Token,
-        id: JobId,
-        until: Ms,
-    },
+    Abort(AbortPoll),
+    AbortPoll(AbortPoll),
     JobTxn {
         share: ShareId,
         epoch: u64,
@@ -246,6 +240,16 @@
     pub(crate) until: Ms,
 }
 
+/// A cancellation that another controller is to carry out.
+#[derive(Clone, Debug)]
+pub(crate) struct AbortPoll {
+    pub(crate) token: Token,
+    pub(crate) id: JobId,
+    /// Version of the key that tells of it, for its removal.
+    pub(crate) version: u64,
+    pub(crate) until: Ms,
+}
+
 /// What a job is looked up for.
 #[derive(Debug)]
 pub(crate) enum Lookup {
--- a/crates/core/src/evidence.rs
+++ b/crates/core/src/evidence.rs
@@ -180,6 +180,7 @@
             return;
         };
         job.failed_on.insert(machine.clone());
+        job.failed_at = ctx.now;
         let n = job.failed_on.len();
         if n >= BLAME_JOB {
             // It fails wherever it goes: its retries are slowed, and the
@@ -245,7 +246,10 @@
         }
         let res = job.map_or(Resources::default(), |j| j.task);
         let free_to_adopt = job.is_some_and(|j| {
-            known.is_none() && !j.done.contains(task.index) && task.index < j.spec.tasks
+            known.is_none()
+                && !j.done.contains(task.index)
+                && task.index < j.spec.tasks
+                && !j.is_over()
         });
         let Some(machine) = self.machines.get_mut(id) else {
             return;
--- /dev/null
+++ b/crates/core/src/fixture.rs
@@ -0,0 +1,268 @@
+//! A controller that holds a share with a machine, for tests of what it does.
+
+use crate::config::{Config, Operator};
+use crate::ctx::{Effect, Input, Pending, Reply, Token};
+use crate::job::{Binding, Sent};
+use crate::node::Node;
+use crate::records::{
+    machine_key, node_key, share_key, type_key, LeaderRec, MachineRec, NodeRec, ShareId, ShareRec,
+    LEADER,
+};
+use crate::share::{Phase, Share};
+use crate::Ms;
+use forkshift_wire::settings::Settings;
+use forkshift_wire::state::Item;
+use forkshift_wire::users::{JobKind, JobSpec, Priority};
+use forkshift_wire::workers::{ExitCause, Report, TaskReport, TaskStage};
+use forkshift_wire::{JobId, MachineId, TaskRef};
+use serde::Serialize;
+use serde_json::{json, to_value, Value};
+
+const SETTINGS: &str = include_str!("../../../examples/settings.toml");
+pub(crate) const NOW: Ms = 100_000;
+pub(crate) const WALL: Ms = 5_000_000;
+pub(crate) const EPOCH: u64 = 3;
+
+/// A controller with a right, and a share in use with one machine.
+pub(crate) struct Fixture {
+    pub(crate) node: Node,
+    pub(crate) share: ShareId,
+    pub(crate) machine: MachineId,
+    seq: u64,
+}
+
+impl Fixture {
+    pub(crate) fn new() -> Self {
+        let settings = Settings::parse(SETTINGS).expect("the example is good");
+        let cfg = Config::new(&settings, Operator::default());
+        let us = cfg.node.clone();
+        let team = cfg.teams.values().next().expect("a team");
+        let (share, zone) = (team.share, settings.zone.clone());
+        let mut node = Node::new(cfg, 1, 1);
+        let machine = MachineId::new("m-1");
+        let held = ShareRec {
+            holder: us.clone(),
+            inc: 1,
+            epoch: EPOCH,
+            want: None,
+        };
+        let record = MachineRec {
+            share,
+            machine_type: "big".to_owned(),
+            zone: zone.clone(),
+            spot: false,
+            addr: Some("10.1.0.1:9000".to_owned()),
+            condemned: None,
+            want: None,
+            floor: 0,
+            images: Vec::new(),
+        };
+        let of_type = json!({"name": "big", "cpus": 96.0, "accelerators": 8.0, "mem_gb": 768.0,
+            "cache_gb": 200.0, "pull_gb_per_s": 1.0, "hourly": 12.0, "market_price": null,
+            "boot_s": 45.0, "yards": [zone]});
+        let lead = LeaderRec {
+            node: us.clone(),
+            inc: 1,
+        };
+        let here = NodeRec {
+            inc: 1,
+            blind: false,
+        };
+        let items = vec![
+            item(node_key(&us), &here, 1),
+            item(LEADER.to_owned(), &lead, 2),
+            item(share_key(share), &held, 3),
+            item(type_key("big"), &of_type, 4),
+            item(machine_key(&machine), &record, 5),
+        ];
+        node.ctx.now = NOW;
+        node.ctx.wall = WALL;
+        node.view.replace(items, 5);
+        node.member.on_lease(&node.ctx, NOW, 200, br#"{"hold":7}"#);
+        node.member.on_node_put(7, 200, br#"{"ledger_rev":1}"#);
+        let mut ours = Share::new(&mut node.ctx, share, EPOCH, 3);
+        ours.phase = Phase::Waiting(5);
+        ours.activate(&mut node.ctx, &node.view);
+        node.shares.insert(share, ours);
+        node.follow_silence();
+        let mut fixture = Self {
+            node,
+            share,
+            machine,
+            seq: 0,
+        };
+        let token = fixture.token();
+        fixture.report(1, token, &[]);
+        fixture
+    }
+
+    pub(crate) fn share(&mut self) -> &mut Share {
+        self.node.shares.get_mut(&self.share).expect("it is ours")
+    }
+
+    /// The token that the machine's holder uses.
+    pub(crate) fn token(&mut self) -> u64 {
+        let id = self.machine.clone();
+        self.share().machines[&id].token
+    }
+
+    /// The controller loses its right.
+    pub(crate) fn lose_right(&mut self) {
+        self.node.ctx.now += self.node.ctx.cfg.node_lease_ms();
+        self.node.follow_silence();
+    }
+
+    /// A new job of the share.
+    pub(crate) fn job(&mut self, id: &str, kind: JobKind, tasks: u32) -> JobId {
+        let id = JobId::parse(id).expect("an id");
+        let team = self.share().teams.keys().next().expect("a team").clone();
+        let spec = spec(&id, &team, kind, tasks);
+        let Node { shares, ctx, .. } = &mut self.node;
+        let share = shares.get_mut(&self.share).expect("it is ours");
+        share.add_job(ctx, spec, WALL, 6);
+        id
+    }
+
+    /// Binds a task to the machine, by a record that is written.
+    pub(crate) fn bind(&mut self, id: &JobId, index: u32, sent: Sent) {
+        let (machine, since) = (self.machine.clone(), self.node.ctx.now);
+        let binding = Binding {
+            machine,
+            attempt: 1,
+            version: 0,
+            sent,
+            stage: None,
+            stop: None,
+            since,
+            running_since: None,
+        };
+        self.share().bind(id, index, binding);
+    }
+
+    /// A message of the machine that lists tasks in their first attempt.
+    pub(crate) fn report(&mut self, session: u64, token: u64, tasks: &[(&JobId, u32, TaskStage)]) {
+        let report = self.message(session, token, tasks);
+        let Node { shares, ctx, .. } = &mut self.node;
+        let share = shares.get_mut(&self.share).expect("it is ours");
+        share.ingest(ctx, &report);
+    }
+
+    pub(crate) fn message(
+        &mut self,
+        session: u64,
+        token: u64,
+        tasks: &[(&JobId, u32, TaskStage)],
+    ) -> Report {
+        self.seq += 1;
+        let one = |(id, index, stage): &(&JobId, u32, TaskStage)| TaskReport {
+            task: TaskRef {
+                job: (*id).clone(),
+                index: *index,
+            },
+            attempt: 1,
+            stage: *stage,
+            cause: (*stage == TaskStage::Exited).then_some(ExitCause::Stopped),
+            saved: false,
+        };
+        Report {
+            machine: self.machine.clone(),
+            addr: "10.1.0.1:9000".to_owned(),
+            machine_type: "big".to_owned(),
+            zone: "hall-a".to_owned(),
+            spot: false,
+            session,
+            seq: self.seq,
+            token,
+            notice_s: None,
+            tasks: tasks.iter().map(one).collect(),
+        }
+    }
+
+    /// Takes the share over anew, with these records.
+    pub(crate) fn load(&mut self, items: Vec<Item>) {
+        let Node { ctx, view, .. } = &mut self.node;
+        let mut share = Share::new(ctx, self.share, EPOCH, 3);
+        let page = json!({"items": items.iter().map(|i| json!({"key": i.key, "data": i.value,
+            "stamp": i.version})).collect::<Vec<_>>(), "has_next": false, "ledger_rev": 5});
+        share.on_list(ctx, 200, page.to_string().as_bytes());
+        share.activate(ctx, view);
+        self.node.shares.insert(self.share, share);
+    }
+
+    /// Lets time pass.
+    pub(crate) fn step(&mut self, by: Ms) -> Vec<Effect> {
+        let now = self.node.ctx.now + by;
+        self.node.step(now, WALL + now - NOW, Vec::new())
+    }
+
+    /// A request, and its answer if that comes at once.
+    pub(crate) fn ask(&mut self, token: u64, method: &str, path: &str) -> Option<(u16, String)> {
+        let request = Input::Request {
+            token: Token(token),
+            method: method.to_owned(),
+            path: path.to_owned(),
+            body: Some(Vec::new()),
+        };
+        let now = self.node.ctx.now;
+        let effects = self.node.step(now, WALL + now - NOW, vec![request]);
+        answer_to(&effects, token)
+    }
+
+    /// Ends the last call of a kind that waits.
+    pub(crate) fn answer(
+        &mut self,
+        which: impl Fn(&Pending) -> bool,
+        status: u16,
+        body: &Value,
+    ) -> Vec<Effect> {
+        let waiting = self.node.ctx.pending.iter();
+        let call = waiting.filter(|(_, p)| which(p)).map(|(id, _)| *id).max();
+        let call = call.expect("a call waits");
+        let body = body.to_string().into_bytes();
+        let now = self.node.ctx.now;
+        let answer = Input::Answer { call, status, body };
+        self.node.step(now, WALL + now - NOW, vec![answer])
+    }
+}
+
+fn item(key: String, rec: &impl Serialize, version: u64) -> Item {
+    Item {
+        key,
+        value: to_value(rec).expect("a record"),
+        version,
+    }
+}
+
+/// Status and body of the answer to a request.
+pub(crate) fn answer_to(effects: &[Effect], token: u64) -> Option<(u16, String)> {
+    let text = |r: &Reply| (r.status, String::from_utf8_lossy(&r.body).into_owned());
+    effects.iter().find_map(|e| match e {
+        Effect::Respond { token: t, reply } if t.0 == token => Some(text(reply)),
+        _ => None,
+    })
+}
+
+pub(crate) fn spec(id: &JobId, team: &str, kind: JobKind, tasks: u32) -> JobSpec {
+    JobSpec {
+        id: id.clone(),
+        class: "work".to_owned(),
+        team: team.to_owned(),
+        kind,
+        priority: Priority::Normal,
+        tasks,
+        cpus: 1.0,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: "img".to_owned(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        estimate_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
--- a/crates/core/src/forward.rs
+++ b/crates/core/src/forward.rs
@@ -7,6 +7,7 @@
 //! request and answer at which the other gave it, as if the user had come to
 //! it. Without an answer in time the request is dealt with here.
 
+use crate::api::status;
 use crate::ctx::{Reply, Token};
 use crate::node::Node;
 use crate::Ms;
@@ -132,9 +133,14 @@
             }
             return self.deal_with(forward);
         }
-        if let Ok(status) = serde_json::from_slice::<JobStatus>(&reply.body) {
-            if status.stage.is_final() && reply.status == 200 {
-                self.finals.insert(status.id, status.stage);
+        let told = serde_json::from_slice::<JobStatus>(&reply.body).ok();
+        if let Some(told) = told.filter(|_| reply.status == 200) {
+            if told.stage.is_final() {
+                self.finals.insert(told.id, told.stage);
+            } else if let Some(stage) = self.finals.get(&told.id) {
+                // The answer was overtaken by a newer one.
+                let newer = Reply::json(200, &status(&told.id, stage));
+                return self.ctx.respond(forward.token, newer);
             }
         }
         self.ctx.respond(forward.token, reply);
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -105,6 +105,8 @@
     pub(crate) not_before: Ms,
     /// Machines that it failed on since a task of it last succeeded.
     pub(crate) failed_on: BTreeSet<MachineId>,
+    /// When it failed last.
+    pub(crate) failed_at: Ms,
 }
 
 /// Bytes that one task may take in a record.
@@ -142,6 +144,7 @@
             since: now,
             not_before: 0,
             failed_on: BTreeSet::new(),
+            failed_at: 0,
             spec: Rc::new(spec),
         }
     }
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -2,10 +2,10 @@
 
 use crate::ctx::{revision_of, Ctx, Pending};
 use crate::records::{
-    charter_key, machine_key, share_key, total_of, type_key, CharterRec, DemandRec, MachineRec,
-    ShapeRec, ShareId, LEADER,
+    abort_key, charter_key, machine_key, share_key, total_of, type_key, CharterRec, DemandRec,
+    MachineRec, ShapeRec, ShareId, LEADER,
 };
-use crate::share::hand_over;
+use crate::share::{hand_over, remove_key};
 use crate::store::{Bucket, Urgency};
 use crate::view::{Changed, View};
 use crate::Ms;
@@ -14,7 +14,7 @@
     Catalog, Listed, MachineList, MachineStage, Machines, Rent, DELETE_MOST, LIST_MOST, RENT_MOST,
 };
 use forkshift_wire::state::{Cond, Txn, Write};
-use forkshift_wire::{MachineId, NodeName};
+use forkshift_wire::{JobId, MachineId, NodeName};
 use serde_json::to_value;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -68,6 +68,8 @@
     /// Kinds of machines that could not be had, until when they are left
     /// alone, and the last pause.
     refused: BTreeMap<(String, String, bool), (Ms, Ms)>,
+    /// Since when cancellations have waited, with the versions of their keys.
+    aborts: BTreeMap<JobId, (u64, Ms)>,
 }
 
 impl Leader {
@@ -97,6 +99,7 @@
             planned_at: 0,
             nodes: BTreeMap::new(),
             refused: BTreeMap::new(),
+            aborts: BTreeMap::new(),
         }
     }
 
@@ -137,6 +140,7 @@
         if ctx.now >= self.assign_at {
             self.assign_at = ctx.now + crate::ms(ctx.cfg.ops.assign_s);
             self.assign(ctx, view);
+            self.sweep_aborts(ctx, view);
         }
         self.bucket.refill(ctx.now);
         self.renting.retain(|r| view.charters.contains_key(r));
@@ -229,6 +233,22 @@
         }
     }
 
+    /// Removes what whoever asked for a cancellation has not: it has ended
+    /// since, or the write of its key was carried out late. Users who were not
+    /// told yet ask again.
+    fn sweep_aborts(&mut self, ctx: &mut Ctx, view: &View) {
+        let known = std::mem::take(&mut self.aborts);
+        for (id, version) in &view.aborts {
+            let seen = known.get(id).filter(|(v, _)| v == version);
+            let since = seen.map_or(ctx.now, |(_, t)| *t);
+            if ctx.now > since + ctx.cfg.cancel_ms {
+                remove_key(ctx, abort_key(id), *version);
+            } else {
+                self.aborts.insert(id.clone(), (*version, since));
+            }
+        }
+    }
+
     fn balance(&mut self, ctx: &mut Ctx, view: &View, load: &BTreeMap<&NodeName, u32>) {
         let steady = ctx.cfg.node_lease_ms() * STEADY_LEASES;
         let ready = |n: &NodeName| {
@@ -244,7 +264,11 @@
         let (Some((from, most)), Some((to, least))) = (from, to) else {
             return;
         };
-        let moving = view.shares.values().any(|s| s.rec.want.is_some());
+        // A wish that names somebody who is gone holds nothing up.
+        let moving = view.shares.values().any(|s| {
+            let want = s.rec.want.as_ref();
+            want.is_some_and(|n| view.nodes.contains_key(n))
+        });
         if *most < least + 2 || moving {
             return;
         }
@@ -403,7 +427,9 @@
         }
         // What nobody rented as far as we know was rented by a request that
         // came late. Nothing was ever started there.
-        let settled = view.charters.is_empty() && self.chartering.is_empty();
+        // Without a right we may have a successor, whose machines our view
+        // does not show.
+        let settled = ctx.entitled && view.charters.is_empty() && self.chartering.is_empty();
         let unknown: Vec<MachineId> = page
             .iter()
             .filter(|m| !view.machines.contains_key(&m.id) && !self.deleting.contains(&m.id))
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,8 @@
 mod ctx;
 mod drain;
 mod evidence;
+#[cfg(test)]
+mod fixture;
 mod forward;
 mod job;
 mod leader;
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -1,10 +1,14 @@
 //! A machine of a share, in its holder's memory.
 
+use crate::ctx::Ctx;
 use crate::Ms;
 use forkshift_sched::Resources;
 use forkshift_wire::{JobId, MachineId, TaskRef};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// Reports that a machine may miss and still be heard.
+const MISSED_MOST: Ms = 3;
+
 /// A machine of a share.
 pub(crate) struct Machine {
     pub(crate) id: MachineId,
@@ -94,6 +98,12 @@
         self.heard.is_some() && self.echo >= self.token
     }
 
+    /// Whether it has reported lately.
+    pub(crate) fn is_heard(&self, ctx: &Ctx) -> bool {
+        let heard = self.heard;
+        heard.is_some_and(|t| ctx.now < t + ctx.cfg.report_ms * MISSED_MOST)
+    }
+
     /// Notes whether nothing needs it. Returns true if that is new.
     pub(crate) fn note_empty(&mut self, empty: bool, now: Ms) -> bool {
         let anew = empty && self.idle_since.is_none();
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -88,7 +88,7 @@
                 blind,
             };
             self.putting = true;
-            put_leased(ctx, key, version, &rec, lease, Pending::NodePut);
+            put_leased(ctx, key, version, &rec, lease, Pending::NodePut { lease });
         }
         if mine && self.registered && !self.electing {
             // A leader's key left over from an earlier start of this very
@@ -167,10 +167,14 @@
         }
     }
 
-    pub(crate) fn on_node_put(&mut self, status: u16, body: &[u8]) {
+    pub(crate) fn on_node_put(&mut self, lease: u64, status: u16, body: &[u8]) {
         self.putting = false;
         let revision = revision_of(body);
         self.seen_from = self.seen_from.max(revision);
+        // A record on a lease that has ended since has gone with it.
+        if self.lease != Some(lease) {
+            return;
+        }
         if status == 200 {
             self.registered = true;
             self.registered_at = revision;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -2,7 +2,7 @@
 
 use crate::budget::Budget;
 use crate::config::Config;
-use crate::ctx::{is_watch_lost, revision_of, Ctx, Effect, Input, Pending, Token};
+use crate::ctx::{is_watch_lost, revision_of, AbortPoll, Ctx, Effect, Input, Pending, Token};
 use crate::forward::Forward;
 use crate::leader::Leader;
 use crate::member::Member;
@@ -85,7 +85,9 @@
     status_at: Ms,
     pub(crate) silence_at: Ms,
     /// Looks at cancellations that are to be repeated.
-    pub(crate) later_polls: Vec<(Ms, Token, JobId, Ms)>,
+    pub(crate) later_polls: Vec<(Ms, AbortPoll)>,
+    /// Until when users wait for cancellations of ours to be written.
+    pub(crate) cancel_ends: VecDeque<(Ms, Token, JobId)>,
 }
 
 /// Longest wait of the watch on what all controllers share.
@@ -125,6 +127,7 @@
             status_at: 0,
             silence_at: 0,
             later_polls: Vec::new(),
+            cancel_ends: VecDeque::new(),
         }
     }
 
@@ -194,6 +197,7 @@
         let rate = self.budget.rate(&self.ctx, &self.view);
         self.ctx.store.set_rates(&rate);
         for share in self.shares.values_mut() {
+            share.list_again(&mut self.ctx);
             share.watch(&mut self.ctx);
             if let Phase::Waiting(revision) = share.phase {
                 if self.view.revision >= revision {
@@ -205,9 +209,11 @@
             }
             if changed {
                 share.sync_machines(&mut self.ctx, &self.view, &machines);
-                let aborts: Vec<JobId> = self.view.aborts.keys().cloned().collect();
-                for id in aborts {
-                    share.cancel(&self.ctx, &id);
+            }
+            // A cancellation may be seen before the job that it is for.
+            if changed || std::mem::take(&mut share.look_for_aborts) {
+                for id in self.view.aborts.keys() {
+                    share.cancel(&self.ctx, id);
                 }
             }
             share.tend(&mut self.ctx, &self.view);
@@ -217,6 +223,7 @@
         }
         self.follow_forwards();
         self.repeat_polls();
+        self.end_waits();
         self.log_status();
     }
 
@@ -399,7 +406,7 @@
         match pending {
             Pending::Lease { sent } => self.member.on_lease(&self.ctx, sent, status, body),
             Pending::Extend { sent } => self.member.on_extend(&self.ctx, sent, status),
-            Pending::NodePut => self.member.on_node_put(status, body),
+            Pending::NodePut { lease } => self.member.on_node_put(lease, status, body),
             Pending::LeaderPut => self.member.on_leader_put(status, body),
             Pending::ViewList => self.on_view_list(status, body),
             Pending::ViewWatch => self.on_view_watch(status, body),
@@ -425,11 +432,10 @@
                 why,
                 until,
             } => self.on_lookup(token, id, why, until, status, body),
-            Pending::Abort { token, id, until } => self.on_abort_put(token, id, until, status),
-            Pending::AbortPoll { token, id, until } => {
-                self.on_abort_poll(token, id, until, status, body);
-            }
+            Pending::Abort(poll) => self.on_abort_put(poll, status, body),
+            Pending::AbortPoll(poll) => self.on_abort_poll(poll, status, body),
             Pending::JobTxn { share, epoch, jobs } => {
+                self.missed(status, body);
                 if let Some(s) = self.shares.get_mut(&share).filter(|s| s.epoch == epoch) {
                     s.on_txn(&mut self.ctx, &mut self.finals, jobs, status, body);
                 }
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -160,6 +160,11 @@
                 if status == 409 {
                     // Nothing was carried out, and this was the only copy.
                     machine.push = report.token < machine.token;
+                    if report.token > machine.token {
+                        // Somebody newer has the machine. The view will tell;
+                        // calls without a pause would only load both ends.
+                        machine.retry_at = ctx.now + ctx.cfg.report_ms;
+                    }
                     self.unsend(id, token, orders);
                 }
                 self.ingest(ctx, &report);
@@ -189,6 +194,11 @@
             let ours = matches!(binding.sent, Sent::Ours { token: t, .. } if t == token);
             if ours && binding.machine == *id && binding.attempt == order.attempt {
                 binding.sent = Sent::No;
+                // What was to be stopped meanwhile needs no evidence any more.
+                // Kept, it once held its place for ever: nothing was sent for it.
+                if binding.stop.is_some() {
+                    self.drop_unsent(&order.task.job);
+                }
             }
         }
     }
@@ -233,3 +243,6 @@
         grace_s,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/core/src/orders/tests.rs
@@ -0,0 +1,92 @@
+//! Tests of `orders`.
+
+use super::*;
+use crate::ctx::Effect;
+use crate::fixture::Fixture;
+use forkshift_wire::users::JobKind;
+use serde_json::to_value;
+
+/// Verbs of the orders that go straight to workers.
+fn sent(effects: &[Effect]) -> Vec<Verb> {
+    let bodies = effects.iter().filter_map(|e| match e {
+        Effect::Call { path, body, .. } if path == "/commands" => body.as_deref(),
+        _ => None,
+    });
+    let commands = bodies.map(|b| serde_json::from_slice::<Commands>(b).expect("commands"));
+    commands
+        .flat_map(|c| c.orders.into_iter().map(|o| o.verb))
+        .collect()
+}
+
+fn is_call(pending: &Pending) -> bool {
+    matches!(pending, Pending::Commands { .. })
+}
+
+/// A holder that had lost its right without knowing once sent a start that it
+/// had recorded before, after its successor had confirmed the cancellation.
+#[test]
+fn starts_are_sent_by_right_only() {
+    for (entitled, verbs) in [(true, vec![Verb::Start]), (false, vec![])] {
+        let mut f = Fixture::new();
+        let id = f.job("j-1", JobKind::Service, 1);
+        f.bind(&id, 0, Sent::No);
+        if !entitled {
+            f.lose_right();
+        }
+        assert_eq!(sent(&f.step(1)), verbs, "entitled: {entitled}");
+    }
+}
+
+/// Stops need no right.
+#[test]
+fn stops_are_sent_in_any_case() {
+    for entitled in [true, false] {
+        let mut f = Fixture::new();
+        let id = f.job("j-1", JobKind::Service, 1);
+        let (token, session) = (f.token(), 1);
+        f.bind(&id, 0, Sent::Ours { token, session });
+        if !entitled {
+            f.lose_right();
+        }
+        f.ask(1, "POST", "/submissions/j-1/abort");
+        let orders = f.share().machines.values().any(|m| m.calling);
+        assert!(orders, "entitled: {entitled}");
+    }
+}
+
+/// A start that was refused while its task was being stopped once held its
+/// place for ever: nothing is sent for what was never sent.
+#[test]
+fn what_was_refused_while_being_stopped_is_free() {
+    for stopped in [true, false] {
+        let mut f = Fixture::new();
+        let id = f.job("j-1", JobKind::Gang, 2);
+        f.bind(&id, 0, Sent::No);
+        f.bind(&id, 1, Sent::No);
+        assert_eq!(sent(&f.step(1)), [Verb::Start, Verb::Start]);
+        if stopped {
+            f.share().stop_rest(&id);
+        }
+        let token = f.token();
+        let report = f.message(2, token, &[]);
+        f.answer(is_call, 409, &to_value(report).expect("a report"));
+        let bound = f.share().jobs[&id].bound.len();
+        assert_eq!(bound, if stopped { 0 } else { 2 }, "stopped: {stopped}");
+    }
+}
+
+/// A holder that does not know of its successor once called a machine as fast
+/// as that refused it.
+#[test]
+fn a_machine_with_a_newer_token_is_left_alone() {
+    for (newer, calls) in [(0, true), (1 << 30, false)] {
+        let mut f = Fixture::new();
+        let id = f.job("j-1", JobKind::Service, 1);
+        f.bind(&id, 0, Sent::No);
+        f.step(1);
+        let token = f.token() + newer;
+        let report = f.message(2, token, &[]);
+        let effects = f.answer(is_call, 409, &to_value(report).expect("a report"));
+        assert_eq!(!sent(&effects).is_empty(), calls, "newer by {newer}");
+    }
+}
--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -88,10 +88,23 @@
         machines.map(|m| (m.id.clone(), m.zone)).collect()
     }
 
+    /// What services hold of each team's quota.
+    fn lasting(&self) -> Vec<Resources> {
+        let mut lasting = vec![Resources::default(); self.quotas.len()];
+        for job in self.jobs.values() {
+            if let (JobKind::Service, Some(team)) = (job.spec.kind, self.teams.get(&job.spec.team))
+            {
+                lasting[*team] += job.task.times(job.bound.len() as i64);
+            }
+        }
+        lasting
+    }
+
     /// What waits, as a round sees it.
     fn wants(&mut self, ctx: &mut Ctx, usable: &[MachineId]) -> (Vec<JobId>, Vec<Want>) {
         let zones = self.zones();
         let boot_ms = self.boot_ms();
+        let lasting = self.lasting();
         let mut ids = Vec::new();
         let mut wants = Vec::new();
         for (id, job) in &self.jobs {
@@ -112,12 +125,19 @@
                 continue;
             };
             let mut want = want_of(ctx, job, team, &zones);
-            want.reserves = is_aged(job, ctx.now, boot_ms);
-            want.band = band(job, &self.quotas[team], &waiting, want.reserves);
+            let aged = is_aged(job, ctx.now, boot_ms);
+            // Kept free for it, the quota must come free some day: what services
+            // hold does not. A whole team once waited for one job in vain.
+            let at_once = if gang { waiting.len() as i64 } else { 1 };
+            let need = lasting[team] + job.task.times(at_once);
+            want.reserves = aged && self.quotas[team].could_allow(&need, 1);
+            want.band = band(job, &self.quotas[team], &waiting, aged);
             want.waiting = waiting;
-            want.avoid = job
-                .failed_on
-                .iter()
+            // For a while only: another machine may never come free, and this
+            // one may be well.
+            let avoids = ctx.now < job.failed_at + boot_ms;
+            let failed_on = job.failed_on.iter().filter(|_| avoids);
+            want.avoid = failed_on
                 .filter_map(|m| usable.iter().position(|u| u == m))
                 .collect();
             wants.push(want);
@@ -497,8 +517,7 @@
 
 /// Whether tasks may be placed on a machine.
 fn is_usable(m: &Machine, ctx: &Ctx) -> bool {
-    let fresh = m.heard.is_some_and(|t| ctx.now < t + ctx.cfg.report_ms * 3);
-    fresh
+    m.is_heard(ctx)
         && m.condemned.is_none()
         && !m.draining
         && m.leaving.is_none()
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -23,6 +23,9 @@
 const WATCH_PART: f64 = 0.1;
 /// Least pause between two of them.
 const WATCH_GAP: Ms = 200;
+/// Pause before its jobs are read again: without one, a controller that was
+/// refused while it took a share over asked as fast as it was answered.
+const LIST_PAUSE: Ms = 200;
 /// A token is an epoch above a counter of this many bits.
 pub(crate) const TOKEN_BITS: u32 = 24;
 
@@ -73,6 +76,8 @@
     /// still show how they were created.
     gone: HashMap<JobId, u64>,
     loaded: Vec<Item>,
+    /// When its jobs are to be read anew.
+    list_at: Option<Ms>,
     live_rev: u64,
     watching: bool,
     watch_at: Ms,
@@ -97,6 +102,8 @@
     /// Somebody has seen a higher epoch of it, which our view has not: without
     /// a right of our own we answer for it no more.
     pub(crate) superseded: bool,
+    /// A job was added for which a cancellation may have been left.
+    pub(crate) look_for_aborts: bool,
 }
 
 impl Share {
@@ -129,6 +136,7 @@
             cancels: Agenda::default(),
             gone: HashMap::new(),
             loaded: Vec::new(),
+            list_at: None,
             live_rev: 0,
             watching: false,
             watch_at: 0,
@@ -147,6 +155,7 @@
             demand_from: 0,
             reload: false,
             superseded: false,
+            look_for_aborts: false,
         };
         share.list(ctx, "");
         share
@@ -162,12 +171,19 @@
         ctx.read(Urgency::Member, path, Pending::ShareList { share, epoch });
     }
 
+    /// Reads the jobs anew, when that is due.
+    pub(crate) fn list_again(&mut self, ctx: &mut Ctx) {
+        if self.list_at.take_if(|t| ctx.now >= *t).is_some() {
+            self.list(ctx, "");
+        }
+    }
+
     pub(crate) fn on_list(&mut self, ctx: &mut Ctx, status: u16, body: &[u8]) {
         let page: Option<Page> = serde_json::from_slice(body).ok().filter(|_| status == 200);
         let Some(mut page) = page else {
-            // Start over; what was read may be old by now.
+            // Start over, after a pause; what was read may be old by now.
             self.loaded.clear();
-            self.list(ctx, "");
+            self.list_at = Some(ctx.now + LIST_PAUSE);
             return;
         };
         if self.live_rev == 0 || self.loaded.is_empty() {
@@ -187,6 +203,12 @@
     /// Starts to use the share, once the view is as new as what was read.
     /// Only then does a machine that the view lacks not exist any more.
     pub(crate) fn activate(&mut self, ctx: &mut Ctx, view: &View) {
+        // A machine of a type that is not known would be taken for gone.
+        let mut ours = view.machines.values().filter(|m| m.rec.share == self.id);
+        if !ours.all(|m| view.types.contains_key(&m.rec.machine_type)) {
+            log::error!("share {}: a machine's type is not known", self.id);
+            return;
+        }
         self.phase = Phase::Active;
         self.active_since = ctx.now;
         self.sync_machines(ctx, view, &Changed::everything());
@@ -280,6 +302,7 @@
             self.hurry(ctx);
         }
         self.jobs.insert(job.spec.id.clone(), job);
+        self.look_for_aborts = true;
     }
 
     /// Takes a job on that another controller tells of, if the watch has not
@@ -590,20 +613,23 @@
             return;
         };
         let tasks: Vec<TaskRef> = machine.tasks.iter().cloned().collect();
+        self.drop_unsent_of(tasks);
+        let recorded = view.machines.get(id);
+        if recorded.is_some_and(|m| m.rec.condemned.is_none()) {
+            self.put_machine(ctx, view, id, |rec| rec.condemned = Some(why));
+        }
+    }
+
+    /// Takes tasks that were never sent off their machine.
+    pub(crate) fn drop_unsent_of(&mut self, tasks: Vec<TaskRef>) {
         for task in tasks {
-            let binding = self
-                .jobs
-                .get_mut(&task.job)
-                .and_then(|j| j.bound.get_mut(&task.index));
+            let job = self.jobs.get_mut(&task.job);
+            let binding = job.and_then(|j| j.bound.get_mut(&task.index));
             if let Some(binding) = binding.filter(|b| b.sent == Sent::No) {
                 binding.stop = Some(Stop::after(0.0));
                 self.drop_unsent(&task.job);
             }
         }
-        let recorded = view.machines.get(id);
-        if recorded.is_some_and(|m| m.rec.condemned.is_none()) {
-            self.put_machine(ctx, view, id, |rec| rec.condemned = Some(why));
-        }
     }
 
     /// Says at debug level what every task that is not running waits for.
@@ -725,7 +751,11 @@
             if name.contains('/') || version <= self.live_rev || self.jobs.contains_key(&id) {
                 continue;
             }
-            if let Ok(head) = from_value::<HeadRec>(value) {
+            // Others write heads of new jobs only: all else is an old write of
+            // ours, of a job that may be over.
+            let head = from_value::<HeadRec>(value).ok();
+            let head = head.filter(|h| !h.cancelled && h.block == BlockRec::default());
+            if let Some(head) = head {
                 self.add_job(ctx, head.spec, head.at, version);
             }
         }
--- a/crates/core/src/tend.rs
+++ b/crates/core/src/tend.rs
@@ -97,7 +97,7 @@
         if progress {
             self.next_progress = ctx.now + crate::ms(ctx.cfg.ops.round_s);
         }
-        self.flush(ctx, view, progress);
+        self.flush(ctx, progress);
     }
 
     /// A gang that has lost a task, also one that an earlier holder knew of,
@@ -226,6 +226,7 @@
             Ms::MAX
         });
         self.record_condemned(ctx, view, id);
+        self.take_back(ctx, id);
         self.note_address(ctx, view, id);
         self.give_away(ctx, view, id);
         self.send_to(ctx, id);
@@ -241,6 +242,16 @@
         self.look.wake(id, again.min(deadline).max(ctx.now + 1));
     }
 
+    /// What was never sent to a machine that is not heard any more goes
+    /// elsewhere: it needs no evidence, and the machine may be waited for long.
+    fn take_back(&mut self, ctx: &Ctx, id: &MachineId) {
+        let silent = |m: &&Machine| m.heard.is_some() && !m.is_heard(ctx);
+        if let Some(machine) = self.machines.get(id).filter(silent) {
+            let tasks: Vec<TaskRef> = machine.tasks.iter().cloned().collect();
+            self.drop_unsent_of(tasks);
+        }
+    }
+
     /// Whether something about a machine is under way that no message may
     /// bring back to mind.
     fn is_busy(&self, view: &View, m: &Machine) -> bool {
@@ -286,7 +297,9 @@
     let silent = ctx.silent_ms();
     let last = m.last_sign(ctx.awake_since);
     let keep = (m.boot_ms as f64 * ctx.cfg.ops.idle_boots) as Ms;
-    let known = m.addr.is_some() || m.heard.is_some();
+    // A task is only ever placed where something was heard, by an earlier
+    // holder perhaps, who had no time to write the address.
+    let known = m.addr.is_some() || m.heard.is_some() || !m.tasks.is_empty();
     let gone = ctx.cfg.report_ms * 2;
     let ends = [
         (known.then_some(last + ctx.silent_after(m)), "it is silent"),
@@ -310,3 +323,6 @@
     }
     Ok(next)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/core/src/tend/tests.rs
@@ -0,0 +1,122 @@
+//! Tests of `tend`.
+
+use super::*;
+use crate::ctx::Effect;
+use crate::fixture::{Fixture, WALL};
+use crate::records::{live_key, HeadRec};
+use forkshift_wire::state::Item;
+use forkshift_wire::users::JobKind;
+use forkshift_wire::workers::TaskStage;
+use serde_json::{json, to_value};
+
+fn is_eviction(pending: &Pending) -> bool {
+    matches!(pending, Pending::Evict { .. })
+}
+
+fn evicts(effects: &[Effect]) -> bool {
+    let path = |e: &Effect| matches!(e, Effect::Call { path, .. } if path == "/machines/delete");
+    effects.iter().any(path)
+}
+
+/// While no write lands, a machine that may hold a cancelled task was never
+/// deleted: the deletion waited for its record.
+#[test]
+fn a_machine_with_a_cancelled_task_is_deleted_without_a_write() {
+    let mut f = Fixture::new();
+    let cancel = f.node.ctx.cfg.cancel_ms;
+    let id = f.job("j-1", JobKind::Service, 1);
+    let other = f.job("j-2", JobKind::Service, 1);
+    let (token, session) = (f.token(), 1);
+    f.bind(&id, 0, Sent::Ours { token, session });
+    f.bind(&other, 0, Sent::Ours { token, session });
+    f.ask(1, "POST", "/submissions/j-1/abort");
+    f.lose_right();
+    let begun = f.node.ctx.now;
+    let mut deleted_at = None;
+    while f.node.ctx.now < begun + cancel && deleted_at.is_none() {
+        if evicts(&f.step(500)) {
+            deleted_at = Some(f.node.ctx.now - begun);
+        }
+    }
+    let deleted_at = deleted_at.expect("it is deleted in time");
+    let part = deleted_at as f64 / cancel as f64;
+    assert!(
+        (0.4..0.7).contains(&part),
+        "after {deleted_at} of {cancel} ms"
+    );
+    // Without an answer nothing is taken for gone, and it is tried again.
+    f.answer(is_eviction, 0, &json!({}));
+    assert_eq!(f.share().jobs[&id].bound.len(), 1);
+    let report_ms = f.node.ctx.cfg.report_ms;
+    let again = (0..4).any(|_| evicts(&f.step(report_ms)));
+    assert!(again, "it is tried again");
+    f.answer(is_eviction, 200, &json!({}));
+    for job in [&id, &other] {
+        let bound = f.share().jobs.get(job).map_or(0, |j| j.bound.len());
+        assert_eq!(bound, 0, "{job} is gone with the machine");
+    }
+    // A report from before does not bring it back, nor is it used again.
+    f.report(1, token, &[(&other, 0, TaskStage::Running)]);
+    f.step(2_000);
+    let bound = f.share().jobs.get(&other).map_or(0, |j| j.bound.len());
+    assert_eq!(bound, 0);
+}
+
+/// The deadline once began anew with every holder. It counts from the first
+/// request; there is time to try a stop only if some is left.
+#[test]
+fn the_deadline_of_a_cancellation_outlives_its_holder() {
+    // How long ago it was asked for, as parts of the time; when the machine is
+    // given up at the latest.
+    for (age, by) in [
+        (0.0, 0.4),
+        (0.2, 0.4),
+        (0.34, 0.5),
+        (0.5, 0.55),
+        (0.9, 0.95),
+    ] {
+        let mut f = Fixture::new();
+        let cancel = f.node.ctx.cfg.cancel_ms;
+        let ago = (cancel as f64 * age) as Ms;
+        let id = f.job("j-1", JobKind::Service, 1);
+        f.bind(&id, 0, Sent::Inherited);
+        let mut head: HeadRec = f.share().jobs[&id].head_rec();
+        f.share().forget_job(&id, 0);
+        head.cancelled = true;
+        head.cancelled_at = WALL - ago;
+        let item = Item {
+            key: live_key(f.share, &id, 0),
+            value: to_value(head).expect("a record"),
+            version: 8,
+        };
+        f.load(vec![item]);
+        let begun = f.node.ctx.now;
+        let machine = f.machine.clone();
+        let end = begun + (cancel as f64 * (by - age)) as Ms;
+        while f.node.ctx.now < end && f.share().machines[&machine].condemned.is_none() {
+            f.step(100);
+        }
+        let condemned = f.share().machines[&machine].condemned.clone();
+        assert!(condemned.is_some(), "asked for {ago} of {cancel} ms ago");
+    }
+}
+
+/// A machine that got work from an earlier holder, who had no time to write its
+/// address, was once never taken for silent.
+#[test]
+fn a_machine_with_tasks_and_no_address_can_be_silent() {
+    for tasks in [true, false] {
+        let mut f = Fixture::new();
+        let id = f.job("j-1", JobKind::Service, 1);
+        if tasks {
+            f.bind(&id, 0, Sent::Inherited);
+        }
+        let machine = f.machine.clone();
+        let m = f.share().machines.get_mut(&machine).expect("it is there");
+        (m.addr, m.heard) = (None, None);
+        f.node.ctx.now += f.node.ctx.cfg.lease_ms;
+        f.node.ctx.entitled = true;
+        let given_up = verdict(&f.node.ctx, &f.node.shares[&f.share].machines[&machine]);
+        assert_eq!(given_up.is_err(), tasks, "with tasks: {tasks}");
+    }
+}
