Testkit: arranged faults of holders, leaders, peers, direct commands and machines

Tests of two troubles at once need to name what they hit: the holder of a job's share, the leader, the next controller, the machines that have a job's tasks, resolved at the moment of the fault.

Users can be sent to a chosen controller, and the time for cancellations is part of a world's size.

--- a/crates/testkit/src/check.rs
+++ b/crates/testkit/src/check.rs
@@ -169,6 +169,11 @@
         self.cancelled_at.contains_key(id)
     }
 
+    /// When a user was first told that a job is cancelled.
+    pub fn cancelled_at(&self, id: &JobId) -> Option<Ms> {
+        self.cancelled_at.get(id).copied()
+    }
+
     /// Tasks of a job that are on machines.
     pub fn running(&self, id: &JobId) -> usize {
         self.on.keys().filter(|t| t.job == *id).count()
--- a/crates/testkit/src/faults.rs
+++ b/crates/testkit/src/faults.rs
@@ -1,12 +1,62 @@
 //! Faults, and schedules of them drawn from a seed.
 
 use crate::Ms;
+use forkshift_wire::{JobId, MachineId};
 use rand::rngs::StdRng;
 use rand::Rng;
 
 /// All zones. Controllers are in them in turn.
 pub(crate) const ZONES: [&str; 3] = ["a", "b", "c"];
 
+/// A controller, named by what it is at the moment it is looked for.
+#[derive(Clone, Debug)]
+pub enum Who {
+    /// The one of that index.
+    Index(usize),
+    /// The holder of a job's share, as the state service has it.
+    HolderOf(JobId),
+    /// The leader, as the state service has it.
+    Leader,
+    /// The next one that is up and is not this one.
+    Besides(Box<Who>),
+}
+
+/// Machines, named by what they are at the moment they are looked for.
+#[derive(Clone, Debug)]
+pub enum Which {
+    /// Those with a task of a job that has not exited.
+    OfJob(JobId),
+    /// Those of the shares that a controller holds.
+    OfHolder(Who),
+    /// Those of a zone.
+    OfZone(&'static str),
+    /// These.
+    Named(Vec<MachineId>),
+    /// So many, drawn at random.
+    Some(usize),
+    /// All that are up.
+    All,
+}
+
+/// What goes wrong with machines.
+#[derive(Clone, Copy, Debug)]
+pub enum MachineFault {
+    /// It stops with all that is on it.
+    Die,
+    /// It stands still, and goes on.
+    Hang(Ms),
+    /// It loses the network; held back messages come later.
+    Cut(Ms),
+    /// Its reports arrive; answers and direct commands to it are lost.
+    Deaf(Ms),
+    /// It reaches no controller; direct commands reach it and are answered.
+    Mute(Ms),
+    /// What it sends and what is sent to it takes up to eight seconds.
+    Slow(Ms),
+    /// It fails what it starts.
+    Sick(Ms),
+}
+
 /// What goes wrong.
 #[derive(Clone, Debug)]
 pub enum FaultKind {
@@ -85,6 +135,70 @@
     LateCopies(Ms),
     /// Answers get lost now and then.
     LostAnswers(Ms),
+    /// A fault of one controller, whichever it then is. As long as there is
+    /// none, the fault waits.
+    At(Who, Box<FaultKind>),
+    /// A fault of machines, whichever they then are.
+    Machines(Which, MachineFault),
+    /// The state service refuses one controller, and leaves its open watches
+    /// without an answer for as long.
+    Shut {
+        /// Which.
+        node: usize,
+        /// For how long.
+        time: Ms,
+    },
+    /// A controller and others do not hear each other.
+    PeerCut {
+        /// Which.
+        node: usize,
+        /// The others; all if left out.
+        with: Option<Vec<usize>>,
+        /// For how long.
+        time: Ms,
+        /// Messages are held back and delivered afterwards.
+        hold: bool,
+    },
+    /// A controller's direct commands do not reach workers, whose reports
+    /// still reach it and are answered.
+    DirectCut {
+        /// Which.
+        node: usize,
+        /// For how long.
+        time: Ms,
+        /// Commands are held back and delivered afterwards.
+        hold: bool,
+    },
+    /// A controller stands still, and goes on.
+    Pause {
+        /// Which.
+        node: usize,
+        /// For how long.
+        time: Ms,
+    },
+}
+
+impl FaultKind {
+    /// The same at whichever controller it then is.
+    pub fn at(self, who: Who) -> Self {
+        Self::At(who, Box::new(self))
+    }
+
+    /// The same at the controller of an index, if it is a controller's fault.
+    pub(crate) fn aimed(mut self, n: usize) -> Self {
+        match &mut self {
+            Self::Crash { node, .. }
+            | Self::Cut { node, .. }
+            | Self::Refuse { node, .. }
+            | Self::Slow { node, .. }
+            | Self::Shut { node, .. }
+            | Self::PeerCut { node, .. }
+            | Self::DirectCut { node, .. }
+            | Self::Pause { node, .. } => *node = n,
+            _ => {}
+        }
+        self
+    }
 }
 
 /// Something that goes wrong at some time.
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -12,7 +12,7 @@
 mod world;
 
 pub use check::{Checker, Rule};
-pub use faults::{random_faults, random_faults_once, Fault, FaultKind};
+pub use faults::{random_faults, random_faults_once, Fault, FaultKind, MachineFault, Which, Who};
 pub use world::{settings, Plan, Size, World};
 
 /// Milliseconds of virtual time.
--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -235,8 +235,14 @@
         json!({"ledger_rev": self.revision, "news": self.changes(prefix, from)})
     }
 
+    /// The value of a key, as it is now.
+    pub(crate) fn value(&self, key: &str) -> Option<&Value> {
+        self.entries.get(key).map(|e| &e.value)
+    }
+
     /// Ends leases that ran out, and returns watches that have an answer.
-    pub(crate) fn tick(&mut self, now: Ms) -> Vec<(W, Value)> {
+    /// Those of who is `shut` out go on waiting.
+    pub(crate) fn tick(&mut self, now: Ms, shut: impl Fn(&W) -> bool) -> Vec<(W, Value)> {
         if self.down {
             return Vec::new();
         }
@@ -263,7 +269,8 @@
         }
         let mut ready = Vec::new();
         for w in std::mem::take(&mut self.waiting) {
-            if now >= w.until || !self.changes(&w.prefix, w.from).is_empty() {
+            let ready_now = now >= w.until || !self.changes(&w.prefix, w.from).is_empty();
+            if ready_now && !shut(&w.who) {
                 let reply = self.changes_reply(&w.prefix, w.from);
                 ready.push((w.who, reply));
             } else {
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -55,6 +55,12 @@
     pub(crate) hung_until: Ms,
     /// What others send does not reach it until then.
     pub(crate) deaf_until: Ms,
+    /// What others send to it is lost until then.
+    pub(crate) lost_until: Ms,
+    /// It reaches no controller until then.
+    pub(crate) mute_until: Ms,
+    /// What it sends, and what is sent to it, takes long until then.
+    pub(crate) slow_until: Ms,
     pub(crate) cut_until: Ms,
     pub(crate) taken_at: Option<Ms>,
 }
@@ -84,11 +90,20 @@
             sick_until: 0,
             hung_until: 0,
             deaf_until: 0,
+            lost_until: 0,
+            mute_until: 0,
+            slow_until: 0,
             cut_until: 0,
             taken_at: None,
         }
     }
 
+    /// Whether a task of a job is here that has not exited.
+    pub(crate) fn has_task_of(&self, id: &JobId) -> bool {
+        let mut all = self.tasks.iter();
+        all.any(|((task, _), t)| task.job == *id && t.stage != TaskStage::Exited)
+    }
+
     pub(crate) fn report(&mut self, now: Ms) -> Report {
         self.seq += 1;
         Report {
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -2,10 +2,11 @@
 
 use crate::check::Checker;
 use crate::cloud::Cloud;
-use crate::faults::{Fault, FaultKind, ZONES};
+use crate::faults::{Fault, FaultKind, MachineFault, Which, Who, ZONES};
 use crate::state::State;
 use crate::worker::{Around, Truth, Worker};
 use crate::Ms;
+use forkshift_core::records::{self, ShareId};
 use forkshift_core::{Config, Effect, Input, Node, Operator, Target, Token};
 use forkshift_wire::settings::Settings;
 use forkshift_wire::users::{JobKind, JobSpec, JobStage, JobStatus, Priority};
@@ -21,7 +22,6 @@
 const IDLE: Ms = 50;
 /// Time of day when the world begins.
 const WALL_OFF: Ms = 1_000_000;
-const CANCEL_MS: Ms = 35_000;
 const GANG_WAIT_MS: Ms = 20_000;
 
 /// How large a world is.
@@ -47,6 +47,8 @@
     pub report_ms: Ms,
     /// Lease of a worker.
     pub lease_ms: Ms,
+    /// Time for a cancelled job's tasks to be gone.
+    pub cancel_ms: Ms,
 }
 
 impl Default for Size {
@@ -62,6 +64,7 @@
             limit: (96.0, 24.0),
             report_ms: 1_000,
             lease_ms: 10_000,
+            cancel_ms: 35_000,
         }
     }
 }
@@ -80,6 +83,7 @@
             limit: (20_000.0, 4_000.0),
             report_ms: 5_000,
             lease_ms: 24_000,
+            cancel_ms: 35_000,
         }
     }
 
@@ -97,6 +101,7 @@
             limit: (2_000.0, 900.0),
             report_ms: 2_000,
             lease_ms: 13_000,
+            cancel_ms: 35_000,
         }
     }
 }
@@ -113,10 +118,12 @@
         limit: (cpus_max, gpus_max),
         report_ms,
         lease_ms,
+        cancel_ms,
         ..
     } = size;
     let seconds = |ms: &Ms| *ms as f64 / 1000.0;
     let (report_s, lease_s) = (seconds(report_ms), seconds(lease_ms));
+    let cancel_s = seconds(cancel_ms);
     let peers: String = (0..*nodes)
         .filter(|n| *n != node)
         .map(|n| {
@@ -131,7 +138,7 @@
          {peers}\n[external]\ncloud = \"10.2.0.2:8443\"\nstate = \"10.2.0.1:2379\"\n\
          [cluster]\ninitial_size = {nodes}\nzones = [\"a\", \"b\", \"c\"]\ntime_bound_ms = 250.0\n{teams}\
          [[cluster.objectives]]\nkind = \"wait\"\nclass = \"serve\"\nwithin_s = 8.0\nshare = 0.9\n\
-         [cluster.workers]\nreport_s = {report_s:?}\nlease_s = {lease_s:?}\ngang_wait_s = 20.0\ngang_peer_s = 3.0\ncancel_s = 35.0\n\
+         [cluster.workers]\nreport_s = {report_s:?}\nlease_s = {lease_s:?}\ngang_wait_s = 20.0\ngang_peer_s = 3.0\ncancel_s = {cancel_s:?}\n\
          [cluster.state]\nrps = {rps:?}\nwrite_rps = {write_rps:?}\nvalue_kb = 8.0\ntxn_ops = 12\n\
          [cluster.cloud]\nrps = {cloud_rps:?}\nlist_lag_s = 4.0\n\
          [cluster.limits]\ncpu = 0.12\nmem_mb = 40.0\nsockets = 600\n",
@@ -156,6 +163,9 @@
     pub run_ms: Ms,
     /// When the user wants it cancelled.
     pub cancel_at: Option<Ms>,
+    /// The controller that the user's requests go to; any if left out, or if
+    /// there is none.
+    pub at_node: Option<Who>,
 }
 
 impl Plan {
@@ -222,6 +232,7 @@
             spec,
             run_ms,
             cancel_at,
+            at_node: None,
         }
     }
 }
@@ -264,10 +275,19 @@
     },
     Restart(usize),
     Taken(MachineId),
+    Inject(FaultKind),
 }
 
 #[derive(Default, Clone, Copy)]
 struct Cuts {
+    /// Refused by the state service, open watches included.
+    shut: Ms,
+    /// Until when it is cut off from which others, one bit each, and whether
+    /// messages are held.
+    peers: (Ms, u64, bool),
+    /// Until when direct commands do not reach workers, and whether they are held.
+    direct: (Ms, bool),
+    pause: Ms,
     state: Ms,
     workers: Ms,
     cloud: Ms,
@@ -318,6 +338,7 @@
     truths: BTreeMap<JobId, Truth>,
     users: Vec<User>,
     faults: Vec<Fault>,
+    injected: Vec<(Ms, FaultKind)>,
     events: BTreeMap<(Ms, u64), Event>,
     next_event: u64,
     late_copies: Ms,
@@ -343,7 +364,8 @@
     }
 
     /// A world of any size.
-    pub fn sized(seed: u64, plans: Vec<Plan>, faults: Vec<Fault>, size: Size) -> Self {
+    pub fn sized(seed: u64, plans: Vec<Plan>, mut faults: Vec<Fault>, size: Size) -> Self {
+        faults.sort_by_key(|f| f.at);
         let limits = (0..size.teams)
             .map(|t| (format!("team-{t}"), size.limit))
             .collect();
@@ -368,6 +390,7 @@
                 })
                 .collect(),
             faults,
+            injected: Vec::new(),
             events: BTreeMap::new(),
             next_event: 0,
             late_copies: 0,
@@ -381,7 +404,7 @@
             slow_state: 0,
             late_writes: 0,
             reports: 0,
-            check: Checker::new(limits, CANCEL_MS),
+            check: Checker::new(limits, size.cancel_ms),
         };
         for n in 0..size.nodes {
             world.hosts.push(Host {
@@ -456,16 +479,39 @@
             (Origin::Node { node: n, .. }, Dest::State) => (node(*n).state, node(*n).hold),
             (Origin::Node { node: n, .. }, Dest::Cloud) => (node(*n).cloud, node(*n).hold),
             (Origin::Node { node: n, .. }, Dest::Worker(id)) => {
+                let (direct, direct_hold) = node(*n).direct;
+                if direct > self.now {
+                    return (direct, direct_hold);
+                }
+                let lost = self.workers.get(id).map_or(0, |w| w.lost_until);
+                if lost > self.now {
+                    return (lost, false);
+                }
                 let deaf = self.workers.get(id).map_or(0, |w| w.deaf_until);
                 (node(*n).workers.max(worker(id)).max(deaf), true)
             }
             (Origin::Worker { id, .. }, Dest::Node(n)) => {
+                let mute = self.workers.get(id).map_or(0, |w| w.mute_until);
+                if mute > self.now {
+                    return (mute, false);
+                }
                 (node(*n).workers.max(worker(id)), node(*n).hold)
             }
             _ => (0, false),
         }
     }
 
+    /// How much longer a message takes from or to a machine on a slow link.
+    fn dawdle(&mut self, origin: &Origin, dest: &Dest) -> Ms {
+        let ((Origin::Worker { id, .. }, _) | (_, Dest::Worker(id))) = (origin, dest) else {
+            return 0;
+        };
+        match self.workers.get(id) {
+            Some(w) if w.slow_until > self.now => self.rng.random_range(500..8_000),
+            _ => 0,
+        }
+    }
+
     fn send(&mut self, message: Message) {
         let delay = self.delay();
         let (until, hold) = self.cut(&message.origin, &message.dest);
@@ -476,6 +522,7 @@
             }
             time = until + self.rng.random_range(1..30_000);
         }
+        time += self.dawdle(&message.origin, &message.dest);
         if matches!(message.dest, Dest::Node(_))
             && self.now < self.late_copies
             && self.rng.random_range(0..4) == 0
@@ -499,13 +546,13 @@
             Origin::Worker { id, .. } => self
                 .workers
                 .get(id)
-                .is_some_and(|w| w.deaf_until > self.now),
+                .is_some_and(|w| w.deaf_until.max(w.lost_until) > self.now),
             _ => false,
         };
         if until > self.now || lost || deaf {
             return;
         }
-        let mut time = self.now + self.delay();
+        let mut time = self.now + self.delay() + self.dawdle(&to, from);
         let slow = matches!(from, Dest::State) && self.now < self.slow_state;
         if slow && self.rng.random_range(0..4) == 0 {
             time += self.rng.random_range(100..1_500);
@@ -539,7 +586,12 @@
         if self.state.down && self.now >= self.outage_until {
             self.state.set_down(false, self.now);
         }
-        for (to, value) in self.state.tick(self.now) {
+        let (now, hosts) = (self.now, &self.hosts);
+        let shut = |who: &Origin| match who {
+            Origin::Node { node, .. } => hosts[*node].cuts.shut > now,
+            _ => false,
+        };
+        for (to, value) in self.state.tick(now, shut) {
             let body = value.to_string().into_bytes();
             self.reply(&Dest::State, to, 200, body);
         }
@@ -557,8 +609,129 @@
         }
     }
 
+    /// The controller that is meant, if there is one now.
+    pub fn index_of(&self, who: &Who) -> Option<usize> {
+        match who {
+            Who::Index(n) => Some(*n),
+            Who::HolderOf(id) => self.holder_of(id),
+            Who::Leader => self.leader(),
+            Who::Besides(who) => {
+                let n = self.index_of(who)?;
+                let mut others = (1..self.size.nodes).map(|i| (n + i) % self.size.nodes);
+                others.find(|n| self.hosts[*n].node.is_some())
+            }
+        }
+    }
+
+    fn named(&self, field: Option<&serde_json::Value>) -> Option<usize> {
+        field?.as_str()?.strip_prefix("berth-")?.parse().ok()
+    }
+
+    /// The leader, as the state service has it.
+    pub fn leader(&self) -> Option<usize> {
+        self.named(self.state.value(records::LEADER)?.get("node"))
+    }
+
+    fn share_of(&self, id: &JobId) -> Option<ShareId> {
+        let share = self.state.value(&records::job_key(id))?.get("share")?;
+        Some(ShareId(share.as_u64()? as u32))
+    }
+
+    /// The holder of a job's share, as the state service has it.
+    pub fn holder_of(&self, id: &JobId) -> Option<usize> {
+        let key = records::share_key(self.share_of(id)?);
+        self.named(self.state.value(&key)?.get("holder"))
+    }
+
+    /// The epoch of a job's share, as the state service has it.
+    pub fn epoch_of(&self, id: &JobId) -> Option<u64> {
+        let key = records::share_key(self.share_of(id)?);
+        self.state.value(&key)?.get("epoch")?.as_u64()
+    }
+
+    /// The machines that are meant and are up.
+    pub fn machines_of(&self, which: &Which) -> Vec<MachineId> {
+        let held = |w: &Worker, who: usize| {
+            let machine = self.state.value(&records::machine_key(&w.id))?;
+            let share = ShareId(machine.get("share")?.as_u64()? as u32);
+            let share = self.state.value(&records::share_key(share))?;
+            Some(self.named(share.get("holder"))? == who)
+        };
+        let meant = |w: &Worker| match which {
+            Which::OfJob(id) => w.has_task_of(id),
+            Which::OfHolder(who) => self
+                .index_of(who)
+                .is_some_and(|n| held(w, n).unwrap_or(false)),
+            Which::OfZone(zone) => w.zone == *zone,
+            Which::Named(ids) => ids.contains(&w.id),
+            Which::Some(_) | Which::All => true,
+        };
+        let all = self.workers.values().filter(|w| meant(w));
+        all.map(|w| w.id.clone()).collect()
+    }
+
+    fn inject_machines(&mut self, which: &Which, fault: MachineFault) {
+        let now = self.now;
+        let mut ids = self.machines_of(which);
+        if let Which::Some(n) = which {
+            while ids.len() > *n {
+                let i = self.rng.random_range(0..ids.len());
+                ids.swap_remove(i);
+            }
+        }
+        for id in ids {
+            let Some(w) = self.workers.get_mut(&id) else {
+                continue;
+            };
+            match fault {
+                MachineFault::Die => self.die(&id),
+                MachineFault::Hang(time) => w.hung_until = now + time,
+                MachineFault::Cut(time) => w.cut_until = now + time,
+                MachineFault::Deaf(time) => w.lost_until = now + time,
+                MachineFault::Mute(time) => w.mute_until = now + time,
+                MachineFault::Slow(time) => w.slow_until = now + time,
+                MachineFault::Sick(time) => w.sick_until = now + time,
+            }
+        }
+    }
+
+    /// A machine stops with all that is on it.
+    fn die(&mut self, id: &MachineId) {
+        self.end_worker(id);
+        if let Some(m) = self.cloud.machines.get_mut(id) {
+            m.failed = true;
+        }
+    }
+
+    /// Faults that have come, with when. Controllers that were named by what
+    /// they are have their indices here.
+    pub fn injected(&self) -> &[(Ms, FaultKind)] {
+        &self.injected
+    }
+
+    /// The time.
+    pub fn now(&self) -> Ms {
+        self.now
+    }
+
+    /// When a user was first told that a job is cancelled.
+    pub fn cancelled_at(&self, id: &JobId) -> Option<Ms> {
+        self.check.cancelled_at(id)
+    }
+
     fn inject(&mut self, kind: FaultKind) {
         let now = self.now;
+        let kind = match kind {
+            FaultKind::At(who, kind) => match self.index_of(&who) {
+                Some(n) => kind.aimed(n),
+                None => {
+                    self.at(now + STEP, Event::Inject(FaultKind::At(who, kind)));
+                    return;
+                }
+            },
+            kind => kind,
+        };
+        self.injected.push((now, kind.clone()));
         let pick = |world: &mut Self| {
             let ids: Vec<MachineId> = world.workers.keys().cloned().collect();
             (!ids.is_empty()).then(|| ids[world.rng.random_range(0..ids.len())].clone())
@@ -608,12 +781,25 @@
             FaultKind::LostAnswers(time) => self.lost_answers = now + time,
             FaultKind::Die => {
                 if let Some(id) = pick(self) {
-                    self.end_worker(&id);
-                    if let Some(m) = self.cloud.machines.get_mut(&id) {
-                        m.failed = true;
-                    }
+                    self.die(&id);
                 }
             }
+            FaultKind::At(_, kind) => self.inject(*kind),
+            FaultKind::Machines(which, fault) => self.inject_machines(&which, fault),
+            FaultKind::Shut { node, time } => self.hosts[node].cuts.shut = now + time,
+            FaultKind::PeerCut {
+                node,
+                with,
+                time,
+                hold,
+            } => {
+                let bits = with.map_or(u64::MAX, |w| w.iter().fold(0, |b, n| b | 1 << n));
+                self.hosts[node].cuts.peers = (now + time, bits, hold);
+            }
+            FaultKind::DirectCut { node, time, hold } => {
+                self.hosts[node].cuts.direct = (now + time, hold);
+            }
+            FaultKind::Pause { node, time } => self.hosts[node].cuts.pause = now + time,
             FaultKind::Taken { notice } => {
                 let ids: Vec<MachineId> = self
                     .workers
@@ -660,6 +846,7 @@
                     self.start(n);
                 }
             }
+            Event::Inject(kind) => self.inject(kind),
             Event::Taken(id) => {
                 self.end_worker(&id);
                 self.cloud.end(&id);
@@ -829,12 +1016,14 @@
                 }
                 _ => ("GET", format!("/submissions/{id}"), Vec::new()),
             };
+            let (op, at_node) = (user.op, user.plan.at_node.clone());
+            let node = match at_node.and_then(|who| self.index_of(&who)) {
+                Some(n) => n,
+                None => self.rng.random_range(0..self.size.nodes),
+            };
             let message = Message {
-                origin: Origin::User {
-                    user: i,
-                    op: user.op,
-                },
-                dest: Dest::Node(self.rng.random_range(0..self.size.nodes)),
+                origin: Origin::User { user: i, op },
+                dest: Dest::Node(node),
                 method: method.to_owned(),
                 path,
                 body,
@@ -855,7 +1044,10 @@
                     return;
                 }
                 let refused = match &m.origin {
-                    Origin::Node { node, .. } => self.hosts[*node].cuts.refuse > now,
+                    Origin::Node { node, .. } => {
+                        let cuts = &self.hosts[*node].cuts;
+                        cuts.refuse.max(cuts.shut) > now
+                    }
                     _ => false,
                 };
                 let answer = if refused {
@@ -998,6 +1190,9 @@
         let Some(node) = host.node.as_mut() else {
             return;
         };
+        if host.cuts.pause > now {
+            return;
+        }
         let pause = if host.cuts.slow > now { 1_500 } else { 0 };
         let due = now >= host.stepped + IDLE || !host.inbox.is_empty();
         if !due || now < host.stepped + pause {
@@ -1077,6 +1272,16 @@
         let Some(to) = to.filter(|n| *n < self.hosts.len()) else {
             return;
         };
+        for (one, other) in [(from, to), (to, from)] {
+            let (until, with, hold) = self.hosts[one].cuts.peers;
+            if until > self.now && with >> other & 1 == 1 {
+                if hold {
+                    let late = until + self.rng.random_range(1..30_000);
+                    self.at(late, Event::Peer { to, message });
+                }
+                return;
+            }
+        }
         let (zone, until, _) = self.zone_cut;
         let apart = until > self.now && (zone_of(from) == zone) != (zone_of(to) == zone);
         let state = self.hosts[from].cuts.state.max(self.hosts[to].cuts.state);
