--- /dev/null
+++ b/crates/testkit/src/world/fleet.rs
@@ -0,0 +1,183 @@
+//! Machines: they boot, report, run tasks and end.
+
+use super::network::{Dest, Message, Origin};
+use super::{World, GANG_WAIT_MS};
+use crate::worker::{Around, Worker};
+use forkshift_wire::users::JobKind;
+use forkshift_wire::workers::{ExitCause, Redirect, ReportReply, TaskStage};
+use forkshift_wire::{JobId, MachineId, TaskRef};
+use rand::Rng;
+use std::collections::BTreeMap;
+
+impl World {
+    pub(super) fn end_worker(&mut self, id: &MachineId) {
+        if let Some(mut w) = self.workers.remove(id) {
+            w.wipe(&mut self.check);
+        }
+    }
+
+    pub(super) fn boot(&mut self) {
+        for id in std::mem::take(&mut self.cloud.ended) {
+            self.end_worker(&id);
+        }
+        for (id, m) in &self.cloud.machines {
+            if !m.failed && self.now >= m.up_at && !self.workers.contains_key(id) {
+                let mut w = Worker::new(id.clone(), &m.machine_type, &m.zone, m.spot, self.now);
+                w.node = self.rng.random_range(0..self.size.nodes);
+                self.workers.insert(id.clone(), w);
+            }
+        }
+    }
+
+    pub(super) fn tick_workers(&mut self) {
+        let now = self.now;
+        let mut reports = Vec::new();
+        for w in self.workers.values_mut() {
+            if w.hung_until > now {
+                continue;
+            }
+            let mut around = Around {
+                now,
+                truths: &self.truths,
+                check: &mut self.check,
+                lease_ms: self.size.lease_ms,
+            };
+            w.tick(&mut around);
+            if w.open.is_some_and(|(_, _, sent)| now >= sent + 4_000) {
+                w.open = None;
+                w.node = (w.node + 1) % self.size.nodes;
+                w.next_report = now + 1_000;
+            }
+            if w.open.is_none() && now >= w.next_report {
+                let report = w.report(now);
+                w.open = Some((report.seq, report.session, now));
+                w.next_report = now + self.size.report_ms;
+                let body = serde_json::to_vec(&report).unwrap_or_default();
+                self.reports += 1;
+                reports.push(Message {
+                    origin: Origin::Worker {
+                        id: w.id.clone(),
+                        report: report.seq,
+                    },
+                    dest: Dest::Node(w.node),
+                    method: "POST".to_owned(),
+                    path: "/v1/report".to_owned(),
+                    body,
+                });
+            }
+        }
+        for report in reports {
+            self.send(report);
+        }
+    }
+
+    /// Gangs start together, end together, and notice that one is gone.
+    pub(super) fn tick_gangs(&mut self) {
+        type Member = (MachineId, TaskRef, TaskStage);
+        let mut attempts: BTreeMap<(JobId, u64), Vec<Member>> = BTreeMap::new();
+        for w in self.workers.values_mut() {
+            w.give_up_waiting(self.now, &mut self.check, GANG_WAIT_MS);
+        }
+        for w in self.workers.values() {
+            for ((task, attempt), t) in &w.tasks {
+                let gang = self
+                    .truths
+                    .get(&task.job)
+                    .is_some_and(|t| t.spec.kind == JobKind::Gang);
+                if gang && matches!(t.stage, TaskStage::Gathering | TaskStage::Running) {
+                    let key = (task.job.clone(), *attempt);
+                    attempts
+                        .entry(key)
+                        .or_default()
+                        .push((w.id.clone(), task.clone(), t.stage));
+                }
+            }
+        }
+        for ((job, attempt), members) in attempts {
+            let truth = &self.truths[&job];
+            let whole = members.len() as u32 == truth.spec.tasks;
+            let began = self.gangs.get(&(job.clone(), attempt)).copied();
+            let done = (0..truth.spec.tasks).all(|index| {
+                self.check.is_completed(&TaskRef {
+                    job: job.clone(),
+                    index,
+                })
+            });
+            let waits = members.iter().any(|(_, _, s)| *s == TaskStage::Gathering);
+            let cause = match began {
+                None if whole && waits => {
+                    self.gangs.insert((job.clone(), attempt), self.now);
+                    for (m, task, _) in &members {
+                        let w = self.workers.get_mut(m);
+                        if let Some(t) = w.and_then(|w| w.tasks.get_mut(&(task.clone(), attempt))) {
+                            t.stage = TaskStage::Running;
+                        }
+                    }
+                    None
+                }
+                _ if done => Some(ExitCause::Done),
+                Some(t) if whole && self.now >= t + truth.run_ms => Some(ExitCause::Done),
+                Some(_) if !whole => Some(ExitCause::Peers),
+                _ => None,
+            };
+            let Some(cause) = cause else { continue };
+            for (m, task, _) in &members {
+                let mut around = Around {
+                    now: self.now,
+                    truths: &self.truths,
+                    check: &mut self.check,
+                    lease_ms: self.size.lease_ms,
+                };
+                if cause == ExitCause::Done {
+                    around.check.completed(task);
+                }
+                if let Some(w) = self.workers.get_mut(m).filter(|w| w.hung_until <= self.now) {
+                    w.exit(&mut around, &(task.clone(), attempt), cause);
+                }
+            }
+        }
+    }
+
+    pub(super) fn worker_answered(
+        &mut self,
+        id: &MachineId,
+        report: u64,
+        status: u16,
+        body: &[u8],
+    ) {
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(id).filter(|w| w.hung_until <= now) else {
+            return;
+        };
+        if w.open.is_none_or(|(seq, _, _)| seq != report) {
+            return;
+        }
+        if status == 200 {
+            if let Ok(reply) = serde_json::from_slice::<ReportReply>(body) {
+                let mut around = Around {
+                    now,
+                    truths: &self.truths,
+                    check: &mut self.check,
+                    lease_ms: self.size.lease_ms,
+                };
+                w.replied(&mut around, reply.token, &reply.orders);
+                return;
+            }
+        }
+        w.open = None;
+        let redirect: Redirect = serde_json::from_slice(body).unwrap_or_default();
+        let to = redirect
+            .report_to
+            .and_then(|n| n.strip_prefix("berth-").and_then(|n| n.parse().ok()));
+        match to {
+            Some(n) if status == 421 && n != w.node && n < self.size.nodes => {
+                w.node = n;
+                w.next_report = now + 100;
+            }
+            _ => {
+                w.node = (w.node + 1) % self.size.nodes;
+                w.next_report = now + 1_000;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/world/inject.rs
@@ -0,0 +1,224 @@
+//! Faults as they come, and whom they hit.
+
+use super::{Event, World, STEP};
+use crate::faults::{FaultKind, MachineFault, Which, Who};
+use crate::worker::Worker;
+use crate::Ms;
+use forkshift_core::records::{self, ShareId};
+use forkshift_wire::{JobId, MachineId};
+use rand::Rng;
+
+impl World {
+    /// The controller that is meant, if there is one now.
+    pub fn index_of(&self, who: &Who) -> Option<usize> {
+        match who {
+            Who::Index(n) => Some(*n),
+            Who::HolderOf(id) => self.holder_of(id),
+            Who::Leader => self.leader(),
+            Who::Besides(who) => {
+                let n = self.index_of(who)?;
+                let mut others = (1..self.size.nodes).map(|i| (n + i) % self.size.nodes);
+                others.find(|n| self.hosts[*n].node.is_some())
+            }
+        }
+    }
+
+    pub(super) fn named(&self, field: Option<&serde_json::Value>) -> Option<usize> {
+        field?.as_str()?.strip_prefix("berth-")?.parse().ok()
+    }
+
+    /// The leader, as the state service has it.
+    pub fn leader(&self) -> Option<usize> {
+        self.named(self.state.value(records::LEADER)?.get("node"))
+    }
+
+    pub(super) fn share_of(&self, id: &JobId) -> Option<ShareId> {
+        let share = self.state.value(&records::job_key(id))?.get("share")?;
+        Some(ShareId(share.as_u64()? as u32))
+    }
+
+    /// The holder of a job's share, as the state service has it.
+    pub fn holder_of(&self, id: &JobId) -> Option<usize> {
+        let key = records::share_key(self.share_of(id)?);
+        self.named(self.state.value(&key)?.get("holder"))
+    }
+
+    /// The epoch of a job's share, as the state service has it.
+    pub fn epoch_of(&self, id: &JobId) -> Option<u64> {
+        let key = records::share_key(self.share_of(id)?);
+        self.state.value(&key)?.get("epoch")?.as_u64()
+    }
+
+    /// The machines that are meant and are up.
+    pub fn machines_of(&self, which: &Which) -> Vec<MachineId> {
+        let held = |w: &Worker, who: usize| {
+            let machine = self.state.value(&records::machine_key(&w.id))?;
+            let share = ShareId(machine.get("share")?.as_u64()? as u32);
+            let share = self.state.value(&records::share_key(share))?;
+            Some(self.named(share.get("holder"))? == who)
+        };
+        let meant = |w: &Worker| match which {
+            Which::OfJob(id) => w.has_task_of(id),
+            Which::OfHolder(who) => self
+                .index_of(who)
+                .is_some_and(|n| held(w, n).unwrap_or(false)),
+            Which::OfZone(zone) => w.zone == *zone,
+            Which::Named(ids) => ids.contains(&w.id),
+            Which::Some(_) | Which::All => true,
+        };
+        let all = self.workers.values().filter(|w| meant(w));
+        all.map(|w| w.id.clone()).collect()
+    }
+
+    pub(super) fn inject_machines(&mut self, which: &Which, fault: MachineFault) {
+        let now = self.now;
+        let mut ids = self.machines_of(which);
+        if let Which::Some(n) = which {
+            while ids.len() > *n {
+                let i = self.rng.random_range(0..ids.len());
+                ids.swap_remove(i);
+            }
+        }
+        for id in ids {
+            let Some(w) = self.workers.get_mut(&id) else {
+                continue;
+            };
+            match fault {
+                MachineFault::Die => self.die(&id),
+                MachineFault::Hang(time) => w.hung_until = now + time,
+                MachineFault::Cut(time) => w.cut_until = now + time,
+                MachineFault::Deaf(time) => w.lost_until = now + time,
+                MachineFault::Mute(time) => w.mute_until = now + time,
+                MachineFault::Slow(time) => w.slow_until = now + time,
+                MachineFault::Sick(time) => w.sick_until = now + time,
+            }
+        }
+    }
+
+    /// A machine stops with all that is on it.
+    pub(super) fn die(&mut self, id: &MachineId) {
+        self.end_worker(id);
+        if let Some(m) = self.cloud.machines.get_mut(id) {
+            m.failed = true;
+        }
+    }
+
+    /// Faults that have come, with when. Controllers that were named by what
+    /// they are have their indices here.
+    pub fn injected(&self) -> &[(Ms, FaultKind)] {
+        &self.injected
+    }
+
+    pub(super) fn inject(&mut self, kind: FaultKind) {
+        let now = self.now;
+        let kind = match kind {
+            FaultKind::At(who, kind) => match self.index_of(&who) {
+                Some(n) => kind.aimed(n),
+                None => {
+                    self.at(now + STEP, Event::Inject(FaultKind::At(who, kind)));
+                    return;
+                }
+            },
+            kind => kind,
+        };
+        self.injected.push((now, kind.clone()));
+        let pick = |world: &mut Self| {
+            let ids: Vec<MachineId> = world.workers.keys().cloned().collect();
+            (!ids.is_empty()).then(|| ids[world.rng.random_range(0..ids.len())].clone())
+        };
+        match kind {
+            FaultKind::Crash { node, count, back } => {
+                let nodes = self.size.nodes;
+                for n in (0..count).map(|i| (node + i) % nodes) {
+                    self.hosts[n].node = None;
+                    self.at(now + back, Event::Restart(n));
+                }
+            }
+            FaultKind::Cut {
+                node,
+                state,
+                workers,
+                cloud,
+                time,
+                hold,
+            } => {
+                let cuts = &mut self.hosts[node].cuts;
+                cuts.hold = hold;
+                for (on, until) in [
+                    (state, &mut cuts.state),
+                    (workers, &mut cuts.workers),
+                    (cloud, &mut cuts.cloud),
+                ] {
+                    if on {
+                        *until = now + time;
+                    }
+                }
+            }
+            FaultKind::ZoneCut { zone, time, hold } => self.zone_cut = (zone, now + time, hold),
+            FaultKind::Refuse { node, time } => self.hosts[node].cuts.refuse = now + time,
+            FaultKind::Slow { node, time } => self.hosts[node].cuts.slow = now + time,
+            FaultKind::Outage(time) => {
+                self.state.set_down(true, now);
+                self.outage_until = now + time;
+            }
+            FaultKind::SlowState(time) => self.slow_state = now + time,
+            FaultKind::LateWrites(time) => self.late_writes = now + time,
+            FaultKind::CloudTrouble(time) => {
+                self.cloud.down = true;
+                self.cloud_until = now + time;
+            }
+            FaultKind::LateCopies(time) => self.late_copies = now + time,
+            FaultKind::LostAnswers(time) => self.lost_answers = now + time,
+            FaultKind::Die => {
+                if let Some(id) = pick(self) {
+                    self.die(&id);
+                }
+            }
+            FaultKind::At(_, kind) => self.inject(*kind),
+            FaultKind::Machines(which, fault) => self.inject_machines(&which, fault),
+            FaultKind::Shut { node, time } => self.hosts[node].cuts.shut = now + time,
+            FaultKind::PeerCut {
+                node,
+                with,
+                time,
+                hold,
+            } => {
+                let bits = with.map_or(u64::MAX, |w| w.iter().fold(0, |b, n| b | 1 << n));
+                self.hosts[node].cuts.peers = (now + time, bits, hold);
+            }
+            FaultKind::DirectCut { node, time, hold } => {
+                self.hosts[node].cuts.direct = (now + time, hold);
+            }
+            FaultKind::Pause { node, time } => self.hosts[node].cuts.pause = now + time,
+            FaultKind::Taken { notice } => {
+                let ids: Vec<MachineId> = self
+                    .workers
+                    .values()
+                    .filter(|w| w.spot)
+                    .map(|w| w.id.clone())
+                    .collect();
+                for id in ids {
+                    if let Some(w) = self.workers.get_mut(&id) {
+                        w.taken_at = (notice > 0).then_some(now + notice);
+                    }
+                    self.at(now + notice, Event::Taken(id));
+                }
+            }
+            FaultKind::Hang(time)
+            | FaultKind::MachineCut(time)
+            | FaultKind::Deaf(time)
+            | FaultKind::Sick(time) => {
+                let id = pick(self);
+                let Some(w) = id.and_then(|id| self.workers.get_mut(&id)) else {
+                    return;
+                };
+                match kind {
+                    FaultKind::Hang(_) => w.hung_until = now + time,
+                    FaultKind::MachineCut(_) => w.cut_until = now + time,
+                    FaultKind::Deaf(_) => w.deaf_until = now + time,
+                    _ => w.sick_until = now + time,
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/world/network.rs
@@ -0,0 +1,275 @@
+//! The network: what arrives where, when, and whether at all.
+
+use super::{zone_of, Event, World};
+use crate::worker::Around;
+use crate::Ms;
+use forkshift_core::{Input, Token};
+use forkshift_wire::MachineId;
+use rand::Rng;
+
+#[derive(Clone, Debug)]
+pub(super) enum Origin {
+    Node { node: usize, start: u64, call: u64 },
+    Worker { id: MachineId, report: u64 },
+    User { user: usize, op: u64 },
+    Nobody,
+}
+
+#[derive(Clone, Debug)]
+pub(super) enum Dest {
+    State,
+    Cloud,
+    Worker(MachineId),
+    Node(usize),
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Message {
+    pub(super) origin: Origin,
+    pub(super) dest: Dest,
+    pub(super) method: String,
+    pub(super) path: String,
+    pub(super) body: Vec<u8>,
+}
+
+impl World {
+    pub(super) fn delay(&mut self) -> Ms {
+        match self.rng.random_range(0..100) {
+            0 => self.rng.random_range(100..400),
+            _ => self.rng.random_range(2..15),
+        }
+    }
+
+    /// Until when two ends are cut off from each other, and whether messages are held.
+    pub(super) fn cut(&self, origin: &Origin, dest: &Dest) -> (Ms, bool) {
+        let (zone, until, hold) = self.zone_cut;
+        let of_worker = |id: &MachineId| self.workers.get(id).is_some_and(|w| w.zone == zone);
+        let from_inside = match origin {
+            Origin::Node { node, .. } => zone_of(*node) == zone,
+            Origin::Worker { id, .. } => of_worker(id),
+            Origin::User { .. } | Origin::Nobody => false,
+        };
+        let to_inside = match dest {
+            Dest::Node(n) => zone_of(*n) == zone,
+            Dest::Worker(id) => of_worker(id),
+            Dest::State | Dest::Cloud => false,
+        };
+        if until > self.now && from_inside != to_inside {
+            return (until, hold);
+        }
+        let node = |n: usize| self.hosts[n].cuts;
+        let worker = |id: &MachineId| {
+            self.workers
+                .get(id)
+                .map_or(0, |w| w.cut_until.max(w.hung_until))
+        };
+        match (origin, dest) {
+            (Origin::Node { node: n, .. }, Dest::State) => (node(*n).state, node(*n).hold),
+            (Origin::Node { node: n, .. }, Dest::Cloud) => (node(*n).cloud, node(*n).hold),
+            (Origin::Node { node: n, .. }, Dest::Worker(id)) => {
+                let (direct, direct_hold) = node(*n).direct;
+                if direct > self.now {
+                    return (direct, direct_hold);
+                }
+                let lost = self.workers.get(id).map_or(0, |w| w.lost_until);
+                if lost > self.now {
+                    return (lost, false);
+                }
+                let deaf = self.workers.get(id).map_or(0, |w| w.deaf_until);
+                (node(*n).workers.max(worker(id)).max(deaf), true)
+            }
+            (Origin::Worker { id, .. }, Dest::Node(n)) => {
+                let mute = self.workers.get(id).map_or(0, |w| w.mute_until);
+                if mute > self.now {
+                    return (mute, false);
+                }
+                (node(*n).workers.max(worker(id)), node(*n).hold)
+            }
+            _ => (0, false),
+        }
+    }
+
+    /// How much longer a message takes from or to a machine on a slow link.
+    pub(super) fn dawdle(&mut self, origin: &Origin, dest: &Dest) -> Ms {
+        let ((Origin::Worker { id, .. }, _) | (_, Dest::Worker(id))) = (origin, dest) else {
+            return 0;
+        };
+        match self.workers.get(id) {
+            Some(w) if w.slow_until > self.now => self.rng.random_range(500..8_000),
+            _ => 0,
+        }
+    }
+
+    pub(super) fn send(&mut self, message: Message) {
+        let delay = self.delay();
+        let (until, hold) = self.cut(&message.origin, &message.dest);
+        let mut time = self.now + delay;
+        if until > self.now {
+            if !hold {
+                return;
+            }
+            time = until + self.rng.random_range(1..30_000);
+        }
+        time += self.dawdle(&message.origin, &message.dest);
+        if matches!(message.dest, Dest::Node(_))
+            && self.now < self.late_copies
+            && self.rng.random_range(0..4) == 0
+        {
+            if let Origin::Worker { .. } = message.origin {
+                let copy = Message {
+                    origin: Origin::Nobody,
+                    ..message.clone()
+                };
+                let late = self.now + self.rng.random_range(1_000..self.size.lease_ms * 4);
+                self.at(late, Event::Arrive(copy));
+            }
+        }
+        self.at(time, Event::Arrive(message));
+    }
+
+    pub(super) fn reply(&mut self, from: &Dest, to: Origin, status: u16, body: Vec<u8>) {
+        let (until, _) = self.cut(&to, from);
+        let lost = self.now < self.lost_answers && self.rng.random_range(0..20) == 0;
+        let deaf = match &to {
+            Origin::Worker { id, .. } => self
+                .workers
+                .get(id)
+                .is_some_and(|w| w.deaf_until.max(w.lost_until) > self.now),
+            _ => false,
+        };
+        if until > self.now || lost || deaf {
+            return;
+        }
+        let mut time = self.now + self.delay() + self.dawdle(&to, from);
+        let slow = matches!(from, Dest::State) && self.now < self.slow_state;
+        if slow && self.rng.random_range(0..4) == 0 {
+            time += self.rng.random_range(100..1_500);
+        }
+        self.at(time, Event::Answer { to, status, body });
+    }
+
+    pub(super) fn arrive(&mut self, m: Message) {
+        let now = self.now;
+        match m.dest.clone() {
+            Dest::State => {
+                let txn = m.path == "/txn" && !matches!(m.origin, Origin::Nobody);
+                if txn && now < self.late_writes && self.rng.random_range(0..8) == 0 {
+                    let late = now + self.rng.random_range(2_000..12_000);
+                    let origin = Origin::Nobody;
+                    self.at(late, Event::Arrive(Message { origin, ..m }));
+                    return;
+                }
+                let refused = match &m.origin {
+                    Origin::Node { node, .. } => {
+                        let cuts = &self.hosts[*node].cuts;
+                        cuts.refuse.max(cuts.shut) > now
+                    }
+                    _ => false,
+                };
+                let answer = if refused {
+                    let watch = m.path.starts_with("/changes");
+                    (!watch).then(|| (503, serde_json::json!({"error": "refused"})))
+                } else {
+                    self.state
+                        .handle(now, &m.method, &m.path, &m.body, m.origin.clone())
+                };
+                if let Some((status, value)) = answer {
+                    self.reply(&m.dest, m.origin, status, value.to_string().into_bytes());
+                }
+            }
+            Dest::Cloud => {
+                let (status, value) = self.cloud.handle(now, &m.path, &m.body, &mut self.rng);
+                // What the cloud deleted is gone by the time it answers.
+                self.boot();
+                self.reply(&m.dest, m.origin, status, value.to_string().into_bytes());
+            }
+            Dest::Worker(id) => {
+                let Some(w) = self.workers.get_mut(&id) else {
+                    return;
+                };
+                if w.hung_until > now {
+                    let until = w.hung_until;
+                    self.at(until, Event::Arrive(m));
+                    return;
+                }
+                let mut around = Around {
+                    now,
+                    truths: &self.truths,
+                    check: &mut self.check,
+                    lease_ms: self.size.lease_ms,
+                };
+                let (status, body) = w.commands(&mut around, &m.body);
+                self.reply(&m.dest, m.origin, status, body);
+            }
+            Dest::Node(n) => {
+                let host = &mut self.hosts[n];
+                if host.node.is_none() {
+                    self.reply(&m.dest, m.origin, 0, Vec::new());
+                    return;
+                }
+                let token = Token(host.next_token);
+                host.next_token += 1;
+                host.requests.insert(token, m.origin);
+                host.inbox.push(Input::Request {
+                    token,
+                    method: m.method,
+                    path: m.path,
+                    body: Some(m.body),
+                });
+            }
+        }
+    }
+
+    pub(super) fn answered(&mut self, to: Origin, status: u16, body: Vec<u8>) {
+        match to {
+            Origin::Nobody => {}
+            Origin::Node { node, start, call } => {
+                let host = &mut self.hosts[node];
+                if host.start == start && host.open.remove(&call) {
+                    host.inbox.push(Input::Answer { call, status, body });
+                }
+            }
+            Origin::Worker { id, report } => self.worker_answered(&id, report, status, &body),
+            Origin::User { user, op } => self.user_answered(user, op, status, &body),
+        }
+    }
+
+    /// A message to a peer comes, or comes late, or comes twice, or is lost.
+    pub(super) fn tell(&mut self, from: usize, to: &str, message: Vec<u8>) {
+        let to = to
+            .strip_prefix("berth-")
+            .and_then(|n| n.parse::<usize>().ok());
+        let Some(to) = to.filter(|n| *n < self.hosts.len()) else {
+            return;
+        };
+        for (one, other) in [(from, to), (to, from)] {
+            let (until, with, hold) = self.hosts[one].cuts.peers;
+            if until > self.now && with >> other & 1 == 1 {
+                if hold {
+                    let late = until + self.rng.random_range(1..30_000);
+                    self.at(late, Event::Peer { to, message });
+                }
+                return;
+            }
+        }
+        let (zone, until, _) = self.zone_cut;
+        let apart = until > self.now && (zone_of(from) == zone) != (zone_of(to) == zone);
+        let state = self.hosts[from].cuts.state.max(self.hosts[to].cuts.state);
+        let cut = state > self.now || apart;
+        let copies = match self.rng.random_range(0..20) {
+            0 => 0,
+            1 => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let late = cut || self.rng.random_range(0..20) == 0;
+            let delay = if late {
+                self.rng.random_range(100..60_000)
+            } else {
+                self.delay()
+            };
+            let message = message.clone();
+            self.at(self.now + delay, Event::Peer { to, message });
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/world/users.rs
@@ -0,0 +1,194 @@
+//! Users: they submit, ask and cancel.
+
+use super::network::{Dest, Message, Origin};
+use super::World;
+use crate::faults::Who;
+use crate::worker::Truth;
+use crate::Ms;
+use forkshift_wire::users::{JobKind, JobSpec, JobStage, JobStatus, Priority};
+use forkshift_wire::JobId;
+use rand::rngs::StdRng;
+use rand::Rng;
+
+/// A job that a user will submit.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// When.
+    pub at: Ms,
+    /// What.
+    pub spec: JobSpec,
+    /// How long each task truly runs.
+    pub run_ms: Ms,
+    /// When the user wants it cancelled.
+    pub cancel_at: Option<Ms>,
+    /// The controller that the user's requests go to; any if left out, or if
+    /// there is none.
+    pub at_node: Option<Who>,
+}
+
+impl Plan {
+    /// A job drawn at random.
+    pub fn random(rng: &mut StdRng, n: u32, at: Ms) -> Self {
+        let kind = match rng.random_range(0..5) {
+            0 | 1 => JobKind::Array,
+            2 => JobKind::Gang,
+            _ => JobKind::Service,
+        };
+        let tasks = match kind {
+            JobKind::Array => rng.random_range(1..12),
+            _ => rng.random_range(1..4),
+        };
+        let gpus = *[0.0, 1.0, 2.0, 4.0]
+            .get(rng.random_range(0..4))
+            .unwrap_or(&0.0);
+        let run_ms = rng.random_range(2_000..15_000);
+        let one_zone = rng.random_range(0..4) == 0;
+        let saves = kind == JobKind::Gang && rng.random();
+        let spec = JobSpec {
+            id: JobId::new(&format!("j-{n:06}")),
+            class: if kind == JobKind::Service {
+                "serve"
+            } else {
+                "work"
+            }
+            .to_owned(),
+            team: format!("team-{}", rng.random_range(0..4)),
+            kind,
+            priority: if kind == JobKind::Service {
+                Priority::Production
+            } else {
+                Priority::Normal
+            },
+            tasks,
+            cpus: rng.random_range(1..5).into(),
+            gpus,
+            memory_gb: 4.0,
+            image: format!("img-{}", rng.random_range(0..4)),
+            image_gb: 4.0,
+            types: (gpus > 0.0 && rng.random()).then(|| vec!["g8".to_owned()]),
+            zone: (rng.random_range(0..8) == 0).then(|| "b".to_owned()),
+            one_zone,
+            spread: !one_zone && kind == JobKind::Service && rng.random(),
+            spot: kind != JobKind::Service && rng.random(),
+            estimate_s: if kind == JobKind::Service {
+                0.0
+            } else {
+                run_ms as f64 / 1000.0
+            },
+            checkpoint_s: if saves { 3.0 } else { 0.0 },
+            save_s: if saves { 1.0 } else { 0.0 },
+            deadline_s: None,
+        };
+        let spec = JobSpec {
+            zone: if spec.spread { None } else { spec.zone.clone() },
+            ..spec
+        };
+        let cancels = kind == JobKind::Service || rng.random_range(0..4) == 0;
+        let cancel_at = cancels.then(|| at + rng.random_range(1_000..60_000));
+        Self {
+            at,
+            spec,
+            run_ms,
+            cancel_at,
+            at_node: None,
+        }
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(super) enum Aim {
+    Submit,
+    Poll,
+    Cancel,
+    Over,
+}
+
+pub(super) struct User {
+    pub(super) plan: Plan,
+    pub(super) aim: Aim,
+    pub(super) next: Ms,
+    pub(super) op: u64,
+    pub(super) open: bool,
+    pub(super) sent: Ms,
+}
+
+impl World {
+    pub(super) fn tick_users(&mut self) {
+        for i in 0..self.users.len() {
+            let user = &mut self.users[i];
+            if user.open && self.now >= user.sent + 5_000 {
+                user.open = false;
+                user.next = self.now + 1_000;
+            }
+            if user.open || user.aim == Aim::Over || self.now < user.next {
+                continue;
+            }
+            if user.aim == Aim::Poll && user.plan.cancel_at.is_some_and(|t| self.now >= t) {
+                user.aim = Aim::Cancel;
+            }
+            user.op += 1;
+            user.open = true;
+            user.sent = self.now;
+            let id = user.plan.spec.id.clone();
+            let (method, path, body) = match user.aim {
+                Aim::Submit => {
+                    self.check.submitted(&user.plan.spec);
+                    let truth = Truth {
+                        spec: user.plan.spec.clone(),
+                        run_ms: user.plan.run_ms,
+                    };
+                    self.truths.insert(id.clone(), truth);
+                    let body = serde_json::to_vec(&user.plan.spec).unwrap_or_default();
+                    ("POST", "/submissions".to_owned(), body)
+                }
+                Aim::Cancel => {
+                    self.check.asked_cancel(&id);
+                    ("POST", format!("/submissions/{id}/abort"), Vec::new())
+                }
+                _ => ("GET", format!("/submissions/{id}"), Vec::new()),
+            };
+            let (op, at_node) = (user.op, user.plan.at_node.clone());
+            let node = match at_node.and_then(|who| self.index_of(&who)) {
+                Some(n) => n,
+                None => self.rng.random_range(0..self.size.nodes),
+            };
+            let message = Message {
+                origin: Origin::User { user: i, op },
+                dest: Dest::Node(node),
+                method: method.to_owned(),
+                path,
+                body,
+            };
+            self.send(message);
+        }
+    }
+
+    pub(super) fn user_answered(&mut self, i: usize, op: u64, status: u16, body: &[u8]) {
+        let now = self.now;
+        let user = &mut self.users[i];
+        if user.op != op || !user.open {
+            return;
+        }
+        user.open = false;
+        let answer: Option<JobStatus> = serde_json::from_slice(body).ok();
+        let stage = answer.map(|a| a.stage);
+        let id = user.plan.spec.id.clone();
+        let submission = user.aim == Aim::Submit;
+        if status > 0 {
+            self.check.answered(now, &id, submission, status, stage);
+        }
+        let good = matches!(status, 200 | 201);
+        let last = stage.is_some_and(JobStage::is_final);
+        (user.aim, user.next) = match user.aim {
+            Aim::Submit if good => (Aim::Poll, now + 2_000),
+            Aim::Submit if matches!(status, 400 | 422) => (Aim::Over, now),
+            Aim::Cancel if good => (Aim::Poll, now + 3_000),
+            // A final state is asked for again, to see that it stays.
+            Aim::Poll if good && last => (Aim::Poll, now + 20_000),
+            aim => (aim, now + 1_500),
+        };
+        if good && last {
+            user.plan.cancel_at = None;
+        }
+    }
+}
