--- /dev/null
+++ b/crates/testkit/tests/gap.rs
@@ -0,0 +1,297 @@
+//! The gap: the state service refuses the holder of a share alone, another
+//! takes the share and confirms a cancellation, then the service is out for
+//! all, for longer than a cancelled task may stay. Workers go on reporting to
+//! the old holder. The task must be gone in time all the same.
+
+use forkshift_testkit::{Fault, FaultKind, MachineFault, Plan, Size, Which, Who, World};
+use forkshift_wire::users::{JobKind, JobSpec, Priority};
+use forkshift_wire::JobId;
+
+/// When the service begins to refuse the holder.
+const REFUSED: u64 = 50_000;
+/// Until the outage: longer than the holder's own lease, or shorter.
+const LONG: u64 = 9_000;
+const SHORT: u64 = 1_500;
+/// How long the outage is: the users' 61 s of 49 s, in this world's measure.
+const OUTAGE: u64 = 44_000;
+const CANCEL: u64 = 35_000;
+const NODES: usize = 5;
+
+/// Which of the others the old holder hears.
+#[derive(Clone, Copy, PartialEq, Debug)]
+enum Hears {
+    All,
+    Some,
+    None,
+}
+
+/// How the new holder reaches the workers directly.
+#[derive(Clone, Copy, PartialEq, Debug)]
+enum Reaches {
+    AtOnce,
+    Late,
+    Never,
+}
+
+/// What becomes of the new holder after it confirmed.
+#[derive(Clone, Copy, PartialEq, Debug)]
+enum Then {
+    Stays,
+    Ends,
+}
+
+#[derive(Clone, Debug)]
+struct Variant {
+    before: u64,
+    hears: Hears,
+    reaches: Reaches,
+    then: Then,
+    machines: Option<MachineFault>,
+}
+
+const PLAIN: Variant = Variant {
+    before: LONG,
+    hears: Hears::All,
+    reaches: Reaches::Never,
+    then: Then::Stays,
+    machines: None,
+};
+
+fn id(n: u32) -> JobId {
+    JobId::new(&format!("j-{n}"))
+}
+
+/// A long array of two tasks.
+fn job(n: u32, cancel_at: Option<u64>) -> Plan {
+    Plan {
+        at: 2_000,
+        run_ms: 300_000,
+        cancel_at,
+        at_node: Some(Who::HolderOf(id(n))),
+        spec: JobSpec {
+            id: id(n),
+            class: "work".to_owned(),
+            team: "team-0".to_owned(),
+            kind: JobKind::Array,
+            priority: Priority::Normal,
+            tasks: 2,
+            cpus: 2.0,
+            gpus: 4.0,
+            memory_gb: 4.0,
+            image: "img".to_owned(),
+            image_gb: 1.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: false,
+            estimate_s: 300.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        },
+    }
+}
+
+fn holder() -> Who {
+    Who::HolderOf(id(0))
+}
+
+/// The faults of one pair of troubles that begins at a time.
+fn pair(at: u64, v: &Variant) -> Vec<Fault> {
+    let (node, hold) = (0, false);
+    let outage = at + v.before;
+    let fault = |at, kind| Fault { at, kind };
+    let all = OUTAGE + v.before;
+    let mut faults = vec![
+        fault(at, FaultKind::Shut { node, time: 14_000 }.at(holder())),
+        fault(outage, FaultKind::Outage(OUTAGE)),
+    ];
+    let cut = |with| FaultKind::PeerCut {
+        node,
+        with,
+        time: all,
+        hold,
+    };
+    match v.hears {
+        Hears::All => {}
+        Hears::Some => faults.push(fault(at, cut(Some(vec![0])).at(holder()))),
+        Hears::None => faults.push(fault(at, cut(None).at(holder()))),
+    }
+    // Whoever takes over: direct commands are cut off from all of them.
+    let time = match v.reaches {
+        Reaches::AtOnce => 0,
+        Reaches::Late => 20_000,
+        Reaches::Never => all,
+    };
+    for node in (0..NODES).filter(|_| time > 0) {
+        faults.push(fault(at, FaultKind::DirectCut { node, time, hold }));
+    }
+    let taken_over = at + v.before / 2;
+    if let Some(what) = v.machines {
+        let kind = FaultKind::Machines(Which::OfJob(id(0)), what);
+        faults.push(fault(taken_over, kind));
+    }
+    if v.then == Then::Ends {
+        let (count, back) = (1, 3_000);
+        let crash = FaultKind::Crash { node, count, back };
+        faults.push(fault(outage + 100, crash.at(holder())));
+    }
+    faults
+}
+
+fn play(name: &str, seed: u64, v: &Variant, pairs: u64) {
+    let gap = v.before + OUTAGE + 30_000;
+    let cancel = |n: u64| REFUSED + n * gap + v.before.saturating_sub(3_500);
+    let plans = (0..pairs).map(|n| job(n as u32, Some(cancel(n))));
+    let mut faults: Vec<Fault> = (0..pairs)
+        .flat_map(|n| pair(REFUSED + n * gap, v))
+        .collect();
+    faults.sort_by_key(|f| f.at);
+    let size = Size {
+        nodes: NODES,
+        cancel_ms: CANCEL,
+        ..Size::default()
+    };
+    let mut world = World::sized(seed, plans.collect(), faults, size);
+    world.run_until(REFUSED - 10);
+    assert_eq!(world.check.running(&id(0)), 2, "{name}: the job runs");
+    let epoch = world.epoch_of(&id(0));
+    world.run_until(REFUSED + v.before);
+    if v.before == LONG {
+        assert!(world.epoch_of(&id(0)) > epoch, "{name}: another holds it");
+        assert!(world.cancelled_at(&id(0)).is_some(), "{name}: confirmed");
+        let cut = v.reaches == Reaches::Never && v.hears == Hears::None;
+        if cut && v.then == Then::Stays {
+            assert_eq!(world.check.running(&id(0)), 2, "{name}: it still runs");
+        }
+    }
+    world.run_until(REFUSED + pairs * gap + 60_000);
+    assert_eq!(world.check.broken, vec![], "{name}");
+    for n in 0..pairs as u32 {
+        assert!(world.cancelled_at(&id(n)).is_some(), "{name}: {n}");
+        assert_eq!(world.check.running(&id(n)), 0, "{name}: {n}");
+    }
+}
+
+/// Each way in which the pair of troubles can fall, alone.
+#[test]
+fn a_cancelled_task_is_gone_in_time_whatever_fails_in_the_gap() {
+    let long = OUTAGE + LONG;
+    let variants = [
+        PLAIN,
+        Variant {
+            before: SHORT,
+            ..PLAIN
+        },
+        Variant {
+            hears: Hears::Some,
+            ..PLAIN
+        },
+        Variant {
+            hears: Hears::None,
+            ..PLAIN
+        },
+        Variant {
+            reaches: Reaches::AtOnce,
+            ..PLAIN
+        },
+        Variant {
+            reaches: Reaches::Late,
+            ..PLAIN
+        },
+        Variant {
+            then: Then::Ends,
+            ..PLAIN
+        },
+        Variant {
+            hears: Hears::Some,
+            then: Then::Ends,
+            ..PLAIN
+        },
+        Variant {
+            hears: Hears::None,
+            then: Then::Ends,
+            ..PLAIN
+        },
+        Variant {
+            reaches: Reaches::AtOnce,
+            then: Then::Ends,
+            machines: Some(MachineFault::Deaf(9_000)),
+            ..PLAIN
+        },
+        Variant {
+            reaches: Reaches::AtOnce,
+            machines: Some(MachineFault::Hang(long)),
+            ..PLAIN
+        },
+        Variant {
+            reaches: Reaches::AtOnce,
+            machines: Some(MachineFault::Hang(9_000)),
+            ..PLAIN
+        },
+        Variant {
+            reaches: Reaches::AtOnce,
+            machines: Some(MachineFault::Cut(long)),
+            ..PLAIN
+        },
+        Variant {
+            reaches: Reaches::AtOnce,
+            machines: Some(MachineFault::Cut(9_000)),
+            then: Then::Ends,
+            ..PLAIN
+        },
+        Variant {
+            machines: Some(MachineFault::Mute(9_000)),
+            ..PLAIN
+        },
+    ];
+    for (seed, variant) in (60..).zip(variants) {
+        play(&format!("{variant:?}"), seed, &variant, 1);
+    }
+}
+
+/// As on the users' day, the two pairs one after the other.
+#[test]
+fn the_gap_twice() {
+    for (seed, then) in [(80, Then::Stays), (81, Then::Ends)] {
+        let variant = Variant { then, ..PLAIN };
+        play(&format!("twice, {then:?}"), seed, &variant, 2);
+    }
+}
+
+/// The time for a cancellation counts from the first request, however many
+/// holders the job has had since: its machines hang, and holders end one after
+/// the other before any of them would give the machines up on its own count.
+#[test]
+fn the_deadline_outlives_its_holders() {
+    for (seed, back) in [(90, 4_000), (91, 6_000)] {
+        let (node, count) = (0, 1);
+        let crash = |at| Fault {
+            at,
+            kind: FaultKind::Crash { node, count, back }.at(holder()),
+        };
+        let hang = FaultKind::Machines(Which::OfJob(id(0)), MachineFault::Hang(60_000));
+        let hang = Fault {
+            at: REFUSED,
+            kind: hang,
+        };
+        // Before a holder takes the machines for silent, it ends.
+        let crashes = (0..6).map(|n| crash(REFUSED + 5_500 + n * 6_000));
+        let faults = [hang].into_iter().chain(crashes).collect();
+        let size = Size {
+            nodes: NODES,
+            cancel_ms: CANCEL,
+            ..Size::default()
+        };
+        let plans = vec![job(0, Some(REFUSED + 100))];
+        let mut world = World::sized(seed, plans, faults, size);
+        world.run_until(REFUSED + 5_000);
+        let confirmed = world.cancelled_at(&id(0)).expect("confirmed");
+        assert_eq!(world.check.running(&id(0)), 2, "its machines hang");
+        world.run_until(confirmed + CANCEL);
+        assert_eq!(world.check.running(&id(0)), 0, "back after {back} ms");
+        world.run_until(200_000);
+        assert_eq!(world.check.broken, vec![], "back after {back} ms");
+    }
+}
