Testkit: new troubles, and the checker's rules for what users see in them

Troubles: transactions whose answer is lost, carried out at once or late, of chosen keys; late copies of reports, also kept until a new leader or holder has begun; machines that are up within two seconds; held up commands; jobs cancelled all at once, with machines that hang, or at the very end; odd requests; users who look at all controllers within milliseconds.

Starts after a confirmed cancellation are counted apart.

Each is caught by a wrong trace, and the same trace put right passes.

--- a/crates/testkit/src/check.rs
+++ b/crates/testkit/src/check.rs
@@ -1,7 +1,7 @@
 //! The rules of the protocol, checked against what truly happens.
 
 use crate::Ms;
-use forkshift_wire::users::{JobSpec, JobStage};
+use forkshift_wire::users::{JobKind, JobSpec, JobStage};
 use forkshift_wire::{JobId, MachineId, TaskRef};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -24,6 +24,35 @@
     NotDone,
     /// A final state was taken back.
     WentBack,
+    /// A job that can not run, or is malformed, was accepted.
+    Unfit,
+    /// Such a job got another answer than on a quiet day.
+    WrongAnswer,
+    /// All troubles are over, and no question about a job is answered.
+    Unanswered,
+    /// All troubles are over, and a job waits though there is room for it.
+    LeftWaiting,
+    /// One of the largest jobs of its class begins too late.
+    LateBegin,
+}
+
+/// With all troubles over, a question has to be answered within this.
+const ANSWER_MS: Ms = 75_000;
+/// With all troubles over, a job for which there is room has to begin within this.
+const WAIT_MS: Ms = 90_000;
+/// The largest jobs have to begin within this.
+const BEGIN_MS: Ms = 240_000;
+/// One in so many jobs of a class is one of its largest.
+const LARGEST: usize = 10;
+
+/// When troubles end.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub enum Calm {
+    /// Not yet.
+    #[default]
+    Not,
+    /// They have been over since then.
+    Since(Ms),
 }
 
 /// Where a task is, for the checker.
@@ -45,15 +74,34 @@
     limits: BTreeMap<String, (f64, f64)>,
     cancel_ms: Ms,
     jobs: BTreeMap<JobId, JobSpec>,
-    accepted: BTreeSet<JobId>,
+    /// Accepted jobs, with the count of answers by then.
+    accepted: BTreeMap<JobId, u64>,
     cancel_asked: BTreeSet<JobId>,
-    told: BTreeMap<JobId, JobStage>,
+    /// Final stages, with the count of answers by then.
+    told: BTreeMap<JobId, (JobStage, u64)>,
+    /// Counts requests and answers, in order.
+    order: u64,
+    calm: Calm,
+    /// Jobs about which a question is open, and since when.
+    open: BTreeMap<JobId, Ms>,
+    /// Jobs that wait though there is room, and since when.
+    waiting: BTreeMap<JobId, Ms>,
+    /// When users first spoke of a job.
+    first_asked: BTreeMap<JobId, Ms>,
+    begun: BTreeMap<JobId, Ms>,
+    /// Jobs that must not be accepted.
+    unfit: BTreeSet<JobId>,
+    /// Jobs whose last task has completed since this was last looked at.
+    pub(crate) whole: Vec<JobId>,
     cancelled_at: BTreeMap<JobId, Ms>,
     done: BTreeMap<JobId, BTreeSet<u32>>,
     /// Tasks that are on a machine.
     on: BTreeMap<TaskRef, Vec<Place>>,
     /// Starts seen.
     pub starts: u64,
+    /// Starts of tasks whose job's cancellation had been confirmed: when, how
+    /// long after it, and which.
+    pub starts_after_cancel: Vec<(Ms, Ms, TaskRef)>,
     /// What was broken, with when and how.
     pub broken: Vec<(Rule, Ms, String)>,
 }
@@ -109,11 +157,18 @@
             self.fail(Rule::WrongPlace, now, format!("{task} on {place:?}"));
         }
         if let Some(at) = self.cancelled_at.get(&task.job) {
+            let late = (now, now - at, task.clone());
+            self.starts_after_cancel.push(late);
             if now > at + self.cancel_ms {
                 self.fail(Rule::RanCancelled, now, format!("{task} starts"));
             }
         }
         self.on.entry(task.clone()).or_default().push(place);
+        // An array begins with any task, the others with all.
+        let begins = spec.kind == JobKind::Array || self.running(&task.job) as u32 == spec.tasks;
+        if begins {
+            self.begun.entry(task.job.clone()).or_insert(now);
+        }
         self.check_quota(now, &spec.team);
     }
 
@@ -154,7 +209,10 @@
     /// A task has completed.
     pub fn completed(&mut self, task: &TaskRef) {
         let done = self.done.entry(task.job.clone()).or_default();
-        done.insert(task.index);
+        let tasks = self.jobs.get(&task.job).map_or(0, |s| s.tasks);
+        if done.insert(task.index) && done.len() as u32 == tasks {
+            self.whole.push(task.job.clone());
+        }
     }
 
     /// Whether a task has completed.
@@ -179,8 +237,35 @@
         self.on.keys().filter(|t| t.job == *id).count()
     }
 
-    /// A user got an answer about a job. `submission` tells a submission from
-    /// a question; `stage` is what a 2xx said.
+    /// The final stage that a user was told.
+    pub fn told(&self, id: &JobId) -> Option<JobStage> {
+        self.told.get(id).map(|t| t.0)
+    }
+
+    /// A job that can not run, or is malformed, is about to be submitted.
+    pub fn unfit(&mut self, id: &JobId) {
+        self.unfit.insert(id.clone());
+    }
+
+    /// Such a job got an answer: what it gets on a quiet day, or that it can
+    /// not be decided now.
+    pub fn refused(&mut self, now: Ms, id: &JobId, status: u16, meant: u16) {
+        if !matches!(status, 200 | 201 | 429 | 503 | 504) && status != meant {
+            let what = format!("{id}: {status} instead of {meant}");
+            self.fail(Rule::WrongAnswer, now, what);
+        }
+    }
+
+    /// A user sends a request about a job. The ticket goes with the answer: an
+    /// answer may not be older than any that had come when it was asked for.
+    pub fn ask(&mut self, now: Ms, id: &JobId) -> u64 {
+        self.order += 1;
+        self.open.entry(id.clone()).or_insert(now);
+        self.first_asked.entry(id.clone()).or_insert(now);
+        self.order
+    }
+
+    /// A user got an answer about a job to a request that it has just sent.
     pub fn answered(
         &mut self,
         now: Ms,
@@ -189,25 +274,53 @@
         status: u16,
         stage: Option<JobStage>,
     ) {
-        let known = self.accepted.contains(id);
+        let ticket = self.ask(now, id);
+        self.answered_to(ticket, now, id, submission, status, stage);
+    }
+
+    /// A user got an answer about a job. `submission` tells a submission from
+    /// a question; `stage` is what a 2xx said.
+    /// Returns whether it was the first to say that the job is accepted, or
+    /// that it is over.
+    pub fn answered_to(
+        &mut self,
+        ticket: u64,
+        now: Ms,
+        id: &JobId,
+        submission: bool,
+        status: u16,
+        stage: Option<JobStage>,
+    ) -> bool {
+        self.order += 1;
+        let order = self.order;
+        let mut news = false;
+        if matches!(status, 200 | 201 | 404) {
+            self.open.remove(id);
+        }
+        let known = self.accepted.get(id).is_some_and(|o| *o < ticket);
         match status {
             404 if known => self.fail(Rule::Forgotten, now, format!("{id}: 404")),
             400 | 422 if known && submission => {
                 self.fail(Rule::Forgotten, now, format!("{id}: {status}"));
             }
+            200 | 201 if self.unfit.contains(id) => {
+                self.fail(Rule::Unfit, now, format!("{id}: {status}"));
+            }
             200 | 201 if !self.jobs.contains_key(id) => {
                 self.fail(Rule::Invented, now, format!("{id}: {status}"));
             }
             200 | 201 => {
-                self.accepted.insert(id.clone());
+                news = !self.accepted.contains_key(id);
+                self.accepted.entry(id.clone()).or_insert(order);
             }
             _ => {}
         }
         let Some(stage) = stage.filter(|_| matches!(status, 200 | 201)) else {
-            return;
+            return news;
         };
-        if let Some(old) = self.told.get(id).copied() {
-            if old.is_final() && stage != old {
+        if let Some((old, since)) = self.told.get(id).copied() {
+            // Of two final stages one is wrong, in whatever order they come.
+            if stage != old && (since < ticket || stage.is_final()) {
                 self.fail(
                     Rule::WentBack,
                     now,
@@ -225,11 +338,81 @@
             }
         }
         if stage.is_final() {
-            self.told.insert(id.clone(), stage);
+            news |= !self.told.contains_key(id);
+            self.told.entry(id.clone()).or_insert((stage, order));
         }
         if stage == JobStage::Cancelled {
             self.cancelled_at.entry(id.clone()).or_insert(now);
         }
+        news
+    }
+
+    /// Whether all troubles are over, and since when.
+    pub fn calm(&mut self, calm: Calm) {
+        self.calm = calm;
+    }
+
+    /// A job waits, and whether a machine that fits has room for it while its
+    /// team is under its limit.
+    pub fn waits(&mut self, now: Ms, id: &JobId, has_room: bool) {
+        let Calm::Since(calm) = self.calm else {
+            self.waiting.clear();
+            return;
+        };
+        if !has_room {
+            self.waiting.remove(id);
+            return;
+        }
+        let since = *self.waiting.entry(id.clone()).or_insert(now);
+        if now > since.max(calm) + WAIT_MS {
+            self.waiting.remove(id);
+            self.fail(Rule::LeftWaiting, now, format!("{id} since {since}"));
+        }
+    }
+
+    fn look_for_open_questions(&mut self, now: Ms) {
+        let Calm::Since(calm) = self.calm else {
+            return;
+        };
+        let over = |since: Ms| now > since.max(calm) + ANSWER_MS;
+        let all = self.open.iter();
+        let late: Vec<(JobId, Ms)> = all
+            .filter(|(id, since)| over(**since) && self.accepted.contains_key(*id))
+            .map(|(id, since)| (id.clone(), *since))
+            .collect();
+        for (id, since) in late {
+            self.open.remove(&id);
+            self.fail(Rule::Unanswered, now, format!("{id} since {since}"));
+        }
+    }
+
+    /// Looks at the whole day: the largest jobs of each class have begun in
+    /// time. Those that were cancelled before are left out.
+    pub fn close(&mut self, now: Ms) {
+        let mut classes: BTreeMap<&str, Vec<&JobSpec>> = BTreeMap::new();
+        for spec in self.jobs.values() {
+            classes.entry(&spec.class).or_default().push(spec);
+        }
+        let size = |s: &JobSpec| f64::from(s.tasks) * (s.cpus + s.gpus);
+        let mut late = Vec::new();
+        for (class, mut specs) in classes {
+            specs.sort_by(|a, b| size(b).total_cmp(&size(a)));
+            let largest = specs.len().div_ceil(LARGEST);
+            for spec in specs.into_iter().take(largest) {
+                let Some(asked) = self.first_asked.get(&spec.id) else {
+                    continue;
+                };
+                let begun = self.begun.get(&spec.id);
+                let until = begun.copied().unwrap_or(now);
+                let called_off = begun.is_none() && self.cancel_asked.contains(&spec.id);
+                if until > asked + BEGIN_MS && !called_off {
+                    late.push(format!("{} of {class}: {begun:?} after {asked}", spec.id));
+                }
+            }
+        }
+        for what in late {
+            self.fail(Rule::LateBegin, now, what);
+        }
     }
 
     /// Looks at what must not last.
@@ -247,6 +430,7 @@
             self.fail(Rule::RanCancelled, now, format!("{task} is still there"));
             self.on.remove(&task);
         }
+        self.look_for_open_questions(now);
     }
 }
 
--- a/crates/testkit/src/check/tests.rs
+++ b/crates/testkit/src/check/tests.rs
@@ -1,7 +1,7 @@
 //! Each rule is shown to be caught.
 
 use super::*;
-use forkshift_wire::users::{JobKind, Priority};
+use forkshift_wire::users::Priority;
 
 fn spec(id: &str, tasks: u32) -> JobSpec {
     JobSpec {
@@ -49,7 +49,7 @@
 #[test]
 fn every_rule_is_caught() {
     type Trace = fn(&mut Checker, &JobId, bool);
-    let cases: [(Rule, Trace); 11] = [
+    let cases: [(Rule, Trace); 24] = [
         (Rule::RanTwice, |c, _, bad| {
             c.started(1, &task(0), place("m1", "a"));
             if !bad {
@@ -129,6 +129,110 @@
             }
             c.answered(1, id, false, 200, Some(JobStage::Cancelled));
         }),
+        // Older answers to requests that were sent before something newer had
+        // been told are fine, to later ones they are not.
+        (Rule::Forgotten, |c, id, bad| {
+            let early = c.ask(1, id);
+            c.answered(1, id, true, 201, Some(JobStage::Queued));
+            let late = c.ask(1, id);
+            c.answered_to(if bad { late } else { early }, 1, id, false, 404, None);
+        }),
+        (Rule::Forgotten, |c, id, bad| {
+            let early = c.ask(1, id);
+            c.answered(1, id, true, 201, Some(JobStage::Queued));
+            let late = c.ask(1, id);
+            c.answered_to(if bad { late } else { early }, 1, id, true, 422, None);
+        }),
+        (Rule::WentBack, |c, id, bad| {
+            c.asked_cancel(id);
+            let early = c.ask(1, id);
+            c.answered(1, id, false, 200, Some(JobStage::Cancelled));
+            let late = c.ask(1, id);
+            let ticket = if bad { late } else { early };
+            c.answered_to(ticket, 1, id, false, 200, Some(JobStage::Running));
+        }),
+        (Rule::WentBack, |c, id, bad| {
+            (0..4).for_each(|i| c.completed(&task(i)));
+            let early = c.ask(1, id);
+            c.answered(1, id, false, 200, Some(JobStage::Done));
+            let late = c.ask(1, id);
+            let ticket = if bad { late } else { early };
+            c.answered_to(ticket, 1, id, true, 200, Some(JobStage::Queued));
+        }),
+        // Two final stages never go together.
+        (Rule::WentBack, |c, id, bad| {
+            c.asked_cancel(id);
+            (0..4).for_each(|i| c.completed(&task(i)));
+            let early = c.ask(1, id);
+            c.answered(1, id, false, 200, Some(JobStage::Done));
+            let stage = match bad {
+                true => JobStage::Cancelled,
+                false => JobStage::Done,
+            };
+            c.answered_to(early, 1, id, false, 200, Some(stage));
+        }),
+        (Rule::RanCancelled, |c, id, bad| {
+            c.asked_cancel(id);
+            c.answered(5, id, false, 200, Some(JobStage::Cancelled));
+            let at = 5 + 100 + u64::from(bad);
+            c.started(at, &task(0), place("m1", "a"));
+        }),
+        (Rule::Unfit, |c, _, bad| {
+            let other = JobId::parse("j-9").unwrap();
+            c.unfit(&other);
+            let status = if bad { 201 } else { 422 };
+            c.answered(1, &other, true, status, None);
+            c.refused(1, &other, status, 422);
+        }),
+        (Rule::WrongAnswer, |c, _, bad| {
+            let other = JobId::parse("j-9").unwrap();
+            c.unfit(&other);
+            c.refused(1, &other, 503, 400);
+            c.refused(1, &other, if bad { 422 } else { 400 }, 400);
+        }),
+        (Rule::Unanswered, |c, id, bad| {
+            c.answered(1, id, true, 201, Some(JobStage::Queued));
+            c.ask(10, id);
+            c.tick(90_000);
+            c.calm(Calm::Since(100_000));
+            c.answered(110_000, id, false, 503, None);
+            let status = if bad { 504 } else { 200 };
+            c.answered(174_000, id, false, status, Some(JobStage::Queued));
+            c.tick(175_001);
+        }),
+        (Rule::LeftWaiting, |c, id, bad| {
+            c.waits(1, id, true);
+            c.calm(Calm::Since(100_000));
+            c.waits(100_000, id, true);
+            c.waits(150_000, id, bad);
+            c.waits(190_001, id, true);
+        }),
+        (Rule::LeftWaiting, |c, id, bad| {
+            c.calm(Calm::Since(0));
+            c.waits(1_000, id, true);
+            if !bad {
+                c.calm(Calm::Not);
+                c.waits(50_000, id, true);
+                c.calm(Calm::Since(60_000));
+            }
+            c.waits(91_001, id, true);
+        }),
+        (Rule::LateBegin, |c, id, bad| {
+            c.ask(1, id);
+            c.started(240_001 + u64::from(bad), &task(0), place("m1", "a"));
+            c.close(500_000);
+        }),
+        // A gang begins with its last task, and never if it does not come.
+        (Rule::LateBegin, |c, id, bad| {
+            let spec = c.jobs.get_mut(id).unwrap();
+            (spec.kind, spec.tasks) = (JobKind::Gang, 2);
+            c.ask(1, id);
+            c.started(2, &task(0), place("m1", "a"));
+            if !bad {
+                c.started(3, &task(1), place("m1", "a"));
+            }
+            c.close(240_002);
+        }),
     ];
     for (i, (rule, trace)) in cases.into_iter().enumerate() {
         for bad in [true, false] {
@@ -142,3 +246,18 @@
         }
     }
 }
+
+/// Starts after a confirmed cancellation are counted, also within the time
+/// that the rule leaves.
+#[test]
+fn starts_after_a_cancellation_are_counted() {
+    let mut c = Checker::new(BTreeMap::new(), 100);
+    let spec = spec("j-1", 4);
+    c.submitted(&spec);
+    c.asked_cancel(&spec.id);
+    c.started(1, &task(0), place("m1", "a"));
+    c.answered(5, &spec.id, false, 200, Some(JobStage::Cancelled));
+    c.started(25, &task(1), place("m1", "a"));
+    assert_eq!(c.starts_after_cancel, vec![(25, 20, task(1))]);
+    assert_eq!(c.broken, vec![]);
+}
--- a/crates/testkit/src/cloud.rs
+++ b/crates/testkit/src/cloud.rs
@@ -27,6 +27,8 @@
     pub(crate) down: bool,
     /// Machines of each zone and kind.
     pub(crate) capacity: u32,
+    /// Until when machines are up within two seconds.
+    pub(crate) quick_until: Ms,
     /// Machines that came to an end since this was last looked at.
     pub(crate) ended: Vec<MachineId>,
     /// How many in all.
@@ -47,6 +49,7 @@
             lists: VecDeque::new(),
             down: false,
             capacity,
+            quick_until: 0,
             ended: Vec::new(),
             n_ended: 0,
         }
@@ -131,6 +134,10 @@
                 2 => BOOT_MS * 4,
                 _ => rng.random_range(BOOT_MS * 6 / 10..BOOT_MS * 15 / 10),
             };
+            let boot = match self.quick_until > now {
+                true => rng.random_range(200..2_000),
+                false => boot,
+            };
             let machine = Rented {
                 machine_type: rent.machine_type.clone(),
                 zone: rent.zone.clone(),
--- a/crates/testkit/src/faults.rs
+++ b/crates/testkit/src/faults.rs
@@ -176,6 +176,56 @@
         /// For how long.
         time: Ms,
     },
+    /// Some transactions have no answer.
+    LostWrites {
+        /// How many of a hundred.
+        share: u32,
+        /// Only those that put a key which begins like this.
+        of: Option<&'static str>,
+        /// They are carried out at once; else 2 to 12 s later.
+        at_once: bool,
+        /// For how long.
+        time: Ms,
+    },
+    /// Copies of reports come late, from 2 s to four leases.
+    LateReports {
+        /// Of how many of a hundred.
+        share: u32,
+        /// They are kept until a new leader or holder has begun, and then
+        /// reach every controller.
+        for_next: bool,
+        /// For how long.
+        time: Ms,
+    },
+    /// Machines are up within two seconds.
+    QuickBoots(Ms),
+    /// Direct commands or their answers are held up for seconds.
+    HeldCommands {
+        /// How many of a hundred.
+        share: u32,
+        /// For how long.
+        time: Ms,
+    },
+    /// Users cancel running jobs, all within a fifth of a second.
+    CancelNow {
+        /// How many.
+        count: usize,
+        /// For how long up to eight of their machines hang.
+        hang: Ms,
+    },
+    /// Jobs are cancelled at the moment at which their last task ends.
+    CancelAtEnd {
+        /// How many of a hundred.
+        share: u32,
+        /// For how long.
+        time: Ms,
+    },
+    /// Users repeat submissions, cancel what is done, and send jobs that can
+    /// not run or are malformed.
+    OddRequests(Ms),
+    /// Users ask at all controllers within milliseconds after a job was
+    /// accepted, ended or cancelled.
+    CloseLooks(Ms),
 }
 
 impl FaultKind {
@@ -184,6 +234,50 @@
         Self::At(who, Box::new(self))
     }
 
+    /// How long it lasts, and what it has delayed.
+    pub(crate) fn lasts(&self, lease_ms: Ms) -> Ms {
+        match self {
+            Self::Crash { back, .. } => *back,
+            Self::Cut { time, .. }
+            | Self::ZoneCut { time, .. }
+            | Self::Refuse { time, .. }
+            | Self::Slow { time, .. }
+            | Self::Shut { time, .. }
+            | Self::PeerCut { time, .. }
+            | Self::DirectCut { time, .. }
+            | Self::Pause { time, .. }
+            | Self::CancelAtEnd { time, .. } => *time,
+            Self::Outage(time)
+            | Self::SlowState(time)
+            | Self::CloudTrouble(time)
+            | Self::Hang(time)
+            | Self::MachineCut(time)
+            | Self::Deaf(time)
+            | Self::Sick(time)
+            | Self::LostAnswers(time)
+            | Self::QuickBoots(time)
+            | Self::OddRequests(time)
+            | Self::CloseLooks(time) => *time,
+            Self::LateWrites(time)
+            | Self::LostWrites { time, .. }
+            | Self::HeldCommands { time, .. } => time + 12_000,
+            Self::LateCopies(time) | Self::LateReports { time, .. } => time + 4 * lease_ms,
+            Self::Die => 0,
+            Self::Taken { notice } => *notice,
+            Self::CancelNow { hang, .. } => *hang,
+            Self::At(_, kind) => kind.lasts(lease_ms),
+            Self::Machines(_, fault) => match fault {
+                MachineFault::Die => 0,
+                MachineFault::Slow(time) => time + 8_000,
+                MachineFault::Hang(time)
+                | MachineFault::Cut(time)
+                | MachineFault::Deaf(time)
+                | MachineFault::Mute(time)
+                | MachineFault::Sick(time) => *time,
+            },
+        }
+    }
+
     /// The same at the controller of an index, if it is a controller's fault.
     pub(crate) fn aimed(mut self, n: usize) -> Self {
         match &mut self {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -11,7 +11,7 @@
 mod worker;
 mod world;
 
-pub use check::{Checker, Rule};
+pub use check::{Calm, Checker, Rule};
 pub use faults::{random_faults, random_faults_once, Fault, FaultKind, MachineFault, Which, Who};
 pub use world::{settings, Plan, Size, World};
 
--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -235,6 +235,20 @@
         json!({"ledger_rev": self.revision, "news": self.changes(prefix, from)})
     }
 
+    /// Who leads and who holds what, in short: changes with every takeover.
+    pub(crate) fn terms(&self) -> String {
+        let all = self.entries.range("c/leader".to_owned()..);
+        let all = all.take_while(|(k, _)| k.as_str() < "c/shard");
+        let all = all.filter(|(k, _)| *k == "c/leader" || k.starts_with("c/share/"));
+        all.fold(String::new(), |terms, (key, e)| {
+            terms
+                + key
+                + &e.value["node"].to_string()
+                + &e.value["inc"].to_string()
+                + &e.value["epoch"].to_string()
+        })
+    }
+
     /// The value of a key, as it is now.
     pub(crate) fn value(&self, key: &str) -> Option<&Value> {
         self.entries.get(key).map(|e| &e.value)
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -25,6 +25,18 @@
     since: Ms,
 }
 
+/// CPUs, GPUs and memory.
+pub(crate) type Room = (f64, f64, f64);
+
+/// How many of a job's tasks fit into some room.
+pub(crate) fn fitting(room: Room, s: &JobSpec) -> u32 {
+    let (cpus, gpus, memory) = room;
+    let parts = [(cpus, s.cpus), (gpus, s.gpus), (memory, s.memory_gb)];
+    let needed = parts.into_iter().filter(|(_, need)| *need > 0.0);
+    let times = needed.map(|(has, need)| ((has + 1e-6) / need).floor().max(0.0) as u32);
+    times.min().unwrap_or(u32::MAX)
+}
+
 /// What a worker needs to know of the world.
 pub(crate) struct Around<'a> {
     pub(crate) now: Ms,
@@ -38,7 +50,7 @@
     pub(crate) machine_type: String,
     pub(crate) zone: String,
     pub(crate) spot: bool,
-    room: (f64, f64, f64),
+    room: Room,
     fetch_rate: f64,
     pub(crate) session: u64,
     seq: u64,
@@ -201,16 +213,8 @@
             self.refuse(key, ExitCause::InUse);
             return;
         }
-        let mut used = (0.0, 0.0, 0.0);
-        for ((task, _), _) in self.tasks.iter().filter(|(_, t)| here(t)) {
-            let s = &a.truths[&task.job].spec;
-            used = (used.0 + s.cpus, used.1 + s.gpus, used.2 + s.memory_gb);
-        }
         let s = &truth.spec;
-        let fits = used.0 + s.cpus <= self.room.0 + 1e-6
-            && used.1 + s.gpus <= self.room.1 + 1e-6
-            && used.2 + s.memory_gb <= self.room.2 + 1e-6;
-        if !fits {
+        if fitting(self.free(a.truths), s) == 0 {
             self.refuse(key, ExitCause::Full);
             return;
         }
@@ -229,6 +233,18 @@
         self.tasks.insert(key, task);
     }
 
+    /// What is left of its room; fetching tasks count.
+    pub(crate) fn free(&self, truths: &BTreeMap<JobId, Truth>) -> Room {
+        let here = self.tasks.iter();
+        let here = here.filter(|(_, t)| t.stage != TaskStage::Exited);
+        let used = here.fold((0.0, 0.0, 0.0), |used, ((task, _), _)| {
+            let s = &truths[&task.job].spec;
+            (used.0 + s.cpus, used.1 + s.gpus, used.2 + s.memory_gb)
+        });
+        let (cpus, gpus, memory) = self.room;
+        (cpus - used.0, gpus - used.1, memory - used.2)
+    }
+
     fn refuse(&mut self, key: (TaskRef, u64), cause: ExitCause) {
         let task = OnMachine {
             stage: TaskStage::Exited,
@@ -363,3 +379,6 @@
         self.next_report = self.next_report.min(a.now + 500);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -3,11 +3,14 @@
 mod fleet;
 mod inject;
 mod network;
+mod odd;
+mod troubles;
 mod users;
+mod waiting;
 
 pub use users::Plan;
 
-use crate::check::Checker;
+use crate::check::{Calm, Checker};
 use crate::cloud::Cloud;
 use crate::faults::{Fault, FaultKind, ZONES};
 use crate::state::State;
@@ -18,9 +21,11 @@
 use forkshift_wire::users::JobKind;
 use forkshift_wire::{JobId, MachineId, TaskRef};
 use network::{Dest, Message, Origin};
+use odd::{Aside, Ask};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use troubles::Troubles;
 use users::{Aim, User};
 
 /// Time passes in steps of this.
@@ -173,6 +178,11 @@
     Restart(usize),
     Taken(MachineId),
     Inject(FaultKind),
+    Ask {
+        id: JobId,
+        node: usize,
+        ask: Ask,
+    },
 }
 
 #[derive(Default, Clone, Copy)]
@@ -232,6 +242,12 @@
     zone_cut: (&'static str, Ms, bool),
     slow_state: Ms,
     late_writes: Ms,
+    troubles: Troubles,
+    /// When the faults so far are over.
+    troubled_until: Ms,
+    /// Requests beside those that users make in turn.
+    asides: BTreeMap<u64, Aside>,
+    next_aside: u64,
     reports: u64,
     /// Watches what truly happens.
     pub check: Checker,
@@ -265,6 +281,7 @@
                     plan,
                     aim: Aim::Submit,
                     op: 0,
+                    ticket: 0,
                     open: false,
                     sent: 0,
                 })
@@ -283,6 +300,10 @@
             zone_cut: ("", 0, false),
             slow_state: 0,
             late_writes: 0,
+            troubles: Troubles::default(),
+            troubled_until: 0,
+            asides: BTreeMap::new(),
+            next_aside: 0,
             reports: 0,
             check: Checker::new(limits, size.cancel_ms),
         };
@@ -334,6 +355,7 @@
     }
 
     fn step(&mut self) {
+        self.release_kept();
         while self.faults.first().is_some_and(|f| f.at <= self.now) {
             let fault = self.faults.remove(0);
             self.inject(fault.kind);
@@ -366,12 +388,21 @@
         self.tick_workers();
         self.tick_gangs();
         self.tick_users();
+        self.tick_odd();
         for n in 0..self.hosts.len() {
             self.step_node(n);
         }
         if self.now.is_multiple_of(500) {
+            let calm = match self.faults.is_empty() && self.now >= self.troubled_until {
+                true => Calm::Since(self.troubled_until),
+                false => Calm::Not,
+            };
+            self.check.calm(calm);
             self.check.tick(self.now);
         }
+        if self.now.is_multiple_of(2_000) {
+            self.look_for_waiting();
+        }
     }
 
     /// The time.
@@ -399,6 +430,7 @@
                 }
             }
             Event::Inject(kind) => self.inject(kind),
+            Event::Ask { id, node, ask } => self.ask(id, node, ask),
             Event::Taken(id) => {
                 self.end_worker(&id);
                 self.cloud.end(&id);
@@ -486,6 +518,11 @@
         }
     }
 
+    /// Looks at the whole day, at its end.
+    pub fn close(&mut self) {
+        self.check.close(self.now);
+    }
+
     /// What a quiet end must show: everything accepted is done, or runs.
     pub fn unserved(&self) -> Vec<String> {
         let mut left = Vec::new();
--- a/crates/testkit/src/world/inject.rs
+++ b/crates/testkit/src/world/inject.rs
@@ -121,6 +121,8 @@
             },
             kind => kind,
         };
+        let over = now + kind.lasts(self.size.lease_ms);
+        self.troubled_until = self.troubled_until.max(over);
         self.injected.push((now, kind.clone()));
         let pick = |world: &mut Self| {
             let ids: Vec<MachineId> = world.workers.keys().cloned().collect();
@@ -189,6 +191,27 @@
             FaultKind::DirectCut { node, time, hold } => {
                 self.hosts[node].cuts.direct = (now + time, hold);
             }
+            FaultKind::LostWrites {
+                share,
+                of,
+                at_once,
+                time,
+            } => self.troubles.writes = (now + time, share, of, at_once),
+            FaultKind::LateReports {
+                share,
+                for_next,
+                time,
+            } => self.troubles.reports = (now + time, share, for_next),
+            FaultKind::QuickBoots(time) => self.cloud.quick_until = now + time,
+            FaultKind::HeldCommands { share, time } => {
+                self.troubles.held_commands = (now + time, share);
+            }
+            FaultKind::CancelNow { count, hang } => self.cancel_now(count, hang),
+            FaultKind::CancelAtEnd { share, time } => {
+                self.troubles.cancel_at_end = (now + time, share);
+            }
+            FaultKind::OddRequests(time) => self.troubles.odd_requests = now + time,
+            FaultKind::CloseLooks(time) => self.troubles.close_looks = now + time,
             FaultKind::Pause { node, time } => self.hosts[node].cuts.pause = now + time,
             FaultKind::Taken { notice } => {
                 let ids: Vec<MachineId> = self
--- a/crates/testkit/src/world/network.rs
+++ b/crates/testkit/src/world/network.rs
@@ -12,6 +12,7 @@
     Node { node: usize, start: u64, call: u64 },
     Worker { id: MachineId, report: u64 },
     User { user: usize, op: u64 },
+    Aside(u64),
     Nobody,
 }
 
@@ -47,7 +48,7 @@
         let from_inside = match origin {
             Origin::Node { node, .. } => zone_of(*node) == zone,
             Origin::Worker { id, .. } => of_worker(id),
-            Origin::User { .. } | Origin::Nobody => false,
+            Origin::User { .. } | Origin::Aside(_) | Origin::Nobody => false,
         };
         let to_inside = match dest {
             Dest::Node(n) => zone_of(*n) == zone,
@@ -111,6 +112,8 @@
             time = until + self.rng.random_range(1..30_000);
         }
         time += self.dawdle(&message.origin, &message.dest);
+        time += self.held_up(&message.origin, &message.dest);
+        self.copy_report(&message);
         if matches!(message.dest, Dest::Node(_))
             && self.now < self.late_copies
             && self.rng.random_range(0..4) == 0
@@ -141,6 +144,7 @@
             return;
         }
         let mut time = self.now + self.delay() + self.dawdle(&to, from);
+        time += self.held_up(&to, from);
         let slow = matches!(from, Dest::State) && self.now < self.slow_state;
         if slow && self.rng.random_range(0..4) == 0 {
             time += self.rng.random_range(100..1_500);
@@ -159,6 +163,7 @@
                     self.at(late, Event::Arrive(Message { origin, ..m }));
                     return;
                 }
+                let lost = self.write_is_lost(&m);
                 let refused = match &m.origin {
                     Origin::Node { node, .. } => {
                         let cuts = &self.hosts[*node].cuts;
@@ -166,6 +171,12 @@
                     }
                     _ => false,
                 };
+                if !refused && lost == Some(false) {
+                    let late = now + self.rng.random_range(2_000..12_000);
+                    let origin = Origin::Nobody;
+                    self.at(late, Event::Arrive(Message { origin, ..m }));
+                    return;
+                }
                 let answer = if refused {
                     let watch = m.path.starts_with("/changes");
                     (!watch).then(|| (503, serde_json::json!({"error": "refused"})))
@@ -173,6 +184,9 @@
                     self.state
                         .handle(now, &m.method, &m.path, &m.body, m.origin.clone())
                 };
+                if lost == Some(true) && !refused {
+                    return;
+                }
                 if let Some((status, value)) = answer {
                     self.reply(&m.dest, m.origin, status, value.to_string().into_bytes());
                 }
@@ -231,6 +245,7 @@
             }
             Origin::Worker { id, report } => self.worker_answered(&id, report, status, &body),
             Origin::User { user, op } => self.user_answered(user, op, status, &body),
+            Origin::Aside(aside) => self.aside_answered(aside, status, &body),
         }
     }
 
--- a/crates/testkit/src/world/users.rs
+++ b/crates/testkit/src/world/users.rs
@@ -108,6 +108,8 @@
     pub(super) aim: Aim,
     pub(super) next: Ms,
     pub(super) op: u64,
+    /// Tells what had been answered when the request was sent.
+    pub(super) ticket: u64,
     pub(super) open: bool,
     pub(super) sent: Ms,
 }
@@ -147,6 +149,7 @@
                 }
                 _ => ("GET", format!("/submissions/{id}"), Vec::new()),
             };
+            user.ticket = self.check.ask(self.now, &id);
             let (op, at_node) = (user.op, user.plan.at_node.clone());
             let node = match at_node.and_then(|who| self.index_of(&who)) {
                 Some(n) => n,
@@ -174,9 +177,11 @@
         let stage = answer.map(|a| a.stage);
         let id = user.plan.spec.id.clone();
         let submission = user.aim == Aim::Submit;
-        if status > 0 {
-            self.check.answered(now, &id, submission, status, stage);
-        }
+        let ticket = user.ticket;
+        let news = status > 0
+            && self
+                .check
+                .answered_to(ticket, now, &id, submission, status, stage);
         let good = matches!(status, 200 | 201);
         let last = stage.is_some_and(JobStage::is_final);
         (user.aim, user.next) = match user.aim {
@@ -190,5 +195,11 @@
         if good && last {
             user.plan.cancel_at = None;
         }
+        if news {
+            self.look_closely(&id, 0);
+            if submission {
+                self.cancel_at_once(&id);
+            }
+        }
     }
 }
--- /dev/null
+++ b/crates/testkit/src/world/waiting.rs
@@ -0,0 +1,90 @@
+//! Jobs that wait though there is room for them.
+
+use super::users::Aim;
+use super::World;
+use crate::worker::{fitting, Worker};
+use forkshift_wire::users::{JobKind, JobSpec};
+use forkshift_wire::workers::TaskStage;
+use forkshift_wire::{JobId, TaskRef};
+use std::collections::{BTreeMap, BTreeSet};
+
+impl World {
+    /// Tells the checker which accepted jobs have nothing on any machine, and
+    /// whether there is room for them.
+    pub(super) fn look_for_waiting(&mut self) {
+        let mut somewhere: BTreeSet<&JobId> = BTreeSet::new();
+        let mut used: BTreeMap<&str, (f64, f64)> = BTreeMap::new();
+        for w in self.workers.values() {
+            let here = w.tasks.iter();
+            for ((task, _), _) in here.filter(|(_, t)| t.stage != TaskStage::Exited) {
+                somewhere.insert(&task.job);
+                let s = &self.truths[&task.job].spec;
+                let team = used.entry(&s.team).or_default();
+                *team = (team.0 + s.cpus, team.1 + s.gpus);
+            }
+        }
+        let mut found = Vec::new();
+        for user in &self.users {
+            let s = &user.plan.spec;
+            let called_off = user.plan.cancel_at.is_some_and(|t| t <= self.now);
+            let over = self.check.told(&s.id).is_some() || self.all_done(s);
+            if user.aim != Aim::Poll || called_off || over {
+                found.push((s.id.clone(), false));
+                continue;
+            }
+            let has = !somewhere.contains(&s.id)
+                && self.under_limit(s, used.get(s.team.as_str()).copied().unwrap_or_default())
+                && self.has_room(s);
+            found.push((s.id.clone(), has));
+        }
+        for (id, has_room) in found {
+            self.check.waits(self.now, &id, has_room);
+        }
+    }
+
+    fn all_done(&self, s: &JobSpec) -> bool {
+        (0..s.tasks).all(|index| {
+            let job = s.id.clone();
+            self.check.is_completed(&TaskRef { job, index })
+        })
+    }
+
+    /// Tasks that have to find room at once.
+    fn needed(s: &JobSpec) -> u32 {
+        match s.kind {
+            JobKind::Array => 1,
+            _ => s.tasks,
+        }
+    }
+
+    fn under_limit(&self, s: &JobSpec, (cpus, gpus): (f64, f64)) -> bool {
+        let n = f64::from(Self::needed(s));
+        let (cpus_max, gpus_max) = self.size.limit;
+        let under = |used: f64, most: f64| most == 0.0 || used <= most + 1e-6;
+        under(cpus + n * s.cpus, cpus_max) && under(gpus + n * s.gpus, gpus_max)
+    }
+
+    fn has_room(&self, s: &JobSpec) -> bool {
+        let fits = |w: &&Worker| {
+            s.types.as_ref().is_none_or(|t| t.contains(&w.machine_type))
+                && s.zone.as_ref().is_none_or(|z| *z == w.zone)
+                && (s.spot || !w.spot)
+                && w.taken_at.is_none()
+        };
+        let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
+        for w in self.workers.values().filter(fits) {
+            let room = zones.entry(&w.zone).or_default();
+            *room = room.saturating_add(fitting(w.free(&self.truths), s));
+        }
+        let needed = Self::needed(s);
+        let most = match s.spread {
+            true => s.tasks.div_ceil(2),
+            false => needed,
+        };
+        let rooms = zones.values().map(|n| (*n).min(most));
+        match s.one_zone {
+            true => rooms.max().unwrap_or(0) >= needed,
+            false => rooms.sum::<u32>() >= needed,
+        }
+    }
+}
