Each meeting of two troubles by a test of its own

Thirteen tables in meetings.rs, brought about by faults at set moments; what is specific to each is asserted besides the checker's rules.

--- a/crates/testkit/src/check.rs
+++ b/crates/testkit/src/check.rs
@@ -88,6 +88,8 @@
     waiting: BTreeMap<JobId, Ms>,
     /// When users first spoke of a job.
     first_asked: BTreeMap<JobId, Ms>,
+    /// The longest time until a job was accepted.
+    slowest: Ms,
     begun: BTreeMap<JobId, Ms>,
     /// Jobs that must not be accepted.
     unfit: BTreeSet<JobId>,
@@ -311,6 +313,10 @@
             }
             200 | 201 => {
                 news = !self.accepted.contains_key(id);
+                if news {
+                    let asked = self.first_asked.get(id).copied().unwrap_or(now);
+                    self.slowest = self.slowest.max(now - asked);
+                }
                 self.accepted.entry(id.clone()).or_insert(order);
             }
             _ => {}
@@ -347,6 +353,11 @@
         news
     }
 
+    /// The longest time from a user's first try until a job was accepted.
+    pub fn slowest_acceptance(&self) -> Ms {
+        self.slowest
+    }
+
     /// Whether all troubles are over, and since when.
     pub fn calm(&mut self, calm: Calm) {
         self.calm = calm;
--- /dev/null
+++ b/crates/testkit/tests/meetings.rs
@@ -0,0 +1,604 @@
+//! Meetings of two troubles, each brought about by faults at set moments.
+//! What every checker rule says must hold in all of them; besides, each test
+//! makes sure that its meeting took place.
+
+use forkshift_testkit::{Fault, FaultKind, MachineFault, Plan, Size, Which, Who, World};
+use forkshift_wire::users::{JobKind, JobSpec, Priority};
+use forkshift_wire::JobId;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+type Ms = u64;
+
+fn id(n: u32) -> JobId {
+    JobId::new(&format!("j-{n}"))
+}
+
+fn job(n: u32, at: Ms, kind: JobKind, tasks: u32, run_ms: Ms, cancel_at: Option<Ms>) -> Plan {
+    let estimate_s = match kind {
+        JobKind::Service => 0.0,
+        _ => run_ms as f64 / 1000.0,
+    };
+    Plan {
+        at,
+        run_ms,
+        cancel_at,
+        at_node: None,
+        spec: JobSpec {
+            id: id(n),
+            class: "work".to_owned(),
+            team: "team-0".to_owned(),
+            kind,
+            priority: Priority::Normal,
+            tasks,
+            cpus: 2.0,
+            gpus: 2.0,
+            memory_gb: 4.0,
+            image: "img".to_owned(),
+            image_gb: 1.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: false,
+            estimate_s,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        },
+    }
+}
+
+fn mixed(seed: u64, n: u32) -> Vec<Plan> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let one = |n| {
+        let at = rng.random_range(2_000..90_000);
+        Plan::random(&mut rng, n, at)
+    };
+    (0..n).map(one).collect()
+}
+
+fn fault(at: Ms, kind: FaultKind) -> Fault {
+    Fault { at, kind }
+}
+
+fn crash(at: Ms, who: Who, back: Ms) -> Fault {
+    let (node, count) = (0, 1);
+    fault(at, FaultKind::Crash { node, count, back }.at(who))
+}
+
+fn lost(of: Option<&'static str>, at_once: bool, share: u32, time: Ms) -> FaultKind {
+    FaultKind::LostWrites {
+        share,
+        of,
+        at_once,
+        time,
+    }
+}
+
+/// Plays a day to its end. Nobody is left unserved, and no rule is broken.
+fn play(name: &str, seed: u64, plans: Vec<Plan>, faults: Vec<Fault>, end: Ms) -> World {
+    play_sized(name, seed, plans, faults, end, Size::default())
+}
+
+fn play_sized(
+    name: &str,
+    seed: u64,
+    plans: Vec<Plan>,
+    mut faults: Vec<Fault>,
+    end: Ms,
+    size: Size,
+) -> World {
+    faults.sort_by_key(|f| f.at);
+    let mut world = World::sized(seed, plans, faults, size);
+    world.run_until(end);
+    world.check.close(world.now());
+    assert!(world.check.starts > 0, "{name}: nothing ran");
+    assert_eq!(world.check.broken, vec![], "{name}: rules broken");
+    assert_eq!(world.unserved(), Vec::<String>::new(), "{name}: unserved");
+    world
+}
+
+/// Users ask at all controllers within milliseconds after something was told,
+/// repeat submissions and cancel at once: no controller answers anything older.
+#[test]
+fn answers_at_all_controllers_within_milliseconds() {
+    let looks = || fault(10_000, FaultKind::CloseLooks(150_000));
+    let time = 15_000;
+    let node = 0;
+    let with: [(&str, Vec<Fault>); 8] = [
+        ("alone", vec![]),
+        (
+            "odd requests",
+            vec![fault(10_000, FaultKind::OddRequests(150_000))],
+        ),
+        (
+            "jobs end as they are cancelled",
+            vec![fault(
+                10_000,
+                FaultKind::CancelAtEnd {
+                    share: 60,
+                    time: 120_000,
+                },
+            )],
+        ),
+        (
+            "answers of writes are lost",
+            vec![fault(40_000, lost(None, true, 30, 40_000))],
+        ),
+        (
+            "writes land late",
+            vec![fault(40_000, lost(None, false, 20, 40_000))],
+        ),
+        (
+            "the service is slow",
+            vec![fault(40_000, FaultKind::SlowState(40_000))],
+        ),
+        (
+            "holders change",
+            vec![
+                crash(40_000, Who::Leader, 300),
+                crash(55_000, Who::Leader, 3_000),
+            ],
+        ),
+        (
+            "a controller loses the service and its peers",
+            vec![
+                fault(40_000, FaultKind::Shut { node, time }),
+                fault(
+                    40_000,
+                    FaultKind::PeerCut {
+                        node,
+                        with: None,
+                        time,
+                        hold: true,
+                    },
+                ),
+            ],
+        ),
+    ];
+    for (seed, (name, faults)) in (300..).zip(with) {
+        let faults = faults.into_iter().chain([looks()]).collect();
+        play(name, seed, mixed(seed, 30), faults, 260_000);
+    }
+}
+
+/// Each kind of write is carried out at once with its answer lost, or 2 to 12 s
+/// late, after newer ones of the same controller, while others read what it wrote.
+#[test]
+fn every_kind_of_write_without_an_answer() {
+    let kinds = [
+        ("accept and end", "job/"),
+        ("start and progress", "live/"),
+        ("share", "c/share/"),
+        ("leader", "c/leader"),
+        ("controller", "c/node/"),
+        ("rental intent", "c/charter/"),
+        ("machine", "c/machine/"),
+        ("cancellation", "c/abort/"),
+        ("demand", "c/demand/"),
+    ];
+    for (n, (name, of)) in (0u64..).zip(kinds) {
+        for at_once in [true, false] {
+            let seed = 320 + 2 * n + u64::from(at_once);
+            let faults = vec![
+                fault(20_000, FaultKind::CloseLooks(60_000)),
+                fault(25_000, lost(Some(of), at_once, 50, 30_000)),
+                // A new leader and a new holder write, too.
+                crash(35_000, Who::Leader, 3_000),
+            ];
+            let name = format!("{name}, at once: {at_once}");
+            play(&name, seed, mixed(seed, 25), faults, 260_000);
+        }
+    }
+}
+
+/// Every team is at its limit while jobs are cancelled whose machines are cut
+/// off or hang, and the leader changes: places count until there is evidence.
+#[test]
+fn teams_at_their_limits_and_a_new_leader() {
+    let time = 20_000;
+    for (seed, what) in [
+        (350, MachineFault::Cut(time)),
+        (351, MachineFault::Hang(time)),
+        (352, MachineFault::Deaf(time)),
+        (353, MachineFault::Mute(time)),
+    ] {
+        let size = Size {
+            limit: (16.0, 12.0),
+            guarantee: (8.0, 4.0),
+            ..Size::default()
+        };
+        let kinds = [JobKind::Array, JobKind::Gang, JobKind::Service];
+        let mut plans: Vec<Plan> = (0..24)
+            .map(|n| {
+                let kind = kinds[n as usize % 3];
+                // Two are cancelled; services end some day.
+                let early = n < 6;
+                let cancel_at = match kind {
+                    JobKind::Service if !early => Some(110_000 + 1_000 * Ms::from(n)),
+                    _ => early.then_some(51_000),
+                };
+                let mut plan = job(
+                    n,
+                    2_000,
+                    kind,
+                    4,
+                    if early { 200_000 } else { 8_000 },
+                    cancel_at,
+                );
+                plan.spec.team = format!("team-{}", n % 2);
+                plan.spec.one_zone = n % 4 == 1;
+                plan.spec.spread = kind == JobKind::Service && n % 4 != 1;
+                plan
+            })
+            .collect();
+        plans.truncate(24);
+        let faults = vec![
+            fault(50_000, FaultKind::Machines(Which::OfJob(id(0)), what)),
+            fault(50_000, FaultKind::Machines(Which::OfJob(id(1)), what)),
+            crash(51_500, Who::HolderOf(id(0)), 3_000),
+            crash(58_000, Who::Leader, 3_000),
+        ];
+        let name = format!("{what:?}");
+        play_sized(&name, seed, plans, faults, 320_000, size);
+    }
+}
+
+/// A job is cancelled in the seconds in which its share changes hands, by a
+/// crash and in order, wherever in that time the request falls.
+#[test]
+fn cancelled_while_a_share_changes_hands() {
+    for step in 0..10 {
+        // The holder ends at 50 s and is back at 53 s; later it gets its share
+        // back, in order.
+        let at = 49_800 + 400 * step;
+        let plans = (0..6).map(|n| {
+            let cancel = at + 70 * Ms::from(n);
+            job(n, 2_000, JobKind::Service, 2, 0, Some(cancel))
+        });
+        let later = (6..12).map(|n| {
+            let cancel = at + 11_000 + 70 * Ms::from(n);
+            job(n, 2_000, JobKind::Service, 1, 0, Some(cancel))
+        });
+        let faults = vec![
+            fault(45_000, FaultKind::CloseLooks(40_000)),
+            crash(50_000, Who::HolderOf(id(0)), 3_000),
+        ];
+        let name = format!("at {at}");
+        let plans: Vec<Plan> = plans.chain(later).collect();
+        let world = play(&name, 360 + step, plans, faults, 160_000);
+        for n in 0..12 {
+            let told = world.cancelled_at(&id(n)).expect("cancelled");
+            assert!(told < at + 30_000, "{name}: {n} was told at {told}");
+            assert_eq!(world.check.running(&id(n)), 0, "{name}: {n}");
+        }
+    }
+}
+
+/// New machines are up within two seconds and get work at once while writes
+/// lag, and the leader ends: they are adopted or returned, never both.
+#[test]
+fn machines_up_at_once_while_writes_lag_and_the_leader_ends() {
+    for (seed, of) in [
+        (380, None),
+        (381, Some("c/machine/")),
+        (382, Some("c/charter/")),
+        (383, Some("live/")),
+    ] {
+        for (n, back) in [300, 6_000].into_iter().enumerate() {
+            let faults = vec![
+                fault(1_000, FaultKind::QuickBoots(60_000)),
+                fault(4_000, lost(of, false, 50, 12_000)),
+                crash(7_000, Who::Leader, back),
+                crash(13_000, Who::Leader, back),
+            ];
+            let plans = (0..16).map(|n| {
+                let (kind, tasks) = match n % 3 {
+                    0 => (JobKind::Array, 6),
+                    1 => (JobKind::Gang, 2),
+                    _ => (JobKind::Service, 2),
+                };
+                let mut plan = job(n, 3_000 + 700 * Ms::from(n), kind, tasks, 8_000, None);
+                plan.spec.team = format!("team-{}", n % 4);
+                plan
+            });
+            let name = format!("{of:?}, back after {back} ms");
+            let seed = seed + 10 * n as u64;
+            let world = play(&name, seed, plans.collect(), faults, 200_000);
+            assert!(world.most_machines() > 0, "{name}");
+        }
+    }
+}
+
+/// Old reports reach every controller just as a new leader begins, or once it
+/// has acted, of earlier sessions and attempts too: nothing is believed gone,
+/// nothing is made current.
+#[test]
+fn old_reports_as_a_new_leader_begins() {
+    for (seed, for_next) in [(400, true), (401, false), (402, true), (403, false)] {
+        let faults = vec![
+            fault(
+                30_000,
+                FaultKind::LateReports {
+                    share: 60,
+                    for_next,
+                    time: 20_000,
+                },
+            ),
+            fault(
+                38_000,
+                FaultKind::Machines(Which::Some(3), MachineFault::Deaf(15_000)),
+            ),
+            fault(
+                42_000,
+                FaultKind::CancelNow {
+                    count: 5,
+                    hang: 8_000,
+                },
+            ),
+            crash(50_500, Who::Leader, 3_000),
+            fault(
+                60_000,
+                FaultKind::LateReports {
+                    share: 60,
+                    for_next,
+                    time: 20_000,
+                },
+            ),
+            crash(81_000, Who::Leader, 300),
+            crash(81_000, Who::Leader, 300),
+        ];
+        play(
+            &format!("for next: {for_next}"),
+            seed,
+            mixed(seed, 30),
+            faults,
+            280_000,
+        );
+    }
+}
+
+/// One-task jobs come four a second for two minutes, a quarter of them
+/// cancelled, alone and with one other trouble.
+#[test]
+fn a_swarm_of_small_jobs() {
+    let (node, time) = (0, 10_000);
+    let with: [(&str, Vec<Fault>); 5] = [
+        ("alone", vec![]),
+        ("the leader ends", vec![crash(70_000, Who::Leader, 3_000)]),
+        (
+            "writes land late",
+            vec![fault(60_000, lost(None, false, 10, 20_000))],
+        ),
+        (
+            "a controller is refused",
+            vec![fault(60_000, FaultKind::Refuse { node, time })],
+        ),
+        ("an outage", vec![fault(60_000, FaultKind::Outage(time))]),
+    ];
+    for (seed, (name, faults)) in (420..).zip(with) {
+        let size = Size {
+            capacity: 20,
+            limit: (400.0, 0.0),
+            ..Size::default()
+        };
+        let quiet = faults.is_empty();
+        let mut rng = StdRng::seed_from_u64(seed);
+        let plans = (0..480).map(|n| {
+            let at = 20_000 + 250 * Ms::from(n);
+            let cancel = (n % 4 == 0).then(|| at + rng.random_range(0..20_000));
+            let mut plan = job(
+                n,
+                at,
+                JobKind::Array,
+                1,
+                rng.random_range(2_000..12_000),
+                cancel,
+            );
+            (plan.spec.gpus, plan.spec.cpus) = (0.0, 1.0);
+            plan.spec.team = format!("team-{}", n % 4);
+            plan
+        });
+        let world = play_sized(name, seed, plans.collect(), faults, 280_000, size);
+        if quiet {
+            let slow = world.check.slowest_acceptance();
+            assert!(slow < 1_000, "{name}: accepted after {slow} ms");
+        }
+    }
+}
+
+/// Jobs of two tasks whose ends lie far apart, over a change of leader.
+#[test]
+fn tasks_that_end_far_apart_over_a_change_of_leader() {
+    for (seed, at) in [(440, 40_000), (441, 50_000), (442, 60_000)] {
+        let plans = (0..8).map(|n| {
+            let mut plan = job(
+                n,
+                2_000 + 4_000 * Ms::from(n),
+                JobKind::Array,
+                3,
+                12_000,
+                None,
+            );
+            // Two fit at a time, so the third ends much later.
+            plan.spec.gpus = 8.0;
+            plan.spec.team = format!("team-{}", n % 4);
+            plan
+        });
+        let size = Size {
+            limit: (96.0, 16.0),
+            ..Size::default()
+        };
+        let faults = vec![
+            fault(20_000, FaultKind::CloseLooks(100_000)),
+            crash(at, Who::HolderOf(id(0)), 3_000),
+            crash(at + 9_000, Who::Leader, 50),
+        ];
+        play_sized(
+            &format!("at {at}"),
+            seed,
+            plans.collect(),
+            faults,
+            320_000,
+            size,
+        );
+    }
+}
+
+/// Leaders change ten times in two minutes, also inside an outage.
+#[test]
+fn ten_changes_of_leader_in_two_minutes() {
+    for (seed, outage) in [(450, None), (451, Some(80_000))] {
+        let crashes = (0..10).map(|n| crash(40_000 + 12_000 * n, Who::Leader, 2_000));
+        let outage = outage.map(|at| fault(at, FaultKind::Outage(20_000)));
+        let more = [fault(
+            70_000,
+            FaultKind::CancelNow {
+                count: 4,
+                hang: 6_000,
+            },
+        )];
+        let faults = crashes.chain(outage).chain(more).collect();
+        play(
+            &format!("outage: {seed}"),
+            seed,
+            mixed(seed, 30),
+            faults,
+            330_000,
+        );
+    }
+}
+
+/// All controllers are away for longer than a lease, and hand over and back
+/// within a second.
+#[test]
+fn all_away_and_back() {
+    let all = |at, back| {
+        let (node, count) = (0, 3);
+        fault(at, FaultKind::Crash { node, count, back })
+    };
+    let cancel = || fault(49_500, FaultKind::CancelNow { count: 4, hang: 0 });
+    let cases = [
+        ("longer than a lease", vec![cancel(), all(50_000, 14_000)]),
+        (
+            "within a second",
+            vec![cancel(), all(50_000, 50), all(50_600, 300), all(52_000, 50)],
+        ),
+        (
+            "one after the other",
+            vec![
+                cancel(),
+                crash(50_000, Who::Index(0), 400),
+                crash(50_300, Who::Index(1), 400),
+                crash(50_600, Who::Index(2), 9_000),
+                crash(52_000, Who::Index(0), 12_000),
+            ],
+        ),
+    ];
+    for (seed, (name, faults)) in (460..).zip(cases) {
+        play(name, seed, mixed(seed, 25), faults, 260_000);
+    }
+}
+
+/// Machines that hear nothing, or reach nobody, or hang with a cancelled task,
+/// while the leader ends: the task is gone in time and does not go on.
+#[test]
+fn lost_machines_with_cancelled_tasks_and_a_new_leader() {
+    let time = 25_000;
+    for (seed, what) in [
+        (470, MachineFault::Deaf(time)),
+        (471, MachineFault::Mute(time)),
+        (472, MachineFault::Hang(8_000)),
+        (473, MachineFault::Hang(time)),
+        (474, MachineFault::Cut(time)),
+        (475, MachineFault::Slow(time)),
+    ] {
+        let plans = (0..8).map(|n| {
+            let cancel = (n < 4).then_some(50_500);
+            let run = if n < 4 { 200_000 } else { 70_000 };
+            job(n, 2_000, JobKind::Array, 2, run, cancel)
+        });
+        let lose = |n| fault(50_000, FaultKind::Machines(Which::OfJob(id(n)), what));
+        let faults = vec![
+            lose(0),
+            lose(1),
+            lose(5),
+            crash(53_000, Who::HolderOf(id(0)), 3_000),
+        ];
+        let world = play(&format!("{what:?}"), seed, plans.collect(), faults, 260_000);
+        for n in 0..4 {
+            assert!(world.cancelled_at(&id(n)).is_some(), "{what:?}: {n}");
+        }
+    }
+}
+
+/// Jobs that are bound to one zone, arrays too, lose machines, and a zone with
+/// a controller is cut off for longer than a lease.
+#[test]
+fn jobs_of_one_zone_lose_machines() {
+    for (seed, hold) in [(480, true), (481, false)] {
+        let plans = (0..9).map(|n| {
+            let kind = [JobKind::Array, JobKind::Gang, JobKind::Service][n as usize % 3];
+            let cancel = (kind == JobKind::Service).then_some(120_000);
+            let mut plan = job(n, 2_000, kind, 3, 20_000, cancel);
+            plan.spec.one_zone = n % 2 == 0;
+            plan.spec.zone = (n % 2 == 1).then(|| "b".to_owned());
+            plan.spec.team = format!("team-{}", n % 4);
+            plan
+        });
+        let die = |n| {
+            fault(
+                40_000,
+                FaultKind::Machines(Which::OfJob(id(n)), MachineFault::Die),
+            )
+        };
+        let (zone, time) = ("b", 16_000);
+        let faults = vec![
+            die(0),
+            die(1),
+            fault(60_000, FaultKind::ZoneCut { zone, time, hold }),
+            fault(62_000, FaultKind::CancelNow { count: 3, hang: 0 }),
+        ];
+        play(
+            &format!("held: {hold}"),
+            seed,
+            plans.collect(),
+            faults,
+            300_000,
+        );
+    }
+}
+
+/// Commands and their answers are held up for seconds, and machines go on.
+#[test]
+fn commands_held_up_for_seconds() {
+    for (seed, with) in [(490, false), (491, true)] {
+        let mut faults = vec![
+            fault(
+                20_000,
+                FaultKind::HeldCommands {
+                    share: 40,
+                    time: 60_000,
+                },
+            ),
+            fault(
+                40_000,
+                FaultKind::CancelNow {
+                    count: 5,
+                    hang: 5_000,
+                },
+            ),
+        ];
+        if with {
+            faults.push(crash(41_000, Who::Leader, 3_000));
+        }
+        play(
+            &format!("a new leader: {with}"),
+            seed,
+            mixed(seed, 30),
+            faults,
+            280_000,
+        );
+    }
+}
