--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -6,13 +6,17 @@
 
 mod check;
 mod cloud;
+mod day;
 mod faults;
 mod state;
 mod worker;
 mod world;
 
 pub use check::{Calm, Checker, Rule};
-pub use faults::{random_faults, random_faults_once, Fault, FaultKind, MachineFault, Which, Who};
+pub use day::{Day, Draw};
+pub use faults::{
+    random_faults, random_faults_once, random_pairs, Fault, FaultKind, MachineFault, Which, Who,
+};
 pub use world::{settings, Plan, Size, World};
 
 /// Milliseconds of virtual time.
--- a/crates/testkit/src/main.rs
+++ b/crates/testkit/src/main.rs
@@ -1,11 +1,32 @@
 //! Plays random days with fresh seeds and says which broke a rule.
 
-use clap::Parser;
-use forkshift_testkit::{random_faults, Plan, World};
-use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
+use clap::{Parser, ValueEnum};
+use forkshift_testkit::{Day, Draw, World};
+use forkshift_wire::JobId;
+use rand::Rng;
 use std::process::ExitCode;
 
+/// How a day's faults are drawn.
+#[derive(Clone, Copy, ValueEnum)]
+enum DrawArg {
+    /// Each by itself.
+    Single,
+    /// Each by itself, of the kinds that there once were.
+    Once,
+    /// In pairs and known meetings, of all kinds.
+    Pairs,
+}
+
+impl From<DrawArg> for Draw {
+    fn from(draw: DrawArg) -> Self {
+        match draw {
+            DrawArg::Single => Draw::Single,
+            DrawArg::Once => Draw::Once,
+            DrawArg::Pairs => Draw::Pairs,
+        }
+    }
+}
+
 /// Plays random days against the controllers, in virtual time.
 #[derive(Parser)]
 struct Args {
@@ -18,6 +39,13 @@
     /// Faults a day.
     #[arg(long, default_value_t = 8)]
     faults: usize,
+    /// How they are drawn.
+    #[arg(long, value_enum, default_value_t = DrawArg::Single)]
+    draw: DrawArg,
+    /// Says of these jobs what they are, and what their teams use, when a rule
+    /// is first broken and at the end of a day.
+    #[arg(long)]
+    describe: Vec<String>,
 }
 
 fn main() -> ExitCode {
@@ -28,27 +56,33 @@
         .unwrap_or_else(|| rand::rng().random_range(0..1 << 40));
     let mut bad = 0;
     for seed in first..first + args.days {
-        let mut rng = StdRng::seed_from_u64(seed);
-        let plans = (0..30).map(|n| {
-            let at = rng.random_range(2_000..90_000);
-            Plan::random(&mut rng, n, at)
-        });
-        let plans: Vec<Plan> = plans.collect();
-        let faults = random_faults(&mut rng, 15_000, 110_000, args.faults);
-        let shown = format!("{faults:?}");
-        let mut world = World::new(seed, plans, faults);
-        world.run_until(260_000);
+        let mut day = Day::new(seed, args.faults, args.draw.into());
+        let shown = format!("{:?}", day.faults);
+        let describe = |world: &World| {
+            for id in &args.describe {
+                println!("  at {}: {}", world.now(), world.describe(&JobId::new(id)));
+            }
+        };
+        while day.world.now() < day.end && day.world.check.broken.is_empty() {
+            day.world.run_until(day.world.now() + 500);
+        }
+        describe(&day.world);
+        day.play();
+        describe(&day.world);
+        let world = &day.world;
         let unserved = world.unserved();
         println!(
-            "seed {seed}: {} starts, {} writes, {} rules broken, {} unserved",
+            "seed {seed}: {} starts, {} writes, {} rules broken, {} unserved, {} starts after a cancellation",
             world.check.starts,
             world.writes(),
             world.check.broken.len(),
-            unserved.len()
+            unserved.len(),
+            world.check.starts_after_cancel.len()
         );
         if !world.check.broken.is_empty() || !unserved.is_empty() {
             bad += 1;
             println!("  faults: {shown}");
+            println!("  as they came: {:?}", world.injected());
             for broken in world.check.broken.iter().take(5) {
                 println!("  {broken:?}");
             }
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -116,6 +116,26 @@
         all.any(|((task, _), t)| task.job == *id && t.stage != TaskStage::Exited)
     }
 
+    /// It, and what ails it, for who looks into a day.
+    pub(crate) fn state(&self, now: Ms) -> String {
+        let ails = [
+            ("hung", self.hung_until),
+            ("cut", self.cut_until),
+            ("deaf", self.deaf_until.max(self.lost_until)),
+            ("mute", self.mute_until),
+            ("slow", self.slow_until),
+        ];
+        let ails: Vec<String> = ails
+            .iter()
+            .filter(|(_, until)| *until > now)
+            .map(|(what, until)| format!("{what} until {until}"))
+            .collect();
+        format!(
+            "{} of zone {} ({ails:?}, answered at {}, token {}, reports to {})",
+            self.id, self.zone, self.answered, self.token, self.node
+        )
+    }
+
     pub(crate) fn report(&mut self, now: Ms) -> Report {
         self.seq += 1;
         Report {
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -82,6 +82,23 @@
 }
 
 impl Size {
+    /// Teams whose limits are soon reached, and little time beyond a lease for
+    /// a cancellation, or all as usual.
+    pub fn random(rng: &mut StdRng) -> Self {
+        let usual = Self::default();
+        Self {
+            limit: match rng.random() {
+                true => (24.0, 12.0),
+                false => usual.limit,
+            },
+            cancel_ms: match rng.random_range(0..3) {
+                0 => 20_000,
+                _ => usual.cancel_ms,
+            },
+            ..usual
+        }
+    }
+
     /// Five controllers, and room for some 1,860 machines, spot ones apart.
     pub fn five_by_1860() -> Self {
         Self {
--- a/crates/testkit/src/world/users.rs
+++ b/crates/testkit/src/world/users.rs
@@ -27,6 +27,20 @@
 }
 
 impl Plan {
+    /// A job drawn at random that runs longer than most of `random`, and is
+    /// cancelled more often.
+    pub fn long(rng: &mut StdRng, n: u32, at: Ms) -> Self {
+        let mut plan = Self::random(rng, n, at);
+        plan.run_ms = rng.random_range(5_000..60_000);
+        if plan.spec.kind != JobKind::Service {
+            plan.spec.estimate_s = plan.run_ms as f64 / 1000.0;
+        }
+        if rng.random() {
+            plan.cancel_at = Some(at + rng.random_range(1_000..90_000));
+        }
+        plan
+    }
+
     /// A job drawn at random.
     pub fn random(rng: &mut StdRng, n: u32, at: Ms) -> Self {
         let kind = match rng.random_range(0..5) {
--- a/crates/testkit/src/world/waiting.rs
+++ b/crates/testkit/src/world/waiting.rs
@@ -42,6 +42,24 @@
         }
     }
 
+    /// A job as it was submitted, and what its team uses, for who looks into a day.
+    pub fn describe(&self, id: &JobId) -> String {
+        let Some(spec) = self.truths.get(id).map(|t| &t.spec) else {
+            return format!("{id} is nobody's");
+        };
+        let mut team = Vec::new();
+        for w in self.workers.values() {
+            let here = w.tasks.iter().filter(|(_, t)| t.stage != TaskStage::Exited);
+            for ((task, _), t) in here {
+                if self.truths[&task.job].spec.team == spec.team {
+                    team.push(format!("{task} {:?} on {}", t.stage, w.state(self.now)));
+                }
+            }
+        }
+        let (holder, cancelled) = (self.holder_of(id), self.cancelled_at(id));
+        format!("{spec:?}, held by {holder:?}, cancelled at {cancelled:?}; its team has {team:?}")
+    }
+
     fn all_done(&self, s: &JobSpec) -> bool {
         (0..s.tasks).all(|index| {
             let job = s.id.clone();
