--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -82,6 +82,23 @@
 }
 
 impl Size {
+    /// Teams whose limits are soon reached, and little time beyond a lease for
+    /// a cancellation, or all as usual.
+    pub fn random(rng: &mut StdRng) -> Self {
+        let usual = Self::default();
+        Self {
+            limit: match rng.random() {
+                true => (24.0, 12.0),
+                false => usual.limit,
+            },
+            cancel_ms: match rng.random_range(0..3) {
+                0 => 20_000,
+                _ => usual.cancel_ms,
+            },
+            ..usual
+        }
+    }
+
     /// Five controllers, and room for some 1,860 machines, spot ones apart.
     pub fn five_by_1860() -> Self {
         Self {
@@ -248,6 +265,8 @@
     /// Requests beside those that users make in turn.
     asides: BTreeMap<u64, Aside>,
     next_aside: u64,
+    /// How many there were, and how many got an answer in time.
+    asides_answered: (u64, u64),
     reports: u64,
     /// Watches what truly happens.
     pub check: Checker,
@@ -304,6 +323,7 @@
             troubled_until: 0,
             asides: BTreeMap::new(),
             next_aside: 0,
+            asides_answered: (0, 0),
             reports: 0,
             check: Checker::new(limits, size.cancel_ms),
         };
