Quota kept for a job that waited long holds up only what would use it

Cause (testkit, pairs: LeftWaiting): a team at its limit of GPUs had a job waiting for some for more than two boots; its whole quota was kept for that one, so a gang without GPUs waited for over 90 s while machines rented for it came up and were returned. Now a job behind waits only if it uses what the one before is short of.

--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -8,7 +8,7 @@
 use crate::store::Urgency;
 use crate::view::View;
 use crate::Ms;
-use forkshift_sched::{run_round, Host, Quota, Resources, Want};
+use forkshift_sched::{run_round, Host, Quota, Resources, Short, Want};
 use forkshift_wire::peer::Body;
 use forkshift_wire::state::{Cond, Txn, Write};
 use forkshift_wire::users::{JobKind, Priority};
@@ -238,14 +238,15 @@
             .into_iter()
             .map(|z| (ctx.intern(z) as u16, z.to_owned()))
             .collect();
-        let mut held = BTreeSet::new();
+        let mut held: BTreeMap<usize, Short> = BTreeMap::new();
         for want in wants {
             // What a round keeps from being placed needs no machine either.
-            if held.contains(&want.team) {
+            if held.get(&want.team).is_some_and(|s| s.concerns(&want.task)) {
                 continue;
             }
-            if want.reserves && !want.waiting.is_empty() && !quotas[want.team].allows(&want.task) {
-                held.insert(want.team);
+            if want.reserves && !want.waiting.is_empty() {
+                let short = held.entry(want.team).or_default();
+                *short = short.or(&quotas[want.team].short_of(&want.task));
             }
             let mut n = 0;
             while n < want.waiting.len() && quotas[want.team].allows(&want.task) {
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod score;
 
 pub use provision::{plan, Offer, Rental, Shape};
-pub use quota::Quota;
+pub use quota::{Quota, Short};
 pub use resources::Resources;
 pub use round::{run_round, Host, Placement, Want};
 pub use score::{choose, Candidate, Weights};
--- a/crates/sched/src/quota.rs
+++ b/crates/sched/src/quota.rs
@@ -35,9 +35,45 @@
     }
 }
 
+/// Resources that a team's quota is short of.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Short {
+    cpus: bool,
+    gpus: bool,
+}
+
+impl Short {
+    /// Whether a task would take some of what is short.
+    pub fn concerns(&self, task: &Resources) -> bool {
+        (self.cpus && task.cpus > 0) || (self.gpus && task.gpus > 0)
+    }
+
+    /// What either is short of.
+    pub fn or(&self, other: &Self) -> Self {
+        Self {
+            cpus: self.cpus || other.cpus,
+            gpus: self.gpus || other.gpus,
+        }
+    }
+}
+
+impl Quota {
+    /// What keeps something from being added.
+    pub fn short_of(&self, more: &Resources) -> Short {
+        let sum = self.used + *more;
+        Short {
+            cpus: !holds(sum.cpus, self.limit.cpus),
+            gpus: !holds(sum.gpus, self.limit.gpus),
+        }
+    }
+}
+
 /// A bound of 0 means that there is none on that resource.
+fn holds(sum: i64, bound: i64) -> bool {
+    bound == 0 || sum <= bound
+}
+
 fn within(sum: &Resources, bound: &Resources) -> bool {
-    let holds = |sum: i64, bound: i64| bound == 0 || sum <= bound;
     holds(sum.cpus, bound.cpus) && holds(sum.gpus, bound.gpus)
 }
 
--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -1,6 +1,6 @@
 //! A round: waiting tasks are placed greedily, longest first.
 
-use crate::quota::Quota;
+use crate::quota::{Quota, Short};
 use crate::resources::Resources;
 use crate::score::{choose, Candidate, Weights};
 use std::cmp::Reverse;
@@ -122,10 +122,12 @@
             .then(wants[b].estimate.total_cmp(&wants[a].estimate))
     });
     let mut placed = Vec::new();
-    let mut held: BTreeSet<usize> = BTreeSet::new();
+    let mut held: BTreeMap<usize, Short> = BTreeMap::new();
     for i in order {
         let want = &mut wants[i];
-        if held.contains(&want.team) {
+        // What does not use what is kept for another need not wait for it: a
+        // team at its limit of GPUs once kept jobs without any from running.
+        if held.get(&want.team).is_some_and(|s| s.concerns(&want.task)) {
             continue;
         }
         if want.gang {
@@ -135,8 +137,10 @@
         if want.reserves && !want.waiting.is_empty() {
             let team = &quotas[want.team];
             let n = if want.gang { want.waiting.len() } else { 1 };
-            if !team.allows(&want.task.times(n as i64)) {
-                held.insert(want.team);
+            let need = want.task.times(n as i64);
+            if !team.allows(&need) {
+                let short = held.entry(want.team).or_default();
+                *short = short.or(&team.short_of(&need));
             } else {
                 hold_host(want, hosts);
             }
--- a/crates/sched/src/round/tests.rs
+++ b/crates/sched/src/round/tests.rs
@@ -171,3 +171,23 @@
     wants[0].types = Some(vec![3]);
     assert!(run(&mut wants, &mut [host(8.0, 0)], 100.0).is_empty());
 }
+
+/// A team at its limit of GPUs, with a job that has waited long for some, once
+/// kept its jobs without GPUs from running.
+#[test]
+fn what_is_kept_for_one_that_waited_holds_up_only_what_uses_it() {
+    let cases = [("uses GPUs", 2.0, 0), ("uses none", 0.0, 1)];
+    for (name, gpus, small) in cases {
+        let mut wants = [want(1, 8.0), want(1, gpus)];
+        wants[0].band = 1;
+        wants[0].reserves = true;
+        wants[1].task.cpus = 1_000;
+        let mut hosts = [host(8.0, 0)];
+        hosts[0].total.cpus = 8_000;
+        hosts[0].free.cpus = 8_000;
+        let mut quotas = quota(11.0);
+        quotas[0].used = Resources::new(0.0, 8.0, 0.0);
+        let placed = run_round(&mut wants, &mut hosts, &mut quotas, &Weights::default());
+        assert_eq!(placed.len(), small, "{name}");
+    }
+}
--- a/crates/testkit/tests/pairs.rs
+++ b/crates/testkit/tests/pairs.rs
@@ -22,6 +22,9 @@
         (80_002, 30),
         (100_001, 8),
         (100_002, 16),
+        // A team at its limit of GPUs, with an aged job that waited for some,
+        // kept its jobs without GPUs waiting.
+        (8_000_057, 8),
     ] {
         let mut day = Day::new(seed, faults, Draw::Pairs);
         day.play();
