--- a/crates/core/src/evidence.rs
+++ b/crates/core/src/evidence.rs
@@ -287,3 +287,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/core/src/evidence/tests.rs
@@ -0,0 +1,163 @@
+//! Tests of `evidence`.
+
+use super::*;
+use crate::fixture::Fixture;
+use crate::records::MachineRec;
+use forkshift_wire::users::JobKind;
+
+/// What a message proves of a task that it does not list. Old reports reach a
+/// new holder, too, before anything newer has: only a token minted after the
+/// start tells that it can not come any more.
+#[test]
+fn a_task_is_gone_only_by_a_newer_token_or_session() {
+    // Who sent the start; the message's session, and its token as measured by
+    // the one that is used now; whether the task is gone.
+    let cases: [(&str, fn(u64) -> Sent, u64, i64, bool); 9] = [
+        (
+            "an earlier holder, a report from before us",
+            |_| Sent::Inherited,
+            1,
+            -1,
+            false,
+        ),
+        (
+            "the same, of a later session",
+            |_| Sent::Inherited,
+            2,
+            -1,
+            false,
+        ),
+        (
+            "an earlier holder, our token",
+            |_| Sent::Inherited,
+            1,
+            0,
+            true,
+        ),
+        (
+            "ours, the token that it came with",
+            |t| Sent::Ours {
+                token: t,
+                session: 1,
+            },
+            1,
+            0,
+            false,
+        ),
+        (
+            "ours, an older token",
+            |t| Sent::Ours {
+                token: t,
+                session: 1,
+            },
+            1,
+            -1,
+            false,
+        ),
+        (
+            "ours, raised since",
+            |t| Sent::Ours {
+                token: t - 1,
+                session: 1,
+            },
+            1,
+            0,
+            true,
+        ),
+        (
+            "ours, a later session",
+            |t| Sent::Ours {
+                token: t,
+                session: 1,
+            },
+            2,
+            0,
+            true,
+        ),
+        (
+            "ours, a later session's old token",
+            |t| Sent::Ours {
+                token: t,
+                session: 1,
+            },
+            2,
+            -1,
+            true,
+        ),
+        ("never sent", |_| Sent::No, 2, 0, false),
+    ];
+    for (name, sent, session, token, gone) in cases {
+        let mut f = Fixture::new();
+        let id = f.job("j-1", JobKind::Service, 1);
+        let used = f.token();
+        f.bind(&id, 0, sent(used));
+        let machine = f.machine.clone();
+        f.share()
+            .machines
+            .get_mut(&machine)
+            .expect("it is there")
+            .calling = true;
+        f.report(session, used.saturating_add_signed(token), &[]);
+        let is_gone = f.share().jobs[&id].bound.is_empty();
+        assert_eq!(is_gone, gone, "{name}");
+        let free = f.share().quotas[0].used.is_zero();
+        assert_eq!(free, gone, "{name}: its place in the quota");
+    }
+}
+
+/// Copies of old messages are dropped, of earlier sessions too.
+#[test]
+fn old_copies_are_dropped() {
+    for (session, later, taken) in [(1, 1, true), (1, 0, false), (0, 5, false), (2, 0, true)] {
+        let mut f = Fixture::new();
+        let token = f.token();
+        f.report(1, token, &[]);
+        let mut copy = f.message(session, token, &[]);
+        f.report(1, token, &[]);
+        copy.seq += later * 2;
+        let Fixture { node, share, .. } = &mut f;
+        let ours = node.shares.get_mut(share).expect("it is ours");
+        let is_taken = ours.ingest(&mut node.ctx, &copy);
+        assert_eq!(is_taken, taken, "session {session}, {later} later");
+    }
+}
+
+/// The tokens of a new holder are above those of earlier holders of the share,
+/// and of the shares that the machine belonged to before.
+#[test]
+fn a_new_holders_tokens_are_above_all_earlier_ones() {
+    let mut f = Fixture::new();
+    let machine = f.machine.clone();
+    let rec: MachineRec = f.node.view.machines[&machine].rec.clone();
+    let ours = f.share().epoch << crate::share::TOKEN_BITS;
+    for (floor, least) in [
+        (0, ours),
+        (ours - 1, ours),
+        (ours, ours + 1),
+        (ours + 7, ours + 8),
+    ] {
+        let rec = MachineRec {
+            floor,
+            ..rec.clone()
+        };
+        assert_eq!(f.share().first_token(&rec), least, "floor {floor}");
+    }
+}
+
+/// A stray of a job whose last write is under way is stopped, not bound: it
+/// would be left in the books when the job is forgotten.
+#[test]
+fn a_stray_of_a_job_that_is_over_is_not_bound() {
+    for cancelled in [false, true] {
+        let mut f = Fixture::new();
+        let id = f.job("j-1", JobKind::Service, 1);
+        f.share().jobs.get_mut(&id).expect("it is there").cancelled = cancelled;
+        let token = f.token();
+        f.report(1, token, &[(&id, 0, TaskStage::Running)]);
+        let bound = f.share().jobs[&id].bound.len();
+        assert_eq!(bound, usize::from(!cancelled), "cancelled: {cancelled}");
+        let machine = f.machine.clone();
+        let orphans = f.share().machines[&machine].orphans.len();
+        assert_eq!(orphans, usize::from(cancelled), "cancelled: {cancelled}");
+    }
+}
