--- a/crates/testkit/src/main.rs
+++ b/crates/testkit/src/main.rs
@@ -46,6 +46,9 @@
     /// is first broken and at the end of a day.
     #[arg(long)]
     describe: Vec<String>,
+    /// Says it this often too, in seconds of the day.
+    #[arg(long)]
+    every: Option<u64>,
 }
 
 fn main() -> ExitCode {
@@ -65,6 +68,12 @@
         };
         while day.world.now() < day.end && day.world.check.broken.is_empty() {
             day.world.run_until(day.world.now() + 500);
+            if args
+                .every
+                .is_some_and(|s| day.world.now().is_multiple_of(s * 1_000))
+            {
+                describe(&day.world);
+            }
         }
         describe(&day.world);
         day.play();
