--- a/crates/core/src/orders/tests.rs
+++ b/crates/core/src/orders/tests.rs
@@ -4,6 +4,7 @@
 use crate::ctx::Effect;
 use crate::fixture::Fixture;
 use forkshift_wire::users::JobKind;
+use forkshift_wire::workers::TaskStage;
 use serde_json::to_value;
 
 /// Verbs of the orders that go straight to workers.
@@ -90,3 +91,23 @@
         assert_eq!(!sent(&effects).is_empty(), calls, "newer by {newer}");
     }
 }
+
+/// Once a worker has forgotten an attempt, a start that is still on its way
+/// would run it anew: while a call may be carried out late, nothing is forgotten.
+#[test]
+fn nothing_is_forgotten_while_a_start_may_be_on_its_way() {
+    for (calling, unanswered, forgets) in [(false, false, 1), (true, false, 0), (false, true, 0)] {
+        let mut f = Fixture::new();
+        let id = JobId::parse("j-9").expect("an id");
+        let token = f.token();
+        f.report(1, token, &[(&id, 0, TaskStage::Exited)]);
+        let machine = f.machine.clone();
+        let m = f.share().machines.get_mut(&machine).expect("it is there");
+        (m.calling, m.unanswered) = (calling, unanswered);
+        let Fixture { node, share, .. } = &mut f;
+        let ours = node.shares.get_mut(share).expect("it is ours");
+        let orders = ours.calm_orders(&node.ctx, &machine);
+        let n = orders.iter().filter(|o| o.verb == Verb::Forget).count();
+        assert_eq!(n, forgets, "calling: {calling}, unanswered: {unanswered}");
+    }
+}
