--- a/crates/core/src/evidence/tests.rs
+++ b/crates/core/src/evidence/tests.rs
@@ -12,7 +12,8 @@
 fn a_task_is_gone_only_by_a_newer_token_or_session() {
     // Who sent the start; the message's session, and its token as measured by
     // the one that is used now; whether the task is gone.
-    let cases: [(&str, fn(u64) -> Sent, u64, i64, bool); 9] = [
+    type Case = (&'static str, fn(u64) -> Sent, u64, i64, bool);
+    let cases: [Case; 9] = [
         (
             "an earlier holder, a report from before us",
             |_| Sent::Inherited,
