--- /dev/null
+++ b/crates/core/src/admission.rs
@@ -0,0 +1,135 @@
+//! Submissions that name dependencies: whether these were accepted is decided
+//! by reading their lasting records, and the acceptance is conditional on the
+//! versions that were read.
+
+use crate::api::read_job;
+use crate::context::{Creation, Lookup, Pending, Reply, RequestId};
+use crate::node::Node;
+use crate::records::job_key;
+use crate::store::Urgency;
+use forkshift_wire::state::Item;
+use forkshift_wire::users::{JobKind, JobSpec, JobStage};
+use forkshift_wire::JobId;
+use std::collections::BTreeSet;
+
+/// A submission whose dependencies are being looked up.
+pub(crate) struct Admission {
+    creation: Creation,
+    /// Dependencies whose records have not been read yet.
+    unread: BTreeSet<JobId>,
+}
+
+impl Node {
+    /// Why a job with these dependencies is refused without reading them.
+    pub(crate) fn refuse_dependencies(&self, spec: &JobSpec) -> Option<Reply> {
+        if spec.dependencies.is_empty() {
+            return None;
+        }
+        // Controllers of the first release would start such a job at once.
+        if self.ctx.format.is_first() {
+            return Some(Reply::later("not until all controllers are upgraded"));
+        }
+        if spec.dependencies.contains(&spec.id) {
+            return Some(Reply::error(422, "a job can't await itself"));
+        }
+        // One condition is for the job's own record.
+        let most = self.ctx.limits.conditions() - 1;
+        if spec.dependencies.len() > most {
+            let why = format!("`awaits` names more than {most} jobs");
+            return Some(Reply::error(422, &why));
+        }
+        None
+    }
+
+    /// Reads the records of a job's dependencies before it is created.
+    pub(crate) fn admit(&mut self, creation: Creation) {
+        if creation.spec.dependencies.is_empty() {
+            return self.create(creation);
+        }
+        let request = creation.request;
+        let unread: BTreeSet<JobId> = creation.spec.dependencies.iter().cloned().collect();
+        for id in &unread {
+            self.read_for_admission(request, id.clone());
+        }
+        let creation = Creation {
+            dependencies: Vec::new(),
+            is_cancelled: false,
+            ..creation
+        };
+        self.admissions
+            .insert(request, Admission { creation, unread });
+    }
+
+    fn read_for_admission(&mut self, request: RequestId, id: JobId) {
+        let path = format!("/kv/{}", job_key(&id));
+        let pending = Pending::AdmissionRead { request, id };
+        self.ctx.read(Urgency::User, path, pending);
+    }
+
+    /// The record of a dependency of a new job was read.
+    pub(crate) fn on_admission_read(
+        &mut self,
+        request: RequestId,
+        id: &JobId,
+        status: u16,
+        body: &[u8],
+    ) {
+        let Some(admission) = self.admissions.get_mut(&request) else {
+            return;
+        };
+        // An earlier try of the same submission has read it.
+        if !admission.unread.contains(id) {
+            return;
+        }
+        let until = admission.creation.until;
+        match (status, read_job(body)) {
+            (200, Some(record)) if record.spec.kind == JobKind::Service => {
+                self.refuse_admission(request, &format!("{id} is a service"));
+            }
+            (200, Some(record)) => self.on_dependency_found(request, id, record.stage, body),
+            (404, _) => self.refuse_admission(request, &format!("{id} was never accepted")),
+            (0, _) if self.ctx.now < until => self.read_for_admission(request, id.clone()),
+            _ => {
+                self.admissions.remove(&request);
+                self.ctx.respond(request, Reply::later("not now"));
+            }
+        }
+    }
+
+    /// A dependency was accepted. Once this is known of all, the job is created.
+    fn on_dependency_found(
+        &mut self,
+        request: RequestId,
+        id: &JobId,
+        stage: JobStage,
+        body: &[u8],
+    ) {
+        if stage.is_final() {
+            self.finals.insert(id.clone(), stage);
+        }
+        let Some(admission) = self.admissions.get_mut(&request) else {
+            return;
+        };
+        let version = serde_json::from_slice(body).map_or(0, |item: Item| item.version);
+        admission.unread.remove(id);
+        admission.creation.dependencies.push((id.clone(), version));
+        admission.creation.is_cancelled |= stage == JobStage::Cancelled;
+        if !admission.unread.is_empty() {
+            return;
+        }
+        if let Some(admission) = self.admissions.remove(&request) {
+            self.create(admission.creation);
+        }
+    }
+
+    /// The job can't be accepted, unless it was: its own record tells.
+    fn refuse_admission(&mut self, request: RequestId, why: &str) {
+        let Some(admission) = self.admissions.remove(&request) else {
+            return;
+        };
+        let refusal = Lookup::Submission(Reply::error(422, why));
+        if let Some(reply) = self.look_up(request, admission.creation.spec.id, refusal) {
+            self.ctx.respond(request, reply);
+        }
+    }
+}
--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -1,15 +1,16 @@
 //! Requests from users, workers and probes.
 
 use crate::context::{revision_of, AbortPoll, Creation, Lookup, Pending, Reply, RequestId};
+use crate::layout::can_be_recorded;
 use crate::node::Node;
 use crate::records::{
     abort_key, job_key, live_key, total_of, JobHeadRecord, JobRecord, ShareId, TaskBlockRecord,
 };
-use crate::share::{Phase, TOKEN_BITS};
+use crate::share::{new_layout, Phase, TOKEN_BITS};
 use crate::store::Urgency;
 use crate::Ms;
 use forkshift_sched::{Quota, Resources};
-use forkshift_wire::state::{Cond, Item, Txn, Write};
+use forkshift_wire::state::{Cond, Item, Txn, TxnReply, Write};
 use forkshift_wire::users::{JobKind, JobSpec, JobStage, JobStatus};
 use forkshift_wire::workers::{Redirect, Report, ReportReply};
 use forkshift_wire::JobId;
@@ -118,6 +119,9 @@
                 return self.look_up(request, id, unknown);
             }
         }
+        if let Some(refusal) = self.refuse_dependencies(&spec) {
+            return self.look_up(request, id, Lookup::Submission(refusal));
+        }
         match self.judge(&spec) {
             Ok(share) => {
                 let until = self.ctx.now + ANSWER_MS;
@@ -126,8 +130,10 @@
                     spec,
                     share,
                     until,
+                    dependencies: Vec::new(),
+                    is_cancelled: false,
                 };
-                self.create(creation);
+                self.admit(creation);
                 None
             }
             Err(refusal) => self.look_up(request, id, Lookup::Submission(refusal)),
@@ -165,62 +171,82 @@
         if !quota.could_allow(&task, at_once) {
             return Err(Reply::error(422, "more than the team's limit"));
         }
+        if !can_be_recorded(spec, &self.ctx.limits) {
+            return Err(Reply::error(422, "too large to be recorded"));
+        }
         Ok(team.share)
     }
 
-    fn create(&mut self, creation: Creation) {
+    /// Writes the records by which a job is accepted.
+    pub(crate) fn create(&mut self, creation: Creation) {
         let Creation { spec, share, .. } = &creation;
         let record = JobRecord {
             spec: spec.clone(),
             share: *share,
-            stage: JobStage::Queued,
+            stage: creation.stage(),
         };
         let head = JobHeadRecord {
             spec: spec.clone(),
             cancelled: false,
             cancelled_at: 0,
             at: self.ctx.wall,
+            layout: new_layout(&self.ctx, spec).to_record(),
             block: TaskBlockRecord::default(),
         };
         let key = job_key(&spec.id);
-        let txn = Txn {
+        let mut txn = Txn {
             conds: vec![Cond {
                 key: key.clone(),
                 version: 0,
             }],
-            writes: vec![
-                Write::put(key, to_value(record).unwrap_or_default()),
-                Write::put(
-                    live_key(*share, &spec.id, 0),
-                    to_value(head).unwrap_or_default(),
-                ),
-            ],
+            writes: vec![Write::put(key, to_value(record).unwrap_or_default())],
         };
+        let dependencies = creation.dependencies.iter();
+        txn.conds.extend(dependencies.map(|(id, version)| Cond {
+            key: job_key(id),
+            version: *version,
+        }));
+        if !creation.is_cancelled {
+            let key = live_key(*share, &spec.id, 0);
+            let head = to_value(head).unwrap_or_default();
+            txn.writes.push(Write::put(key, head));
+        }
         let pending = Pending::Create(Box::new(creation));
         self.ctx.txn(Urgency::User, &txn, pending);
     }
 
     /// The transaction that accepts a job was answered.
     pub(crate) fn on_created(&mut self, creation: Creation, code: u16, body: &[u8]) {
+        let stage = creation.stage();
+        let is_accepted = code == 409 && is_known(&creation, body);
         let Creation {
             request,
             spec,
             share,
             until,
-        } = creation;
+            ..
+        } = &creation;
+        let (request, share, until) = (*request, *share, *until);
         let id = spec.id.clone();
         match code {
+            200 if stage.is_final() => {
+                self.finals.insert_written(id.clone(), stage);
+                let reply = Reply::json(201, &status(&id, stage));
+                self.ctx.respond(request, reply);
+            }
             200 => {
                 let revision = revision_of(body);
                 self.homes.insert(id.clone(), share);
-                self.tell_new_job(share, &spec, revision);
+                self.tell_new_job(share, spec, revision);
                 if let Some(share) = self.shares.get_mut(&share) {
                     let at = self.ctx.wall;
-                    share.on_job_accepted(&mut self.ctx, spec, at, revision);
+                    share.on_job_accepted(&mut self.ctx, creation.spec, at, revision);
                 }
                 let reply = Reply::json(201, &status(&id, JobStage::Queued));
                 self.ctx.respond(request, reply);
             }
+            // A dependency has changed since it was read.
+            409 if !is_accepted && self.ctx.now < until => self.admit(creation),
             409 => {
                 let lost = Reply::later("try again");
                 if let Some(reply) = self.look_up(request, id, Lookup::Submission(lost)) {
@@ -230,12 +256,7 @@
             0 | 429 if self.ctx.now < until => {
                 // If an earlier copy is carried out after all, the condition
                 // fails and the job is found.
-                self.create(Creation {
-                    request,
-                    spec,
-                    share,
-                    until,
-                });
+                self.create(creation);
             }
             _ => self.ctx.respond(request, Reply::later("not now")),
         }
@@ -269,12 +290,20 @@
             .get(&k)
             .is_some_and(|s| s.rec.epoch == epoch);
         let job = self.share_of(id).filter(|_| still_ours)?.jobs.get(id)?;
-        job.is_certain().then(|| Reply::json(200, &job.status()))
+        if !job.is_certain() {
+            return None;
+        }
+        // A cancellation that we have not heard of may be on its way to it.
+        let job = self.shares.get(&k)?.jobs.get(id)?;
+        if !self.is_known_unfinished(job) {
+            return Some(Reply::later("not known at the moment"));
+        }
+        Some(Reply::json(200, &job.status()))
     }
 
     /// Reads a job's record, for an answer that must not be older than what
     /// any node has told.
-    fn look_up(&mut self, request: RequestId, id: JobId, why: Lookup) -> Option<Reply> {
+    pub(crate) fn look_up(&mut self, request: RequestId, id: JobId, why: Lookup) -> Option<Reply> {
         let until = self.ctx.now + LOOKUP_MS;
         self.read_job(request, id, why, until);
         None
@@ -326,7 +355,7 @@
             0 if self.ctx.now < until => return self.read_job(request, id, why, until),
             _ => None,
         };
-        let Some(record) = record else {
+        let Some(record) = record.filter(|r| !self.is_cancelled_with_another(r)) else {
             return self.ctx.respond(request, Reply::later("not now"));
         };
         if record.stage.is_final() {
@@ -341,6 +370,23 @@
             .respond(request, Reply::json(200, &status(&id, record.stage)));
     }
 
+    /// Whether a job whose record does not say so yet is known to be cancelled
+    /// with one that it needs. It must not be called queued for long.
+    fn is_cancelled_with_another(&mut self, record: &JobRecord) -> bool {
+        let dependencies = &record.spec.dependencies;
+        if record.stage.is_final() || dependencies.is_empty() {
+            return false;
+        }
+        let finals = &self.finals;
+        let is_cancelled = |id: &JobId| finals.get(id) == Some(JobStage::Cancelled);
+        if dependencies.iter().any(is_cancelled) {
+            return true;
+        }
+        let job = self.share_of(&record.spec.id);
+        let job = job.and_then(|s| s.jobs.get(&record.spec.id));
+        job.is_some_and(|j| j.cancelled)
+    }
+
     // Cancellations.
 
     fn abort(&mut self, request: RequestId, id: &str) -> Option<Reply> {
@@ -537,7 +583,16 @@
     }
 }
 
-fn read_job(body: &[u8]) -> Option<JobRecord> {
+/// Whether a transaction that was to accept a job failed because it was
+/// accepted before.
+fn is_known(creation: &Creation, body: &[u8]) -> bool {
+    let reply: TxnReply = serde_json::from_slice(body).unwrap_or_default();
+    let key = job_key(&creation.spec.id);
+    reply.failed.is_empty() || reply.failed.contains(&key)
+}
+
+/// The record of a job in an answer of the state service.
+pub(crate) fn read_job(body: &[u8]) -> Option<JobRecord> {
     let item: Item = serde_json::from_slice(body).ok()?;
     from_value(item.value).ok()
 }
--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -54,8 +54,8 @@
 /// The most that all controllers use together, and the part that follows need.
 fn limits(ctx: &Context) -> (Use, Use) {
     let all = Use {
-        requests: ctx.cfg.state_rps * REQUESTS_PART,
-        writes: ctx.cfg.write_rps * WRITES_PART,
+        requests: ctx.limits.rps * REQUESTS_PART,
+        writes: ctx.limits.write_rps * WRITES_PART,
     };
     (all, all.times(1.0 - FIXED_PART))
 }
--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::config::{Config, Operator};
+use crate::format::FormatVersion;
 use crate::records::{LeaderRecord, NodeRecord};
 use crate::view::Stamped;
 use forkshift_wire::peer::Envelope;
@@ -27,6 +28,7 @@
         let rec = stamped(NodeRecord {
             inc: 1,
             blind: false,
+            format: FormatVersion::FIRST,
         });
         view.nodes.insert(NodeName::new(name), rec);
     }
@@ -86,7 +88,7 @@
             }
             rates.push(own.rate(&member, &view).writes);
         }
-        let limit = leader.cfg.write_rps;
+        let limit = leader.limits.write_rps;
         let sum: f64 = rates.iter().sum();
         assert!(sum <= limit * 0.951, "{name}: {rates:?} of {limit}");
         assert!(sum > limit * 0.9, "{name}: {rates:?} of {limit}");
--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -7,8 +7,8 @@
 use crate::api::status;
 use crate::context::{Context, JobWrite, Pending, Reply, RequestId};
 use crate::job::{Job, Sent};
-use crate::node::Finals;
-use crate::records::{job_key, live_key, share_key, JobRecord};
+use crate::known_jobs::Finals;
+use crate::records::{job_key, share_key, JobRecord};
 use crate::share::Share;
 use crate::store::Urgency;
 use crate::Ms;
@@ -54,9 +54,15 @@
                 self.dirty.wake(&id, job.retry_at);
                 continue;
             }
+            if job.is_dirty() && !job.is_over() && !job.is_moving {
+                self.keep_within_limits(ctx, &id);
+            }
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
             match part(self, job, ctx, progress) {
                 Some(part) => parts.push(part),
-                None if job.blocks.values().any(|b| b.is_dirty()) => {
+                None if job.is_dirty() => {
                     self.progress.insert(id);
                 }
                 None => {}
@@ -66,7 +72,8 @@
         let mut group: Vec<Part> = Vec::new();
         let (mut ops, mut bytes) = (0, 0);
         for part in parts {
-            let full = ops + part.writes.len() > ctx.cfg.txn_ops || bytes + part.bytes > TXN_BYTES;
+            let full =
+                ops + part.writes.len() > ctx.limits.txn_ops || bytes + part.bytes > TXN_BYTES;
             let other = group.first().is_some_and(|p| p.urgency != part.urgency);
             if !group.is_empty() && (full || other) {
                 self.send_group(ctx, std::mem::take(&mut group));
@@ -81,6 +88,21 @@
         }
     }
 
+    /// Moves a job to a smaller layout if its records would be too large. The
+    /// old release knows one layout only, so nothing is moved for it.
+    fn keep_within_limits(&mut self, ctx: &Context, id: &JobId) {
+        if ctx.format.is_first() {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let layout = job.layout().within(&ctx.limits, &job.spec);
+        if layout != job.layout() {
+            job.move_to(layout, self.id);
+        }
+    }
+
     fn send_group(&mut self, ctx: &mut Context, group: Vec<Part>) {
         let urgency = group[0].urgency;
         let mut txn = Txn {
@@ -145,7 +167,7 @@
                 continue;
             }
             for block in &write.blocks {
-                let key = live_key(share, &write.id, *block);
+                let key = job.block_key(share, *block);
                 if reply.failed.contains(&key) {
                     job.writing = true;
                     let (id, block) = (write.id.clone(), *block);
@@ -240,11 +262,21 @@
             return;
         };
         for block in &write.blocks {
+            let is_staged = job.is_moving && *block > 0;
             if let Some(block) = job.blocks.get_mut(block) {
                 block.stamp = revision;
-                block.committed = block.committed.max(write.version);
+                if is_staged {
+                    block.staged = block.staged.max(write.version);
+                } else {
+                    block.committed = block.committed.max(write.version);
+                }
             }
         }
+        let is_moved = job.is_moving && write.blocks.contains(&0) && !write.last;
+        let left_over = if is_moved { job.end_move() } else { Vec::new() };
+        for (key, version) in left_over {
+            crate::share::remove_key(ctx, key, version);
+        }
         if write.cancel {
             job.cancel_durable = true;
         }
@@ -254,7 +286,7 @@
         }
         let stage = job.final_stage();
         if write.last || write.cancel {
-            finals.insert(write.id.clone(), stage);
+            finals.insert_written(write.id.clone(), stage);
             let waiters = std::mem::take(&mut job.cancel_waiters);
             answer(ctx, waiters, &write.id, stage);
         }
@@ -268,7 +300,8 @@
                 .blocks
                 .iter()
                 .filter(|(b, block)| **b > 0 && block.stamp > 0)
-                .map(|(b, block)| (live_key(self.id, &write.id, *b), block.stamp))
+                .map(|(b, block)| (job.block_key(self.id, *b), block.stamp))
+                .chain(job.old_blocks.iter().cloned())
                 .collect();
             for (key, version) in rest {
                 crate::share::remove_key(ctx, key, version);
@@ -309,7 +342,7 @@
     let mut bytes = 0;
     if last {
         let block = &job.blocks[&0];
-        let key = live_key(share.id, id, 0);
+        let key = job.block_key(share.id, 0);
         conds.push(Cond {
             key: key.clone(),
             version: block.stamp,
@@ -317,15 +350,23 @@
         writes.push(Write::Remove { remove: key });
         blocks.push(0);
     } else {
-        for (b, block) in &job.blocks {
+        // While the job is moved to another layout its head goes last.
+        let head = job.blocks.get_key_value(&0);
+        let (first, last) = if job.is_moving {
+            (None, head)
+        } else {
+            (head, None)
+        };
+        let others = job.blocks.range(1..);
+        for (b, block) in first.into_iter().chain(others).chain(last) {
             // A cancellation is kept in the head, so the head goes with it.
             if !(block.is_dirty() || (cancel && *b == 0)) {
                 continue;
             }
-            if writes.len() + 2 > ctx.cfg.txn_ops {
+            if writes.len() + 2 > ctx.limits.txn_ops {
                 break;
             }
-            let key = live_key(share.id, id, *b);
+            let key = job.block_key(share.id, *b);
             let value = match b {
                 0 => to_value(job.head_rec()),
                 _ => to_value(job.block_rec(*b)),
@@ -343,6 +384,7 @@
     if writes.is_empty() {
         return None;
     }
+    let cancel = cancel && blocks.contains(&0);
     if cancel || (last && !job.cancelled) {
         let rec = JobRecord {
             spec: (*job.spec).clone(),
--- a/crates/core/src/commit/tests.rs
+++ b/crates/core/src/commit/tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 use crate::fixture::Fixture;
 use crate::job::Binding;
-use crate::records::{JobHeadRecord, TaskBlockRecord};
+use crate::records::{live_key, JobHeadRecord, TaskBlockRecord};
 use forkshift_wire::state::{Change, Changes};
 use forkshift_wire::users::JobKind;
 use forkshift_wire::MachineId;
@@ -55,6 +55,7 @@
         cancelled,
         cancelled_at: 0,
         at: 0,
+        layout: None,
         block,
     };
     let placed = TaskBlockRecord {
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -1,9 +1,10 @@
 //! What a controller is told before it starts.
 
+use crate::format::FormatVersion;
 use crate::records::ShareId;
 use crate::Ms;
 use forkshift_sched::{Resources, Weights};
-use forkshift_wire::settings::{Objective, Settings};
+use forkshift_wire::settings::{NextStateLimits, Objective, Settings};
 use forkshift_wire::NodeName;
 use std::collections::BTreeMap;
 
@@ -58,6 +59,52 @@
     pub share: ShareId,
 }
 
+/// Limits of the state service.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct StateLimits {
+    /// Requests a second, of all controllers.
+    pub rps: f64,
+    /// Changes a second, of all controllers.
+    pub write_rps: f64,
+    /// Most changes in a transaction.
+    pub txn_ops: usize,
+    /// Largest value, in bytes.
+    pub value_bytes: usize,
+}
+
+/// Conditions that a transaction may have for each change.
+const CONDITIONS_PER_CHANGE: usize = 4;
+const BYTES_PER_KB: f64 = 1024.0;
+
+impl StateLimits {
+    fn new(settings: &forkshift_wire::settings::StateLimits) -> Self {
+        Self {
+            rps: settings.rps,
+            write_rps: settings.write_rps,
+            txn_ops: settings.txn_ops,
+            value_bytes: (settings.value_kb * BYTES_PER_KB) as usize,
+        }
+    }
+
+    /// The smaller of each limit and the one that is announced for later.
+    fn least(&self, next: &NextStateLimits) -> Self {
+        let value_bytes = next.value_kb.map(|kb| (kb * BYTES_PER_KB) as usize);
+        Self {
+            rps: next.rps.map_or(self.rps, |n| n.min(self.rps)),
+            write_rps: next
+                .write_rps
+                .map_or(self.write_rps, |n| n.min(self.write_rps)),
+            txn_ops: next.txn_ops.map_or(self.txn_ops, |n| n.min(self.txn_ops)),
+            value_bytes: value_bytes.map_or(self.value_bytes, |n| n.min(self.value_bytes)),
+        }
+    }
+
+    /// Most conditions in a transaction.
+    pub fn conditions(&self) -> usize {
+        self.txn_ops * CONDITIONS_PER_CHANGE
+    }
+}
+
 /// Settings in the form that the controller works with.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -85,14 +132,13 @@
     pub clock_off_ms: Ms,
     /// Within this a gang must be complete.
     pub gang_wait_ms: Ms,
-    /// Requests a second to the state service, of all controllers.
-    pub state_rps: f64,
-    /// Changes a second at the state service, of all controllers.
-    pub write_rps: f64,
-    /// Most changes in a transaction.
-    pub txn_ops: usize,
-    /// Largest value, in bytes.
-    pub value_bytes: usize,
+    /// Limits of the state service as they are now.
+    pub state_limits: StateLimits,
+    /// The smaller of those and of the limits that are announced for after the
+    /// upgrade.
+    pub least_state_limits: StateLimits,
+    /// The newest format that this controller reads and writes.
+    pub format: FormatVersion,
     /// Requests a second to the cloud.
     pub cloud_rps: f64,
     /// Lag of the cloud's machine list.
@@ -127,6 +173,7 @@
         let waits = shortest(&c.objectives, "wait");
         let finishes = shortest(&c.objectives, "finished");
         let ms = |s: f64| (s * 1000.0) as Ms;
+        let state_limits = StateLimits::new(&c.state);
         Self {
             node: settings.node.clone(),
             teams: spread_teams(&c.teams, nodes.len().max(c.nodes as usize)),
@@ -140,10 +187,9 @@
             cancel_ms: ms(c.workers.cancel_s),
             clock_off_ms: c.clock_off_ms.max(0.0) as Ms,
             gang_wait_ms: ms(c.workers.gang_wait_s),
-            state_rps: c.state.rps,
-            write_rps: c.state.write_rps,
-            txn_ops: c.state.txn_ops,
-            value_bytes: (c.state.value_kb * 1024.0) as usize,
+            state_limits,
+            least_state_limits: state_limits.least(&c.state.next.clone().unwrap_or_default()),
+            format: FormatVersion::CURRENT,
             cloud_rps: c.cloud.rps,
             list_lag_ms: ms(c.cloud.list_lag_s),
             calls_most: (c.limits.sockets as f64 * CALLS_PART).max(1.0) as usize,
--- a/crates/core/src/context.rs
+++ b/crates/core/src/context.rs
@@ -2,15 +2,16 @@
 //! effects that it wants carried out.
 
 use crate::attestation::{Attestations, Peer};
-use crate::config::Config;
+use crate::config::{Config, StateLimits};
 use crate::failure_detector::FailureDetector;
+use crate::format::FormatVersion;
 use crate::records::{DemandRecord, ShareId};
 use crate::store::{StateCall, Store, Urgency};
 use crate::Ms;
 use forkshift_wire::cloud::Machines;
-use forkshift_wire::peer::{Body, Envelope, VERSION};
-use forkshift_wire::state::{Txn, TxnReply};
-use forkshift_wire::users::JobSpec;
+use forkshift_wire::peer::{Body, Envelope};
+use forkshift_wire::state::{Txn, TxnReply, Write};
+use forkshift_wire::users::{JobSpec, JobStage};
 use forkshift_wire::workers::Command;
 use forkshift_wire::{JobId, MachineId, NodeName};
 use rand::rngs::StdRng;
@@ -178,6 +179,14 @@
         why: Lookup,
         until: Ms,
     },
+    AdmissionRead {
+        request: RequestId,
+        id: JobId,
+    },
+    DependencyRead {
+        id: JobId,
+        sent: Ms,
+    },
     Abort(AbortPoll),
     AbortPoll(AbortPoll),
     JobTxn {
@@ -242,6 +251,21 @@
     pub(crate) spec: JobSpec,
     pub(crate) share: ShareId,
     pub(crate) until: Ms,
+    /// Versions of its dependencies' records that it was decided on.
+    pub(crate) dependencies: Vec<(JobId, u64)>,
+    /// A dependency is cancelled, and so is the job, in the same transaction.
+    pub(crate) is_cancelled: bool,
+}
+
+impl Creation {
+    /// The stage in which the job is accepted.
+    pub(crate) fn stage(&self) -> JobStage {
+        if self.is_cancelled {
+            JobStage::Cancelled
+        } else {
+            JobStage::Queued
+        }
+    }
 }
 
 /// A cancellation that another controller is to carry out.
@@ -293,6 +317,13 @@
     pub(crate) now: Ms,
     pub(crate) wall: Ms,
     pub(crate) cfg: Rc<Config>,
+    /// The newest format that may be written: the finalized one, once the view
+    /// has shown it.
+    pub(crate) format: FormatVersion,
+    /// Limits of the state service that everything sent there keeps to.
+    pub(crate) limits: StateLimits,
+    /// The state service has refused a change for its size.
+    pub(crate) is_size_refused: bool,
     pub(crate) inc: u64,
     pub(crate) out: Vec<Effect>,
     pub(crate) store: Store,
@@ -344,7 +375,10 @@
         Self {
             now: 0,
             wall: 0,
-            store: Store::new(cfg.state_rps / n, cfg.write_rps / n),
+            store: Store::new(cfg.state_limits.rps / n, cfg.state_limits.write_rps / n),
+            format: FormatVersion::FIRST,
+            limits: cfg.state_limits,
+            is_size_refused: false,
             cfg,
             inc,
             out: Vec::new(),
@@ -397,7 +431,7 @@
     /// Tells another controller something that it will learn anyway.
     pub(crate) fn tell(&mut self, node: &NodeName, epoch: u64, body: Body) {
         let envelope = Envelope {
-            version: VERSION,
+            version: body.version(),
             from: self.cfg.node.to_string(),
             inc: self.inc,
             epoch,
@@ -507,7 +541,7 @@
     /// Pause between two watches of a kind that every controller keeps one
     /// of, so that all of them take this part of the requests.
     pub(crate) fn watch_pause(&self, part: f64) -> Ms {
-        let all = self.cfg.state_rps * part;
+        let all = self.limits.rps * part;
         (self.cfg.nodes.len() as f64 * 1000.0 / all.max(0.1)) as Ms
     }
 
@@ -547,10 +581,14 @@
 
     /// Sends a transaction to the state service.
     pub(crate) fn txn(&mut self, urgency: Urgency, txn: &Txn, pending: Pending) {
+        let body = serde_json::to_vec(txn).unwrap_or_default();
+        if body.len() > self.limits.value_bytes || txn.writes.len() > self.limits.txn_ops {
+            self.look_for_excess(txn);
+        }
         let call = StateCall {
             method: "POST",
             path: "/txn".to_owned(),
-            body: Some(serde_json::to_vec(txn).unwrap_or_default()),
+            body: Some(body),
             writes: txn.writes.len(),
             timeout: STATE_TIMEOUT,
             expires: self.now + STATE_TIMEOUT,
@@ -559,6 +597,23 @@
         self.store.push(urgency, call);
     }
 
+    /// Logs what of a transaction goes beyond the limits of the state service.
+    fn look_for_excess(&self, txn: &Txn) {
+        let (changes, most) = (txn.writes.len(), self.limits.txn_ops);
+        if changes > most {
+            log::error!("{changes} changes at once, of {most}");
+        }
+        for write in &txn.writes {
+            let Write::Put { put, value, .. } = write else {
+                continue;
+            };
+            let (bytes, most) = (value.to_string().len(), self.limits.value_bytes);
+            if bytes > most {
+                log::error!("{put} has {bytes} bytes, of {most}");
+            }
+        }
+    }
+
     /// Calls the cloud.
     pub(crate) fn cloud(
         &mut self,
--- /dev/null
+++ b/crates/core/src/dependencies.rs
@@ -0,0 +1,373 @@
+//! Jobs that wait for others.
+//!
+//! The truth about a dependency is its lasting record. `done` is recorded there
+//! before a dependent is started, `aborted` before its user is told; both are
+//! written on condition of the version of the same head, so only one of them
+//! can be, and a dependent of a job that is cancelled has never run.
+//!
+//! The holder of a blocked job learns of its dependencies in three ways: from
+//! its own writes, from messages of whoever has recorded a final stage, and, as
+//! messages may be lost, by reading their records again and again at a pace
+//! that keeps within a part of the budget. A cancelled dependency cancels the
+//! job, which is recorded and told in the same way, so that it passes on to all
+//! that need it, whoever holds them.
+
+use crate::api::read_job;
+use crate::context::{Context, Pending};
+use crate::job::Job;
+use crate::known_jobs::FinalStage;
+use crate::node::Node;
+use crate::records::{job_key, ShareId};
+use crate::share::{Phase, Share};
+use crate::store::Urgency;
+use crate::timers::TimerQueue;
+use crate::Ms;
+use forkshift_wire::peer::Body;
+use forkshift_wire::users::{JobStage, Priority};
+use forkshift_wire::{JobId, NodeName};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A record of a dependency is read again after this part of the time in which
+/// a cancelled job must be over.
+const READ_PART: f64 = 0.1;
+/// The part of the requests to the state service that goes into such reads.
+const REQUESTS_PART: f64 = 0.05;
+/// Pause after a read that failed.
+const RETRY: Ms = 500;
+/// What is known of a dependency counts for this part of the time in which a
+/// cancelled job must be over; after it a dependent is not called queued.
+const CERTAIN_PART: f64 = 0.5;
+
+/// A job that jobs of ours wait for.
+struct Dependency {
+    /// Those that wait for it.
+    dependents: BTreeSet<JobId>,
+    /// A read of its record is under way.
+    is_reading: bool,
+    /// As of when it is known that it was not over.
+    unfinished_at: Ms,
+    /// Its share, if it was read there.
+    share: Option<ShareId>,
+}
+
+/// Jobs that jobs of ours wait for.
+#[derive(Default)]
+pub(crate) struct DependencyTracker {
+    waiting: BTreeMap<JobId, Dependency>,
+    /// When which of their records is to be read.
+    reads: TimerQueue<JobId>,
+}
+
+impl DependencyTracker {
+    /// A job waits for another.
+    fn add(&mut self, dependency: &JobId, dependent: &JobId, now: Ms) {
+        let entry = self.waiting.entry(dependency.clone());
+        let entry = entry.or_insert_with(|| Dependency {
+            dependents: BTreeSet::new(),
+            is_reading: false,
+            unfinished_at: now,
+            share: None,
+        });
+        entry.dependents.insert(dependent.clone());
+        self.reads.touch(dependency);
+    }
+
+    /// A job is over: those that waited for it.
+    fn remove(&mut self, dependency: &JobId) -> BTreeSet<JobId> {
+        self.reads.forget(dependency);
+        let entry = self.waiting.remove(dependency);
+        entry.map(|d| d.dependents).unwrap_or_default()
+    }
+
+    /// Those that wait for a job.
+    fn dependents_of(&self, dependency: &JobId) -> impl Iterator<Item = &JobId> {
+        let entry = self.waiting.get(dependency);
+        entry.into_iter().flat_map(|d| &d.dependents)
+    }
+
+    /// Pause between two reads of a record, so that all controllers together
+    /// keep within their part of the requests.
+    fn pause(&self, ctx: &Context) -> Ms {
+        let least = ctx.cfg.cancel_ms as f64 * READ_PART;
+        let rate = ctx.limits.rps * REQUESTS_PART / ctx.cfg.nodes.len().max(1) as f64;
+        let all = self.waiting.len() as f64 * 1000.0 / rate.max(1e-3);
+        least.max(all) as Ms
+    }
+}
+
+impl Job {
+    /// Whether it waits for other jobs.
+    pub(crate) fn is_blocked(&self) -> bool {
+        !self.unresolved.is_empty()
+    }
+
+    /// A dependency is done. Returns whether it was the last one: the job's
+    /// times count from now on.
+    fn resolve(&mut self, dependency: &JobId, now: Ms) -> bool {
+        if !self.unresolved.remove(dependency) || self.is_blocked() {
+            return false;
+        }
+        self.waited = 0;
+        self.since = now;
+        true
+    }
+
+    /// Its priority, or that of a job that needs it, if that is higher.
+    pub(crate) fn priority(&self) -> Priority {
+        self.inherited_priority.max(self.spec.priority)
+    }
+}
+
+impl Node {
+    /// Registers jobs that are new here, and acts on what has ended.
+    pub(crate) fn follow_dependencies(&mut self) {
+        self.register_blocked_jobs();
+        let mut news = self.finals.take_news();
+        while !news.is_empty() {
+            for end in &news {
+                self.on_job_over(end);
+            }
+            news = self.finals.take_news();
+        }
+        self.read_dependencies();
+    }
+
+    fn register_blocked_jobs(&mut self) {
+        let mut new: Vec<(ShareId, JobId)> = Vec::new();
+        for (k, share) in &mut self.shares {
+            if share.phase == Phase::Active {
+                let ids = std::mem::take(&mut share.new_blocked_jobs);
+                new.extend(ids.into_iter().map(|id| (*k, id)));
+            }
+        }
+        for (k, id) in new {
+            let job = self.shares.get(&k).and_then(|s| s.jobs.get(&id));
+            let Some(job) = job.filter(|j| j.is_blocked() && !j.cancelled) else {
+                continue;
+            };
+            let (priority, due) = (job.priority(), job.due_for_dependencies());
+            let unresolved: Vec<JobId> = job.unresolved.iter().cloned().collect();
+            for dependency in &unresolved {
+                match self.finals.get(dependency) {
+                    Some(stage) => self.resolve(&id, dependency, stage),
+                    None => self.dependencies.add(dependency, &id, self.ctx.now),
+                }
+            }
+            self.raise(unresolved, priority, due);
+        }
+    }
+
+    /// A job's final stage has become known.
+    fn on_job_over(&mut self, end: &FinalStage) {
+        if end.is_ours {
+            self.tell_job_over(end);
+        }
+        for dependent in self.dependencies.remove(&end.id) {
+            self.resolve(&dependent, &end.id, end.stage);
+        }
+    }
+
+    /// A dependency of a job is over. If it is done, the job has one less to
+    /// wait for. If it is cancelled, that is recorded, so the job and all that
+    /// need it are bound to be cancelled: those held here are at once.
+    fn resolve(&mut self, dependent: &JobId, dependency: &JobId, stage: JobStage) {
+        if stage != JobStage::Cancelled {
+            let now = self.ctx.now;
+            let Node { shares, ctx, .. } = self;
+            let Some(share) = holding(shares, dependent) else {
+                return;
+            };
+            let job = share.jobs.get_mut(dependent);
+            if job.is_some_and(|job| job.resolve(dependency, now)) {
+                log::debug!("job {dependent}: ready, {dependency} is done");
+                share.hurry(ctx);
+            }
+            return;
+        }
+        let mut cancelled = vec![dependent.clone()];
+        while let Some(id) = cancelled.pop() {
+            let Node { shares, ctx, .. } = self;
+            let Some(share) = holding(shares, &id) else {
+                continue;
+            };
+            if share.jobs.get(&id).is_none_or(|j| j.cancelled) {
+                continue;
+            }
+            log::info!("job {id}: cancelled with {dependency}");
+            share.cancel(ctx, &id);
+            cancelled.extend(self.dependencies.dependents_of(&id).cloned());
+        }
+    }
+
+    /// Tells the other controllers that a job is over. Those of the first
+    /// release know no dependencies.
+    fn tell_job_over(&mut self, end: &FinalStage) {
+        if self.ctx.format.is_first() {
+            return;
+        }
+        let us = self.ctx.cfg.node.clone();
+        let peers: Vec<NodeName> = self.ctx.cfg.nodes.to_vec();
+        for peer in peers.iter().filter(|n| **n != us) {
+            let body = Body::JobOver {
+                id: end.id.to_string(),
+                cancelled: end.stage == JobStage::Cancelled,
+            };
+            self.ctx.tell(peer, 0, body);
+        }
+    }
+
+    /// Another controller has recorded how a job ended.
+    pub(crate) fn on_job_over_message(&mut self, id: &str, cancelled: bool) {
+        let Some(id) = JobId::parse(id) else { return };
+        let stage = if cancelled {
+            JobStage::Cancelled
+        } else {
+            JobStage::Done
+        };
+        self.finals.insert(id, stage);
+    }
+
+    /// Reads the records of dependencies that are due.
+    fn read_dependencies(&mut self) {
+        let pause = self.dependencies.pause(&self.ctx);
+        for id in self.dependencies.reads.take(self.ctx.now) {
+            self.ctx.visits += 1;
+            let shares = &self.shares;
+            let waits = |dependent: &JobId| {
+                let job = shares.values().find_map(|s| s.jobs.get(dependent));
+                job.is_some_and(|j| j.unresolved.contains(&id) && !j.cancelled)
+            };
+            let Some(dependency) = self.dependencies.waiting.get_mut(&id) else {
+                continue;
+            };
+            // Their share may have gone to another holder.
+            dependency.dependents.retain(waits);
+            if dependency.dependents.is_empty() {
+                self.dependencies.waiting.remove(&id);
+                continue;
+            }
+            self.dependencies.reads.wake(&id, self.ctx.now + pause);
+            // Of our own jobs we know at once.
+            if dependency.is_reading || holds(shares, &id) {
+                continue;
+            }
+            dependency.is_reading = true;
+            let path = format!("/kv/{}", job_key(&id));
+            let pending = Pending::DependencyRead {
+                id: id.clone(),
+                sent: self.ctx.now,
+            };
+            self.ctx.read(Urgency::Work, path, pending);
+        }
+    }
+
+    /// The record of a dependency was read.
+    pub(crate) fn on_dependency_read(&mut self, id: &JobId, sent: Ms, status: u16, body: &[u8]) {
+        let Some(dependency) = self.dependencies.waiting.get_mut(id) else {
+            return;
+        };
+        dependency.is_reading = false;
+        let record = read_job(body).filter(|_| status == 200);
+        let Some(record) = record else {
+            self.dependencies.reads.wake(id, self.ctx.now + RETRY);
+            return;
+        };
+        if record.stage.is_final() {
+            self.finals.insert(id.clone(), record.stage);
+            return;
+        }
+        dependency.unfinished_at = dependency.unfinished_at.max(sent);
+        dependency.share = Some(record.share);
+        self.tell_needed(id, record.share);
+    }
+
+    /// Whether all that a blocked job waits for is known not to have been
+    /// cancelled for long.
+    pub(crate) fn is_known_unfinished(&self, job: &Job) -> bool {
+        let most = (self.ctx.cfg.cancel_ms as f64 * CERTAIN_PART) as Ms;
+        let is_certain = |id: &JobId| {
+            let dependency = self.dependencies.waiting.get(id);
+            let since = dependency.map(|d| d.unfinished_at);
+            holds(&self.shares, id) || since.is_none_or(|t| self.ctx.now < t + most)
+        };
+        job.unresolved.iter().all(is_certain)
+    }
+
+    /// Jobs are needed by one of a priority and with a time by which they should
+    /// be done: that holds for all that they need themselves.
+    fn raise(&mut self, jobs: Vec<JobId>, priority: Priority, due: Option<Ms>) {
+        let mut raised: Vec<(JobId, Option<Ms>)> = jobs.into_iter().map(|id| (id, due)).collect();
+        while let Some((id, due)) = raised.pop() {
+            let Some(share) = holding(&mut self.shares, &id) else {
+                let share = self.dependencies.waiting.get(&id).and_then(|d| d.share);
+                if let Some(share) = share {
+                    self.tell_needed(&id, share);
+                }
+                continue;
+            };
+            let Some(job) = share.jobs.get_mut(&id) else {
+                continue;
+            };
+            if !job.inherit(priority, due) {
+                continue;
+            }
+            let due = job.due_for_dependencies();
+            raised.extend(job.unresolved.iter().map(|id| (id.clone(), due)));
+            share.hurry(&self.ctx);
+        }
+    }
+
+    /// Tells the holder of a dependency how urgently it is needed here.
+    fn tell_needed(&mut self, id: &JobId, share: ShareId) {
+        let dependents = self.dependencies.dependents_of(id);
+        let jobs = dependents.filter_map(|d| self.shares.values().find_map(|s| s.jobs.get(d)));
+        let needs = jobs.map(|j| (j.priority(), j.due_for_dependencies()));
+        let (mut priority, mut due) = (Priority::Low, None);
+        for (p, d) in needs {
+            priority = priority.max(p);
+            due = earlier(due, d);
+        }
+        let body = Body::Needed {
+            id: id.to_string(),
+            priority: priority as u8,
+            due,
+        };
+        self.tell_holder(share, body);
+    }
+
+    /// A job of ours is needed by one that another controller holds.
+    pub(crate) fn on_needed_message(&mut self, id: &str, priority: u8, due: Option<u64>) {
+        const ALL: [Priority; 4] = [
+            Priority::Low,
+            Priority::Normal,
+            Priority::High,
+            Priority::Production,
+        ];
+        let (Some(id), Some(priority)) = (JobId::parse(id), ALL.get(usize::from(priority))) else {
+            return;
+        };
+        if holds(&self.shares, &id) {
+            self.raise(vec![id], *priority, due);
+        }
+    }
+}
+
+/// The earlier of two times, of which each may be missing.
+pub(crate) fn earlier(a: Option<Ms>, b: Option<Ms>) -> Option<Ms> {
+    a.into_iter().chain(b).min()
+}
+
+/// The share in use that holds an unfinished job.
+fn holding<'a>(shares: &'a mut BTreeMap<ShareId, Share>, id: &JobId) -> Option<&'a mut Share> {
+    let mut active = shares.values_mut().filter(|s| s.phase == Phase::Active);
+    active.find(|s| s.jobs.contains_key(id))
+}
+
+/// Whether an unfinished job is held here.
+fn holds(shares: &BTreeMap<ShareId, Share>, id: &JobId) -> bool {
+    let mut active = shares.values().filter(|s| s.phase == Phase::Active);
+    active.any(|s| s.jobs.contains_key(id))
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/fixture.rs
+++ b/crates/core/src/fixture.rs
@@ -2,6 +2,7 @@
 
 use crate::config::{Config, Operator};
 use crate::context::{Effect, Input, Pending, Reply, RequestId};
+use crate::format::FormatVersion;
 use crate::job::{Binding, Sent};
 use crate::node::Node;
 use crate::records::{
@@ -67,6 +68,7 @@
         let here = NodeRecord {
             inc: 1,
             blind: false,
+            format: FormatVersion::CURRENT,
         };
         let items = vec![
             item(node_key(&us), &here, 1),
@@ -119,7 +121,7 @@
         let spec = spec(&id, &team, kind, tasks);
         let Node { shares, ctx, .. } = &mut self.node;
         let share = shares.get_mut(&self.share).expect("it is ours");
-        share.add_job(ctx, spec, WALL, 6);
+        share.add_job(ctx, spec, None, WALL, 6);
         id
     }
 
@@ -264,5 +266,6 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: None,
+        dependencies: Vec::new(),
     }
 }
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -2,14 +2,16 @@
 
 use crate::blame::{well_after, JobFailures};
 use crate::context::RequestId;
+use crate::dependencies::earlier;
+use crate::layout::Layout;
 use crate::ranges::Ranges;
-use crate::records::{JobHeadRecord, TaskBlockRecord};
+use crate::records::{JobHeadRecord, ShareId, TaskBlockRecord};
 use crate::Ms;
 use forkshift_sched::Resources;
-use forkshift_wire::users::{JobKind, JobSpec, JobStage, JobStatus};
+use forkshift_wire::users::{JobKind, JobSpec, JobStage, JobStatus, Priority};
 use forkshift_wire::workers::TaskStage;
-use forkshift_wire::MachineId;
-use std::collections::BTreeMap;
+use forkshift_wire::{JobId, MachineId};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 /// Whether a start command for a task was ever sent.
@@ -65,13 +67,16 @@
     pub(crate) version: u64,
     /// The job's version that is known to be written.
     pub(crate) committed: u64,
+    /// The job's version that is written under a layout that the job is being
+    /// moved to: it counts once the head names that layout.
+    pub(crate) staged: u64,
     pub(crate) next: u64,
 }
 
 impl Block {
     /// Whether something has changed that is not known to be written.
     pub(crate) fn is_dirty(&self) -> bool {
-        self.version > self.committed
+        self.version > self.committed.max(self.staged)
     }
 }
 
@@ -80,7 +85,11 @@
     pub(crate) spec: Rc<JobSpec>,
     pub(crate) task: Resources,
     pub(crate) image: u32,
-    block_size: u32,
+    layout: Layout,
+    /// Its head does not name the layout yet.
+    pub(crate) is_moving: bool,
+    /// Blocks of its earlier layout, with their versions.
+    pub(crate) old_blocks: Vec<(String, u64)>,
     pub(crate) version: u64,
     pub(crate) blocks: BTreeMap<u32, Block>,
     pub(crate) done: Ranges,
@@ -98,6 +107,12 @@
     /// A write is under way.
     pub(crate) writing: bool,
     pub(crate) retry_at: Ms,
+    /// Dependencies that are not known to be done.
+    pub(crate) unresolved: BTreeSet<JobId>,
+    /// The highest priority of the jobs that need it.
+    pub(crate) inherited_priority: Priority,
+    /// Time of day by which it should be done for the deadlines of those jobs.
+    pub(crate) inherited_due: Option<Ms>,
     /// Time of day at which it was submitted.
     pub(crate) at: Ms,
     /// How long it had waited when this holder learnt of it, and when that was.
@@ -116,16 +131,9 @@
 
 /// Boots for which a team's quota is kept for a job that waits for machines.
 const KEEPS_QUOTA_BOOTS: f64 = 2.0;
-/// Bytes that one task may take in a record.
-const TASK_BYTES: usize = 40;
 
 impl Job {
-    /// Tasks a record holds, so that it stays well below the largest value.
-    fn block_size(value_bytes: usize) -> u32 {
-        (value_bytes / 2 / TASK_BYTES).max(1) as u32
-    }
-
-    pub(crate) fn new(spec: JobSpec, image: u32, stamp: u64, value_bytes: usize, now: Ms) -> Self {
+    pub(crate) fn new(spec: JobSpec, image: u32, stamp: u64, layout: Layout, now: Ms) -> Self {
         let head = Block {
             stamp,
             ..Block::default()
@@ -133,7 +141,9 @@
         Self {
             task: Resources::new(spec.cpus, spec.gpus, spec.memory_gb),
             image,
-            block_size: Self::block_size(value_bytes),
+            layout,
+            is_moving: false,
+            old_blocks: Vec::new(),
             version: 0,
             blocks: BTreeMap::from([(0, head)]),
             done: Ranges::default(),
@@ -146,6 +156,9 @@
             cancel_waiters: Vec::new(),
             writing: false,
             retry_at: 0,
+            unresolved: spec.dependencies.iter().cloned().collect(),
+            inherited_priority: Priority::Low,
+            inherited_due: None,
             at: 0,
             waited: 0,
             since: now,
@@ -169,6 +182,10 @@
         let entry = self.blocks.entry(block).or_default();
         entry.stamp = stamp;
         entry.next = rec.next;
+        // It has begun, so all that it needs was done.
+        if rec.next > 0 {
+            self.unresolved.clear();
+        }
         for (from, to) in rec.done {
             self.done.insert_range(from, to.min(self.spec.tasks));
             self.served_at = Some(now);
@@ -193,7 +210,7 @@
 
     /// The block in which a task is recorded.
     pub(crate) fn block_of(&self, index: u32) -> u32 {
-        index / self.block_size
+        self.layout.block_of(index)
     }
 
     /// Whether the job's tasks all run at the same time or not at all.
@@ -327,8 +344,7 @@
 
     /// A block as it is to be written.
     pub(crate) fn block_rec(&self, block: u32) -> TaskBlockRecord {
-        let from = block * self.block_size;
-        let to = from.saturating_add(self.block_size);
+        let (from, to) = self.layout.tasks_of(block);
         let bound = self.bound.range(from..to);
         TaskBlockRecord {
             next: self.blocks.get(&block).map_or(0, |b| b.next),
@@ -346,9 +362,88 @@
             cancelled: self.cancelled,
             cancelled_at: self.cancelled_wall,
             at: self.at,
+            layout: self.layout.to_record(),
             block: self.block_rec(0),
         }
     }
+
+    /// Time of day by which it should be done, for its own deadline and for
+    /// those of the jobs that need it.
+    pub(crate) fn due(&self) -> Option<Ms> {
+        let own = self.spec.deadline_s.map(|s| self.at + crate::ms(s));
+        earlier(own, self.inherited_due)
+    }
+
+    /// Time of day by which the jobs that it needs should be done.
+    pub(crate) fn due_for_dependencies(&self) -> Option<Ms> {
+        let run = crate::ms(self.spec.estimate_s);
+        self.due().map(|due| due.saturating_sub(run))
+    }
+
+    /// A job needs this one. Returns whether that makes it more urgent.
+    pub(crate) fn inherit(&mut self, priority: Priority, due: Option<Ms>) -> bool {
+        let before = (self.inherited_priority, self.inherited_due);
+        self.inherited_priority = self.inherited_priority.max(priority);
+        self.inherited_due = earlier(self.inherited_due, due);
+        before != (self.inherited_priority, self.inherited_due)
+    }
+
+    /// How its tasks are spread over blocks.
+    pub(crate) fn layout(&self) -> Layout {
+        self.layout
+    }
+
+    /// Key of a block.
+    pub(crate) fn block_key(&self, share: ShareId, block: u32) -> String {
+        self.layout.key(share, &self.spec.id, block)
+    }
+
+    /// Begins to move the job to another layout. The new blocks are written
+    /// first; the head, which then names the layout, is the point of
+    /// commitment, and the old blocks are removed after it. Whoever takes the
+    /// job over in between finds the old head with its old blocks.
+    pub(crate) fn move_to(&mut self, layout: Layout, share: ShareId) {
+        let old_layout = self.layout;
+        let old = std::mem::take(&mut self.blocks);
+        self.version += 1;
+        self.layout = layout;
+        self.is_moving = true;
+        for (block, old_block) in old {
+            let head_stamp = if block == 0 { old_block.stamp } else { 0 };
+            if block > 0 && old_block.stamp > 0 {
+                let key = old_layout.key(share, &self.spec.id, block);
+                self.old_blocks.push((key, old_block.stamp));
+            }
+            if block > 0 && old_block.next == 0 {
+                continue;
+            }
+            let (from, to) = old_layout.tasks_of(block);
+            let last = to.min(self.spec.tasks).saturating_sub(1);
+            for new in layout.block_of(from)..=layout.block_of(last) {
+                let entry = self.blocks.entry(new).or_default();
+                entry.version = self.version;
+                entry.next = entry.next.max(old_block.next);
+                if new == 0 {
+                    entry.stamp = entry.stamp.max(head_stamp);
+                }
+            }
+        }
+    }
+
+    /// The head names the layout now: what was written under it counts.
+    /// Returns the old blocks, which may be removed.
+    pub(crate) fn end_move(&mut self) -> Vec<(String, u64)> {
+        self.is_moving = false;
+        for block in self.blocks.values_mut() {
+            block.committed = block.committed.max(block.staged);
+        }
+        std::mem::take(&mut self.old_blocks)
+    }
+
+    /// Whether something has changed that is not known to be written.
+    pub(crate) fn is_dirty(&self) -> bool {
+        self.blocks.values().any(Block::is_dirty)
+    }
 }
 
 #[cfg(test)]
--- a/crates/core/src/job/tests.rs
+++ b/crates/core/src/job/tests.rs
@@ -1,18 +1,27 @@
 //! Tests of `job`.
 
 use super::*;
+use crate::config::StateLimits;
 use crate::fixture::spec;
 use forkshift_wire::JobId;
 
-const VALUE_BYTES: usize = 16_384;
 const SINCE: Ms = 50_000;
 const BOOT_MS: Ms = 10_000;
 
+fn layout() -> Layout {
+    Layout::unnamed(&StateLimits {
+        rps: 80.0,
+        write_rps: 30.0,
+        txn_ops: 12,
+        value_bytes: 16_384,
+    })
+}
+
 fn job(id: &str) -> Job {
     let spec = spec(&JobId::new(id), "team", JobKind::Array, 3);
     Job {
         waited: 5_000,
-        ..Job::new(spec, 0, 1, VALUE_BYTES, SINCE)
+        ..Job::new(spec, 0, 1, layout(), SINCE)
     }
 }
 
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -6,6 +6,7 @@
 
 mod assignment;
 mod deletion;
+mod finalization;
 mod inventory;
 mod lending;
 mod renting;
@@ -78,6 +79,12 @@
     /// which none ever came up was asked again and again, while a replica
     /// waited and there was room in others.
     avoided: BTreeMap<(String, String, bool), Ms>,
+    /// When the finalization of a format is tried next.
+    finalize_at: Ms,
+    /// When those that keep it from being finalized are logged next.
+    blockers_logged_at: Ms,
+    /// When controllers of an old release are logged next.
+    outdated_logged_at: Ms,
     /// Since when cancellations have waited, with the versions of their keys.
     aborts: BTreeMap<JobId, (u64, Ms)>,
 }
@@ -112,6 +119,9 @@
             nodes: BTreeMap::new(),
             refused: BTreeMap::new(),
             avoided: BTreeMap::new(),
+            finalize_at: 0,
+            blockers_logged_at: 0,
+            outdated_logged_at: 0,
             aborts: BTreeMap::new(),
         }
     }
@@ -154,6 +164,8 @@
         }
         if ctx.now >= self.assign_at {
             self.assign_at = ctx.now + crate::ms(ctx.cfg.ops.assign_s);
+            self.finalize_format(ctx, view);
+            self.log_outdated(ctx, view);
             self.assign(ctx, view);
             self.sweep_aborts(ctx, view);
         }
--- a/crates/core/src/leader/assignment.rs
+++ b/crates/core/src/leader/assignment.rs
@@ -23,6 +23,7 @@
         let all_blind = view.nodes.values().all(|n| n.rec.blind);
         let blind = |n: &NodeName| !all_blind && view.nodes.get(n).is_some_and(|n| n.rec.blind);
         let able = view.nodes.keys().filter(|n| !blind(n));
+        let able = able.filter(|n| Self::may_hold_shares(view, n));
         let mut load: BTreeMap<&NodeName, u32> = able.map(|n| (n, 0)).collect();
         let mut free = Vec::new();
         for k in (0..ctx.cfg.shares()).map(ShareId) {
@@ -40,7 +41,7 @@
         // left with what remains of their leases. Each share takes a value of
         // the epoch counter, which is written once.
         let home = |k: &ShareId| ctx.cfg.nodes.get(k.0 as usize);
-        let most = ctx.cfg.txn_ops - 1;
+        let most = ctx.limits.txn_ops - 1;
         let mut given = Vec::new();
         for k in free.into_iter().take(most) {
             let least = load
--- a/crates/core/src/leader/deletion.rs
+++ b/crates/core/src/leader/deletion.rs
@@ -75,7 +75,7 @@
             .iter()
             .filter_map(|id| view.machines.get(id).map(|m| (id, m.version)))
             .collect();
-        for group in gone.chunks(ctx.cfg.txn_ops) {
+        for group in gone.chunks(ctx.limits.txn_ops) {
             let leader = view.leader.as_ref().map_or(0, |l| l.version);
             let mut txn = Txn {
                 conds: vec![Cond {
--- /dev/null
+++ b/crates/core/src/leader/finalization.rs
@@ -0,0 +1,86 @@
+//! Finalization of a format: once every configured controller has registered
+//! with it, that is recorded, one way. A controller that is not there may come
+//! back as the old release, so its absence is no consent.
+
+use super::Leader;
+use crate::context::{Context, Pending};
+use crate::format::FormatVersion;
+use crate::records::{node_key, FINALIZED_FORMAT};
+use crate::store::Urgency;
+use crate::view::View;
+use crate::Ms;
+use forkshift_wire::state::{Cond, Txn, Write};
+use forkshift_wire::NodeName;
+use serde_json::to_value;
+
+/// Looks at the shares between two tries, and between two log lines.
+const TRY_LOOKS: u32 = 4;
+const LOG_LOOKS: u32 = 20;
+
+impl Leader {
+    /// Records the newest format that all controllers know, if it is not yet.
+    pub(super) fn finalize_format(&mut self, ctx: &mut Context, view: &View) {
+        let format = ctx.cfg.format;
+        if view.format() >= format || ctx.now < self.finalize_at {
+            return;
+        }
+        let looks = crate::ms(ctx.cfg.ops.assign_s);
+        let lacking: Vec<NodeName> = lacking(ctx, view, format);
+        if !lacking.is_empty() {
+            if ctx.now >= self.blockers_logged_at {
+                self.blockers_logged_at = ctx.now + looks * Ms::from(LOG_LOOKS);
+                let names: Vec<&str> = lacking.iter().map(NodeName::as_str).collect();
+                let names = names.join(", ");
+                log::info!("format {format} is not finalized: {names} not registered with it");
+            }
+            return;
+        }
+        self.finalize_at = ctx.now + looks * Ms::from(TRY_LOOKS);
+        let version = view.finalized_format.as_ref().map_or(0, |f| f.version);
+        let mut conds = self.conds(view, FINALIZED_FORMAT.to_owned(), version);
+        // Each is still the process that said so.
+        for (name, node) in &view.nodes {
+            let (key, version) = (node_key(name), node.version);
+            conds.push(Cond { key, version });
+        }
+        conds.truncate(ctx.limits.conditions());
+        let value = to_value(format).unwrap_or_default();
+        let writes = vec![Write::put(FINALIZED_FORMAT.to_owned(), value)];
+        ctx.txn(
+            Urgency::Member,
+            &Txn { conds, writes },
+            Pending::Housekeeping,
+        );
+    }
+
+    /// Whether a controller may hold shares. One of a release that does not
+    /// know the finalized format can't read what is written.
+    pub(super) fn may_hold_shares(view: &View, name: &NodeName) -> bool {
+        let node = view.nodes.get(name);
+        node.is_some_and(|n| n.rec.format >= view.format())
+    }
+
+    /// Logs controllers that came back as an old release after finalization.
+    pub(super) fn log_outdated(&mut self, ctx: &Context, view: &View) {
+        if ctx.now < self.outdated_logged_at {
+            return;
+        }
+        let outdated = view.nodes.keys();
+        let outdated = outdated.filter(|n| !Self::may_hold_shares(view, n));
+        for name in outdated {
+            let pause = crate::ms(ctx.cfg.ops.assign_s) * Ms::from(LOG_LOOKS);
+            self.outdated_logged_at = ctx.now + pause;
+            let format = view.format();
+            log::error!(
+                "{name} does not know format {format}, which is finalized: it gets no share"
+            );
+        }
+    }
+}
+
+/// Configured controllers that have not registered with a format.
+fn lacking(ctx: &Context, view: &View, format: FormatVersion) -> Vec<NodeName> {
+    let has = |name: &NodeName| view.nodes.get(name).is_some_and(|n| n.rec.format >= format);
+    let all = ctx.cfg.nodes.iter();
+    all.filter(|name| !has(name)).cloned().collect()
+}
--- a/crates/core/src/leader/renting.rs
+++ b/crates/core/src/leader/renting.rs
@@ -36,6 +36,9 @@
     /// Version of the intent's record.
     version: u64,
     machines: Vec<MachineId>,
+    /// How many machines have their records once the write that is under way
+    /// is carried out. The limits may change before its answer comes.
+    placing: u32,
 }
 
 /// Type and zone, by their numbers in offers, and whether it is a spot machine.
@@ -268,6 +271,7 @@
             rec,
             version: intent.version,
             machines,
+            placing: 0,
         };
         self.outcomes.insert(request.to_owned(), outcome);
         self.record_outcome(ctx, view, request);
@@ -276,6 +280,12 @@
     /// Writes the next part of an outcome: records of machines, and how far
     /// the intent has been carried out. The last part removes the intent.
     fn record_outcome(&mut self, ctx: &mut Context, view: &View, request: &str) {
+        let Some(outcome) = self.outcomes.get_mut(request) else {
+            return;
+        };
+        let from = outcome.rec.placed as usize;
+        let to = outcome.machines.len().min(from + ctx.limits.txn_ops - 1);
+        outcome.placing = to as u32;
         let Some(outcome) = self.outcomes.get(request) else {
             return;
         };
@@ -285,8 +295,6 @@
             conds: self.conds(view, key.clone(), outcome.version),
             writes: Vec::new(),
         };
-        let from = rec.placed as usize;
-        let to = outcome.machines.len().min(from + ctx.cfg.txn_ops - 1);
         let shares = rec.in_turn();
         for (id, share) in outcome.machines.iter().zip(shares).take(to).skip(from) {
             let key = machine_key(id);
@@ -336,7 +344,7 @@
         match status {
             200 => {
                 outcome.version = revision_of(body);
-                outcome.rec.placed += (ctx.cfg.txn_ops - 1) as u32;
+                outcome.rec.placed = outcome.placing;
                 if (outcome.rec.placed as usize) < outcome.machines.len() {
                     self.record_outcome(ctx, view, request);
                 } else {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! numbers come from a seed. The daemon runs it against the real services,
 //! the testkit against stand-ins in virtual time.
 
+mod admission;
 mod api;
 mod attestation;
 mod blame;
@@ -13,13 +14,17 @@
 mod commit;
 pub mod config;
 mod context;
+mod dependencies;
 mod drain;
 mod evidence;
 mod failure_detector;
 #[cfg(test)]
 mod fixture;
+mod format;
 mod forward;
 mod job;
+mod known_jobs;
+mod layout;
 mod leader;
 mod machine;
 mod member;
@@ -36,8 +41,9 @@
 mod timers;
 mod view;
 
-pub use config::{Config, Operator};
+pub use config::{Config, Operator, StateLimits};
 pub use context::{CallId, Effect, Input, Reply, RequestId, Target};
+pub use format::FormatVersion;
 pub use node::Node;
 
 /// Milliseconds of a steady clock.
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -6,9 +6,13 @@
 use crate::view::View;
 use crate::Ms;
 use forkshift_wire::state::{Cond, LeaseReply, LeaseRequest, Txn, Write};
+use forkshift_wire::users::Refusal;
 use serde::Serialize;
 use serde_json::to_value;
 
+/// What the state service says of a lease that has ended.
+const NO_SUCH_LEASE: &str = "no such lease";
+
 /// Where this controller stands with the state service.
 #[derive(Default)]
 pub(crate) struct Member {
@@ -88,6 +92,7 @@
             let rec = NodeRecord {
                 inc: ctx.inc,
                 blind,
+                format: ctx.cfg.format,
             };
             self.putting = true;
             put_leased(ctx, key, version, &rec, lease, Pending::NodePut { lease });
@@ -200,8 +205,14 @@
     }
 }
 
+/// Whether a 400 tells of a lease that has ended, rather than of a change that
+/// is malformed or too large.
+pub(crate) fn is_no_such_lease(body: &[u8]) -> bool {
+    serde_json::from_slice::<Refusal>(body).is_ok_and(|r| r.error == NO_SUCH_LEASE)
+}
+
 fn is_lease_gone(status: u16, body: &[u8]) -> bool {
-    status == 400 && String::from_utf8_lossy(body).contains("lease")
+    status == 400 && is_no_such_lease(body)
 }
 
 fn put_leased(
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -1,61 +1,26 @@
 //! The controller: one owner of all state, working through batches of inputs.
 
+use crate::admission::Admission;
 use crate::budget::Budget;
 use crate::config::Config;
 use crate::context::{
     is_watch_lost, revision_of, AbortPoll, Context, Effect, Input, Pending, RequestId,
 };
+use crate::dependencies::DependencyTracker;
 use crate::forward::Forward;
+use crate::known_jobs::{Finals, Known};
 use crate::leader::Leader;
-use crate::member::Member;
+use crate::member::{is_no_such_lease, Member};
 use crate::records::{ShareId, CLUSTER};
 use crate::share::{hand_over, Phase, Share};
 use crate::store::Urgency;
 use crate::view::View;
 use crate::Ms;
 use forkshift_wire::state::{Changes, Item, Page};
-use forkshift_wire::users::JobStage;
 use forkshift_wire::{JobId, MachineId};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 
-/// What is known of jobs, of as many as are worth remembering.
-pub(crate) struct Known<T> {
-    of: HashMap<JobId, T>,
-    order: VecDeque<JobId>,
-}
-
-/// Jobs that are over.
-pub(crate) type Finals = Known<JobStage>;
-
-const KNOWN_MOST: usize = 4_000;
-
-impl<T> Default for Known<T> {
-    fn default() -> Self {
-        Self {
-            of: HashMap::new(),
-            order: VecDeque::new(),
-        }
-    }
-}
-
-impl<T: Copy> Known<T> {
-    pub(crate) fn insert(&mut self, id: JobId, what: T) {
-        if self.of.insert(id.clone(), what).is_none() {
-            self.order.push_back(id);
-        }
-        while self.order.len() > KNOWN_MOST {
-            if let Some(old) = self.order.pop_front() {
-                self.of.remove(&old);
-            }
-        }
-    }
-
-    pub(crate) fn get(&self, id: &JobId) -> Option<T> {
-        self.of.get(id).copied()
-    }
-}
-
 /// A controller.
 pub struct Node {
     pub(crate) ctx: Context,
@@ -69,6 +34,9 @@
     pub(crate) finals: Finals,
     /// Shares of unfinished jobs of others.
     pub(crate) homes: Known<ShareId>,
+    pub(crate) dependencies: DependencyTracker,
+    /// Submissions whose dependencies are being looked up.
+    pub(crate) admissions: BTreeMap<RequestId, Admission>,
     pub(crate) forwards: BTreeMap<u64, Forward>,
     pub(crate) asks: u64,
     /// Until then no other controller is tried for what the service refuses.
@@ -113,6 +81,8 @@
             used: BTreeMap::new(),
             finals: Finals::default(),
             homes: Known::default(),
+            dependencies: DependencyTracker::default(),
+            admissions: BTreeMap::new(),
             forwards: BTreeMap::new(),
             asks: inc,
             all_out_until: 0,
@@ -162,6 +132,9 @@
                             let Context { store, rng, .. } = &mut self.ctx;
                             store.heard(status, now, rng);
                         }
+                        if status == 400 {
+                            self.note_refused(&pending, &body);
+                        }
                         self.on_answer(pending, status, &body);
                     }
                 }
@@ -192,6 +165,7 @@
     fn tick(&mut self) {
         self.member.tick(&mut self.ctx, &self.view);
         self.follow_view();
+        self.follow_format();
         self.run_failure_detector();
         let machines = self.view.take_changed();
         self.leader.tick(&mut self.ctx, &self.view, &machines);
@@ -201,6 +175,7 @@
         self.budget.tick(&mut self.ctx, &self.view);
         let rate = self.budget.rate(&self.ctx, &self.view);
         self.ctx.store.set_rates(&rate);
+        self.follow_dependencies();
         for share in self.shares.values_mut() {
             share.list_again(&mut self.ctx);
             share.watch(&mut self.ctx);
@@ -232,6 +207,30 @@
         self.log_status();
     }
 
+    /// Writes new formats from the moment at which the view shows that all
+    /// controllers know them. From then on everything fits the limits that are
+    /// announced, too: nobody is told when those come into force.
+    fn follow_format(&mut self) {
+        let known = self.view.format().min(self.ctx.cfg.format);
+        if known > self.ctx.format {
+            log::info!("format {known} is finalized");
+            self.ctx.format = known;
+        }
+        if !self.ctx.format.is_first() || self.ctx.is_size_refused {
+            self.ctx.limits = self.ctx.cfg.least_state_limits;
+        }
+    }
+
+    /// The state service calls a change malformed: it may have grown stricter.
+    fn note_refused(&mut self, pending: &Pending, body: &[u8]) {
+        if !is_state(pending) || is_no_such_lease(body) {
+            return;
+        }
+        let why = String::from_utf8_lossy(body);
+        log::error!("the state service refuses a change: {why}, {pending:?}");
+        self.ctx.is_size_refused = true;
+    }
+
     fn log_status(&mut self) {
         if self.ctx.now < self.status_at {
             return;
@@ -437,6 +436,12 @@
                 why,
                 until,
             } => self.on_lookup(request, id, why, until, status, body),
+            Pending::AdmissionRead { request, id } => {
+                self.on_admission_read(request, &id, status, body);
+            }
+            Pending::DependencyRead { id, sent } => {
+                self.on_dependency_read(&id, sent, status, body);
+            }
             Pending::Abort(poll) => self.on_abort_put(poll, status, body),
             Pending::AbortPoll(poll) => self.on_abort_poll(poll, status, body),
             Pending::JobTxn { share, epoch, jobs } => {
--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -64,6 +64,8 @@
                     self.on_heartbeat(&from, inc, beat);
                 }
             }
+            // What is recorded stays so, whoever tells of it.
+            Body::JobOver { id, cancelled } => self.on_job_over_message(&id, cancelled),
             _ if !alive => {}
             Body::Need {
                 writes,
@@ -94,6 +96,7 @@
                 }
             }
             Body::Cancel { id } => self.on_cancel_message(epoch, &id),
+            Body::Needed { id, priority, due } => self.on_needed_message(&id, priority, due),
         }
     }
 
@@ -132,7 +135,8 @@
         self.tell_holder(share, Body::Cancel { id });
     }
 
-    fn tell_holder(&mut self, share: ShareId, body: Body) {
+    /// Tells a share's holder something, if that is another controller.
+    pub(crate) fn tell_holder(&mut self, share: ShareId, body: Body) {
         let epoch = self.view.shares.get(&share).map_or(0, |s| s.rec.epoch);
         let holder = self.view.holder(share).cloned();
         if let Some(holder) = holder.filter(|h| *h != self.ctx.cfg.node) {
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -34,7 +34,7 @@
         }
         let boot_ms = self.boot_ms();
         for (id, want) in ids.iter().zip(wants) {
-            let may = self.jobs.get(id).is_some_and(|j| match j.spec.priority {
+            let may = self.jobs.get(id).is_some_and(|j| match j.priority() {
                 Priority::Production => true,
                 Priority::High => j.age(ctx.now) as f64 >= boot_ms as f64 * URGENT_BOOTS,
                 _ => false,
@@ -77,7 +77,7 @@
             .filter_map(|task| {
                 let job = self.jobs.get(&task.job)?;
                 let binding = job.bound.get(&task.index)?;
-                let stoppable = job.spec.priority <= Priority::Normal
+                let stoppable = job.priority() <= Priority::Normal
                     && !job.is_gang()
                     && binding.sent != Sent::No
                     && binding.stop.is_none();
--- a/crates/core/src/reclaim.rs
+++ b/crates/core/src/reclaim.rs
@@ -175,7 +175,7 @@
     pub(crate) fn is_guest_work(&self, ctx: &Context, job: &Job) -> bool {
         let team = self.teams.get(&job.spec.team);
         let of_guest = team.is_some_and(|team| self.quotas[*team].is_guest());
-        ctx.cfg.has_guests && of_guest && job.spec.priority == Priority::Low
+        ctx.cfg.has_guests && of_guest && job.priority() == Priority::Low
     }
 
     /// Whether a job of a guest team is content with what others leave unused,
--- a/crates/core/src/reclaim/tests.rs
+++ b/crates/core/src/reclaim/tests.rs
@@ -25,7 +25,7 @@
     let share_id = f.share;
     let Node { shares, ctx, .. } = &mut f.node;
     let share = shares.get_mut(&share_id).expect("the share is held");
-    share.add_job(ctx, spec, WALL, 6);
+    share.add_job(ctx, spec, None, WALL, 6);
     id
 }
 
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -4,6 +4,7 @@
 //! watch shows all of it, in order. Jobs live below `job/` for ever, and
 //! below `live/<share>/` while they are unfinished.
 
+use crate::format::FormatVersion;
 use forkshift_sched::Resources;
 use forkshift_wire::cloud::MachineType;
 use forkshift_wire::users::{JobSpec, JobStage};
@@ -15,6 +16,8 @@
 pub const CLUSTER: &str = "c/";
 /// The counter that epochs come from.
 pub const EPOCH: &str = "c/epoch";
+/// The format that all controllers know, once that is certain.
+pub const FINALIZED_FORMAT: &str = "c/format";
 /// The leader's key.
 pub const LEADER: &str = "c/leader";
 
@@ -96,6 +99,9 @@
     /// It hears no worker, and should be given no share.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub blind: bool,
+    /// The newest format that it reads and writes.
+    #[serde(default, skip_serializing_if = "FormatVersion::is_first")]
+    pub format: FormatVersion,
 }
 
 /// The leader, on its lease.
@@ -218,6 +224,30 @@
 }
 
 impl DemandRecord {
+    /// Cuts it down to so many bytes. What is least missed goes first: machines
+    /// that could be given away, the least useful list first, then what waits
+    /// now, then tasks without a place; of each the last, as the most urgent
+    /// come first. Messages to the leader hold all of it.
+    pub(crate) fn cut_to(mut self, bytes: usize) -> Self {
+        let size = |rec: &Self| serde_json::to_vec(rec).map_or(0, |json| json.len());
+        while size(&self) > bytes && self.drop_last() {}
+        self
+    }
+
+    /// Drops half of the least important list that is not empty.
+    fn drop_last(&mut self) -> bool {
+        fn halve<T>(list: &mut Vec<T>) -> bool {
+            let had = !list.is_empty();
+            list.truncate(list.len() / 2);
+            had
+        }
+        halve(&mut self.borrowed)
+            || halve(&mut self.surplus)
+            || halve(&mut self.free)
+            || halve(&mut self.now)
+            || halve(&mut self.shapes)
+    }
+
     /// Whether it says the same, whenever it was said.
     pub fn is_like(&self, other: &Self) -> bool {
         self.shapes == other.shapes
@@ -290,6 +320,10 @@
     /// Time of day at which it was submitted, in milliseconds.
     #[serde(default)]
     pub at: u64,
+    /// Tasks a block, where that is not the size that the first release
+    /// computes from the settings.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub layout: Option<u32>,
     /// Its first tasks.
     #[serde(default)]
     pub block: TaskBlockRecord,
--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -146,7 +146,7 @@
         let mut ids = Vec::new();
         let mut wants = Vec::new();
         for (id, job) in &self.jobs {
-            if ctx.now < job.not_before {
+            if ctx.now < job.not_before || job.is_blocked() {
                 continue;
             }
             // Most jobs wait for nothing.
@@ -185,9 +185,8 @@
                 false => band(job, guaranteed, aged),
             };
             let is_late = job.age(ctx.now) > crate::ms(ctx.cfg.ops.round_s * RECLAIM_ROUNDS);
-            want.reclaims = ctx.cfg.has_guests
-                && !probed
-                && (guaranteed || job.spec.priority >= Priority::High);
+            want.reclaims =
+                ctx.cfg.has_guests && !probed && (guaranteed || job.priority() >= Priority::High);
             want.reclaims_machines = want.reclaims && is_late;
             want.is_guest_work = self.is_guest_work(ctx, job);
             want.borrows = self.is_patient(ctx, job);
@@ -543,15 +542,19 @@
 
     fn show_demand(&mut self, ctx: &mut Context, view: &View, rec: DemandRecord) {
         self.tell_demand(ctx, view, &rec);
+        // The record is for a leader that our messages do not reach.
+        let shares = f64::from(ctx.cfg.shares());
+        let pause = crate::ms(shares / (ctx.limits.write_rps * DEMAND_PART)).max(1_500);
+        let unseen = self.demand_putting || view.revision < self.demand_from;
+        if unseen || ctx.now < self.demand_at + pause {
+            return;
+        }
+        let rec = rec.cut_to(ctx.limits.value_bytes);
         let none = DemandRecord::default();
         let shown = view.demands.get(&self.id).map_or(&none, |d| &d.rec);
         let stale = !rec.shapes.is_empty() && shown.rev < view.revision;
         let changed = !rec.is_like(shown);
-        // The record is for a leader that our messages do not reach.
-        let shares = f64::from(ctx.cfg.shares());
-        let pause = crate::ms(shares / (ctx.cfg.write_rps * DEMAND_PART)).max(1_500);
-        let unseen = self.demand_putting || view.revision < self.demand_from;
-        if unseen || ctx.now < self.demand_at + pause || !(changed || stale) {
+        if !(changed || stale) {
             return;
         }
         self.demand_putting = true;
@@ -653,7 +656,7 @@
 
 /// Priority, the guarantee, and for how long a job has waited.
 fn band(job: &Job, guaranteed: bool, aged: bool) -> i32 {
-    let priority = match job.spec.priority {
+    let priority = match job.priority() {
         Priority::Low => 0,
         Priority::Normal => 1,
         Priority::High => 2,
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -12,6 +12,7 @@
 
 pub(crate) use arrivals::ClassStats;
 pub(crate) use handover::hand_over;
+pub(crate) use jobs::new_layout;
 
 use crate::context::{Context, Pending, Reply};
 use crate::job::Job;
@@ -116,6 +117,8 @@
     pub(crate) superseded: bool,
     /// A job was added for which a cancellation may have been left.
     pub(crate) look_for_aborts: bool,
+    /// Jobs that wait for others, and were just added.
+    pub(crate) new_blocked_jobs: Vec<JobId>,
 }
 
 impl Share {
@@ -169,6 +172,7 @@
             reload: false,
             superseded: false,
             look_for_aborts: false,
+            new_blocked_jobs: Vec::new(),
         };
         share.list(ctx, "");
         share
--- a/crates/core/src/share/explain.rs
+++ b/crates/core/src/share/explain.rs
@@ -13,9 +13,10 @@
             if waiting > 0 || job.is_over() {
                 let quota = self.teams.get(&job.spec.team).map(|t| self.quotas[*t].used);
                 log::debug!(
-                    "{} of {}: {waiting} wait, {} done, cancelled {}, over {}, not before {}, {:?}",
+                    "{} of {}: {waiting} wait, {} dependencies, {} done, cancelled {}, over {}, not before {}, {:?}",
                     job.spec.id,
                     job.spec.team,
+                    job.unresolved.len(),
                     job.done.len(),
                     job.cancelled,
                     job.is_over(),
--- a/crates/core/src/share/jobs.rs
+++ b/crates/core/src/share/jobs.rs
@@ -6,13 +6,22 @@
 use super::{Phase, Share};
 use crate::context::Context;
 use crate::job::{Binding, Job, Sent, Stop};
+use crate::layout::Layout;
 use crate::Ms;
 use forkshift_wire::users::JobSpec;
 use forkshift_wire::{JobId, TaskRef};
 
 impl Share {
     /// Takes a new job on, unless it is known or over.
-    pub(crate) fn add_job(&mut self, ctx: &mut Context, spec: JobSpec, at: Ms, stamp: u64) {
+    /// A job that nothing is recorded of but its submission has no layout yet.
+    pub(crate) fn add_job(
+        &mut self,
+        ctx: &mut Context,
+        spec: JobSpec,
+        layout: Option<Layout>,
+        at: Ms,
+        stamp: u64,
+    ) {
         let over = self.gone.get(&spec.id).is_some_and(|rev| stamp <= *rev);
         if over || self.jobs.contains_key(&spec.id) || !self.teams.contains_key(&spec.team) {
             return;
@@ -21,12 +30,16 @@
         if self.counting_since.is_some() {
             self.count_arrival(&spec, ctx.now);
         }
-        let mut job = Job::new(spec, image, stamp, ctx.cfg.value_bytes, ctx.now);
+        let layout = layout.unwrap_or_else(|| new_layout(ctx, &spec));
+        let mut job = Job::new(spec, image, stamp, layout, ctx.now);
         job.at = at;
         job.waited = ctx.wall.saturating_sub(at);
         if ctx.cfg.waits.contains_key(&job.spec.class) {
             self.hurry(ctx);
         }
+        if job.is_blocked() {
+            self.new_blocked_jobs.push(job.spec.id.clone());
+        }
         self.jobs.insert(job.spec.id.clone(), job);
         self.look_for_aborts = true;
     }
@@ -42,7 +55,7 @@
         revision: u64,
     ) {
         if self.phase == Phase::Active && revision > self.live_rev {
-            self.add_job(ctx, spec, at, revision);
+            self.add_job(ctx, spec, None, at, revision);
         }
     }
 
@@ -122,3 +135,12 @@
         }
     }
 }
+
+/// The layout of a job that is new. The old release knows one only.
+pub(crate) fn new_layout(ctx: &Context, spec: &JobSpec) -> Layout {
+    let unnamed = Layout::unnamed(&ctx.cfg.state_limits);
+    if ctx.format.is_first() {
+        return unnamed;
+    }
+    unnamed.within(&ctx.limits, spec)
+}
--- a/crates/core/src/share/loading.rs
+++ b/crates/core/src/share/loading.rs
@@ -6,6 +6,7 @@
 
 use super::{remove_key, Phase, Share};
 use crate::context::{is_watch_lost, Context, Pending};
+use crate::layout::Layout;
 use crate::records::{live_prefix, JobHeadRecord, TaskBlockRecord};
 use crate::store::Urgency;
 use crate::view::{Changed, View};
@@ -84,17 +85,14 @@
             let name = item.key.strip_prefix(&prefix).unwrap_or_default();
             match name.split_once('/') {
                 None => self.load_head(ctx, item.value, item.version),
-                Some((id, block)) => {
-                    let id = JobId::new(id);
-                    blocks.push((id, block.parse().unwrap_or(0), item));
-                }
+                Some((id, block)) => blocks.push((JobId::new(id), block.to_owned(), item)),
             }
         }
         for (id, block, item) in blocks {
-            match from_value::<TaskBlockRecord>(item.value) {
-                Ok(rec) if self.jobs.contains_key(&id) => {
-                    self.restore(ctx, &id, block, rec, item.version);
-                }
+            let job = self.jobs.get(&id);
+            let block = job.and_then(|j| j.layout().parse_block(&block));
+            match (block, from_value::<TaskBlockRecord>(item.value)) {
+                (Some(block), Ok(rec)) => self.restore(ctx, &id, block, rec, item.version),
                 _ => remove_key(ctx, item.key, item.version),
             }
         }
@@ -122,7 +120,8 @@
             }
         };
         let id = head.spec.id.clone();
-        self.add_job(ctx, head.spec, head.at, stamp);
+        let layout = Layout::recorded(head.layout, &ctx.cfg.state_limits);
+        self.add_job(ctx, head.spec, Some(layout), head.at, stamp);
         self.restore(ctx, &id, 0, head.block, stamp);
         if head.cancelled {
             if let Some(job) = self.jobs.get_mut(&id) {
@@ -199,7 +198,7 @@
             let head = from_value::<JobHeadRecord>(value).ok();
             let head = head.filter(|h| !h.cancelled && h.block == TaskBlockRecord::default());
             if let Some(head) = head {
-                self.add_job(ctx, head.spec, head.at, version);
+                self.add_job(ctx, head.spec, None, head.at, version);
             }
         }
         self.live_rev = self.live_rev.max(changes.revision);
--- a/crates/core/src/share/machines.rs
+++ b/crates/core/src/share/machines.rs
@@ -181,9 +181,16 @@
     fn image_names(&self, ctx: &Context, id: &MachineId) -> Vec<(String, f64)> {
         let images = self.machines.get(id).map(|m| m.images.as_slice());
         let images = images.unwrap_or_default().iter();
-        images
+        let mut names: Vec<(String, f64)> = images
             .filter_map(|(i, gb)| Some((ctx.name_of(*i)?, *gb)))
-            .collect()
+            .collect();
+        // They save fetches, and nothing rests on them.
+        let most = ctx.limits.value_bytes / 2;
+        let size = |names: &Vec<(String, f64)>| serde_json::to_vec(names).map_or(0, |j| j.len());
+        while size(&names) > most {
+            names.truncate(names.len() / 2);
+        }
+        names
     }
 
     /// Writes a machine's record, on condition that it and the share are as we know them.
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -1,8 +1,9 @@
 //! The controller's copy of what all controllers share.
 
+use crate::format::FormatVersion;
 use crate::records::{
     DemandRecord, LeaderRecord, MachineRecord, NodeRecord, RentalIntent, ShareId, ShareRecord,
-    EPOCH, LEADER,
+    EPOCH, FINALIZED_FORMAT, LEADER,
 };
 use forkshift_wire::cloud::MachineType;
 use forkshift_wire::state::{Change, Item};
@@ -26,6 +27,7 @@
     pub(crate) nodes: BTreeMap<NodeName, Stamped<NodeRecord>>,
     pub(crate) leader: Option<Stamped<LeaderRecord>>,
     pub(crate) epoch: Option<Stamped<u64>>,
+    pub(crate) finalized_format: Option<Stamped<FormatVersion>>,
     pub(crate) shares: BTreeMap<ShareId, Stamped<ShareRecord>>,
     pub(crate) machines: BTreeMap<MachineId, Stamped<MachineRecord>>,
     pub(crate) rental_intents: BTreeMap<String, Stamped<RentalIntent>>,
@@ -104,6 +106,10 @@
             self.epoch = decode(key, value, v);
             return;
         }
+        if key == FINALIZED_FORMAT {
+            self.finalized_format = decode(key, value, v);
+            return;
+        }
         if key == LEADER {
             self.leader = decode(key, value, v);
             return;
@@ -193,6 +199,12 @@
         std::mem::take(&mut self.changed)
     }
 
+    /// The format that all controllers know.
+    pub(crate) fn format(&self) -> FormatVersion {
+        let finalized = self.finalized_format.as_ref();
+        finalized.map_or(FormatVersion::FIRST, |f| f.rec)
+    }
+
     /// Version of the epoch counter, and its value.
     pub(crate) fn epoch(&self) -> (u64, u64) {
         self.epoch.as_ref().map_or((0, 0), |e| (e.version, e.rec))
--- a/crates/testkit/src/worker/tests.rs
+++ b/crates/testkit/src/worker/tests.rs
@@ -26,6 +26,7 @@
         checkpoint_s: 0.0,
         save_s: 0.0,
         deadline_s: None,
+        dependencies: Vec::new(),
     }
 }
 
--- a/crates/testkit/src/world/users.rs
+++ b/crates/testkit/src/world/users.rs
@@ -66,6 +66,7 @@
             checkpoint_s: 0.0,
             save_s: 0.0,
             deadline_s: None,
+            dependencies: Vec::new(),
         };
         Self {
             at,
@@ -142,6 +143,7 @@
             checkpoint_s: if saves { 3.0 } else { 0.0 },
             save_s: if saves { 1.0 } else { 0.0 },
             deadline_s: None,
+            dependencies: Vec::new(),
         };
         let spec = JobSpec {
             zone: if spec.spread { None } else { spec.zone.clone() },
--- a/crates/testkit/tests/broken_jobs.rs
+++ b/crates/testkit/tests/broken_jobs.rs
@@ -55,6 +55,7 @@
             checkpoint_s: 0.0,
             save_s: 0.0,
             deadline_s: None,
+            dependencies: Vec::new(),
         },
     }
 }
--- a/crates/testkit/tests/controller_cuts.rs
+++ b/crates/testkit/tests/controller_cuts.rs
@@ -53,6 +53,7 @@
             checkpoint_s: 0.0,
             save_s: 0.0,
             deadline_s: None,
+            dependencies: Vec::new(),
         },
     }
 }
--- a/crates/testkit/tests/slow_boots.rs
+++ b/crates/testkit/tests/slow_boots.rs
@@ -48,6 +48,7 @@
             checkpoint_s: 0.0,
             save_s: 0.0,
             deadline_s: None,
+            dependencies: Vec::new(),
         },
     }
 }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -5,8 +5,11 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 
-/// Version of the format; others are refused.
-pub const VERSION: u16 = 5;
+/// Version of the format that the first release speaks, and no other.
+pub const FIRST_VERSION: u16 = 5;
+/// Newest version of the format. A message is sent under the oldest version
+/// that has its body.
+pub const VERSION: u16 = 6;
 /// Largest message, in bytes.
 pub const MESSAGE_MOST: usize = 96 * 1024;
 
@@ -94,6 +97,34 @@
         /// When to come back.
         retry_after_s: Option<u32>,
     },
+    /// A job's final stage was recorded. Since version 6.
+    JobOver {
+        /// The job.
+        id: String,
+        /// It was cancelled; else it is done.
+        cancelled: bool,
+    },
+    /// A job that the receiver holds is needed by one that the sender holds.
+    /// Since version 6.
+    Needed {
+        /// The job.
+        id: String,
+        /// The highest priority among those that need it, the lowest being 0.
+        priority: u8,
+        /// Time of day by which it should be done for their deadlines, in
+        /// milliseconds.
+        due: Option<u64>,
+    },
+}
+
+impl Body {
+    /// The oldest version of the format that has this body.
+    pub fn version(&self) -> u16 {
+        match self {
+            Self::JobOver { .. } | Self::Needed { .. } => VERSION,
+            _ => FIRST_VERSION,
+        }
+    }
 }
 
 /// That a controller is there, and what the receiver may rely on. A statement
@@ -163,7 +194,7 @@
         }
         // The version comes first, so that others are told from garbage.
         let version = u16::deserialize(&mut &bytes[..])?;
-        if version != VERSION {
+        if !(FIRST_VERSION..=VERSION).contains(&version) {
             return Err(BadMessage::Version(version));
         }
         Ok(borsh::from_slice(bytes)?)
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -142,6 +142,26 @@
     pub value_kb: f64,
     /// Most changes in a transaction.
     pub txn_ops: usize,
+    /// Limits that come into force some time after an upgrade, without notice.
+    #[serde(default)]
+    pub next: Option<NextStateLimits>,
+}
+
+/// Announced limits of the state service; a limit that is left out stays.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct NextStateLimits {
+    /// Requests a second, of all controllers together.
+    #[serde(default)]
+    pub rps: Option<f64>,
+    /// Changes a second, of all controllers together.
+    #[serde(default)]
+    pub write_rps: Option<f64>,
+    /// Largest value.
+    #[serde(default)]
+    pub value_kb: Option<f64>,
+    /// Most changes in a transaction.
+    #[serde(default)]
+    pub txn_ops: Option<usize>,
 }
 
 /// Limits of the cloud.
@@ -168,6 +188,9 @@
     pub sockets: usize,
 }
 
+/// A share changes hands, and a job ends, in this many changes at once.
+const TXN_OPS_LEAST: usize = 4;
+
 /// Why settings are refused.
 #[derive(Debug, thiserror::Error)]
 pub enum BadSettings {
@@ -207,11 +230,18 @@
             ("cluster.limits.cpu", c.limits.cpu_share),
             ("cluster.limits.mem_mb", c.limits.memory_mb),
         ];
+        let next = c.state.next.clone().unwrap_or_default();
+        let announced = [
+            ("cluster.state.next.rps", next.rps),
+            ("cluster.state.next.write_rps", next.write_rps),
+            ("cluster.state.next.value_kb", next.value_kb),
+        ];
+        let announced = announced.iter().filter_map(|(f, v)| Some((*f, (*v)?)));
         let wrong = |field: &str, problem| BadSettings::Field {
             field: field.to_owned(),
             problem,
         };
-        for (field, value) in positive {
+        for (field, value) in positive.into_iter().chain(announced) {
             if !(value.is_finite() && value > 0.0) {
                 return Err(wrong(field, "must be above 0"));
             }
@@ -219,8 +249,14 @@
         if c.nodes == 0 {
             return Err(wrong("cluster.initial_size", "must be above 0"));
         }
-        if c.state.txn_ops < 4 {
-            return Err(wrong("cluster.state.txn_ops", "must be at least 4"));
+        let operations = [
+            ("cluster.state.txn_ops", Some(c.state.txn_ops)),
+            ("cluster.state.next.txn_ops", next.txn_ops),
+        ];
+        for (field, value) in operations {
+            if value.is_some_and(|n| n < TXN_OPS_LEAST) {
+                return Err(wrong(field, "must be at least 4"));
+            }
         }
         if c.limits.sockets < 32 {
             return Err(wrong("cluster.limits.sockets", "must be at least 32"));
--- a/crates/wire/src/users.rs
+++ b/crates/wire/src/users.rs
@@ -1,7 +1,8 @@
 //! Users and controllers: submissions and questions about them.
 
 use crate::ids::JobId;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
+use std::collections::BTreeSet;
 
 /// A job as its user submits it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -64,6 +65,19 @@
     /// When the job should be complete, from its submission on.
     #[serde(rename = "due_s", default)]
     pub deadline_s: Option<f64>,
+    /// Jobs that must be done before any task of this one starts.
+    #[serde(
+        rename = "awaits",
+        default,
+        deserialize_with = "null_as_empty",
+        skip_serializing_if = "Vec::is_empty"
+    )]
+    pub dependencies: Vec<JobId>,
+}
+
+fn null_as_empty<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<JobId>, D::Error> {
+    let list: Option<Vec<JobId>> = Option::deserialize(deserializer)?;
+    Ok(list.unwrap_or_default())
 }
 
 /// The kinds of jobs.
@@ -112,18 +126,23 @@
 }
 
 impl JobSpec {
-    /// Reads a submission and checks every field.
+    /// Reads a submission and checks every field. A dependency that is named
+    /// several times counts once.
     pub fn parse(body: &[u8]) -> Result<Self, BadSubmission> {
-        let spec: Self = serde_json::from_slice(body)?;
+        let mut spec: Self = serde_json::from_slice(body)?;
         spec.check()?;
+        let mut seen = BTreeSet::new();
+        spec.dependencies.retain(|id| seen.insert(id.clone()));
         Ok(spec)
     }
 
     fn check(&self) -> Result<(), BadSubmission> {
         let amount = |x: f64| x.is_finite() && (0.0..1e9).contains(&x);
         let text = |s: &str| !s.is_empty() && s.len() <= 200;
-        let rules: [(&'static str, bool); 14] = [
-            ("uid", JobId::parse(self.id.as_str()).is_some()),
+        let is_id = |id: &JobId| JobId::parse(id.as_str()).is_some();
+        let rules: [(&'static str, bool); 15] = [
+            ("uid", is_id(&self.id)),
+            ("awaits", self.dependencies.iter().all(is_id)),
             ("roster", text(&self.class)),
             ("crew", text(&self.team)),
             ("shifts", (1..=TASKS_MOST).contains(&self.tasks)),
