--- a/crates/testkit/src/check.rs
+++ b/crates/testkit/src/check.rs
@@ -1,5 +1,7 @@
 //! The rules of the protocol, checked against what truly happens.
 
+mod dependencies;
+
 use crate::Ms;
 use forkshift_wire::users::{JobKind, JobSpec, JobStage};
 use forkshift_wire::{JobId, MachineId, TaskRef};
@@ -34,6 +36,11 @@
     LeftWaiting,
     /// One of the largest jobs of its class begins too late.
     LateBegin,
+    /// A task starts before all jobs that its job needs are done.
+    TooEarly,
+    /// A job is called queued or running long after one that it needs was
+    /// cancelled.
+    Orphaned,
 }
 
 /// With all troubles over, a question has to be answered within this.
@@ -96,6 +103,8 @@
     /// Jobs whose last task has completed since this was last looked at.
     pub(crate) whole: Vec<JobId>,
     cancelled_at: BTreeMap<JobId, Ms>,
+    /// When the last job that a job needs completed.
+    ready: BTreeMap<JobId, Ms>,
     done: BTreeMap<JobId, BTreeSet<u32>>,
     /// Tasks that are on a machine.
     on: BTreeMap<TaskRef, Vec<Place>>,
@@ -144,6 +153,7 @@
             let what = format!("{task} on {} and {:?}", place.machine, self.on[task]);
             self.fail(Rule::RanTwice, now, what);
         }
+        self.check_order(now, &task.job, &task.to_string());
         let types = spec.types.as_ref();
         let others: Vec<&Place> = self
             .on
@@ -211,11 +221,12 @@
     }
 
     /// A task has completed.
-    pub fn completed(&mut self, task: &TaskRef) {
+    pub fn completed(&mut self, now: Ms, task: &TaskRef) {
         let done = self.done.entry(task.job.clone()).or_default();
         let tasks = self.jobs.get(&task.job).map_or(0, |s| s.tasks);
         if done.insert(task.index) && done.len() as u32 == tasks {
             self.whole.push(task.job.clone());
+            self.note_ready(now, &task.job);
         }
     }
 
@@ -351,7 +362,10 @@
                 );
             }
         }
-        if stage == JobStage::Cancelled && !self.cancel_asked.contains(id) {
+        if !stage.is_final() {
+            self.check_orphan(now, id);
+        }
+        if stage == JobStage::Cancelled && !self.is_cancel_wanted(id) {
             self.fail(Rule::WentBack, now, format!("{id}: nobody cancelled it"));
         }
         if stage == JobStage::Done {
@@ -440,9 +454,12 @@
                 let Some(asked) = self.first_asked.get(&spec.id) else {
                     continue;
                 };
+                let Some(asked) = self.ready_since(&spec.id, *asked) else {
+                    continue;
+                };
                 let begun = self.begun.get(&spec.id);
                 let until = begun.copied().unwrap_or(now);
-                let called_off = begun.is_none() && self.cancel_asked.contains(&spec.id);
+                let called_off = begun.is_none() && self.is_cancel_wanted(&spec.id);
                 if until > asked + BEGIN_MS && !called_off {
                     late.push(format!("{} of {class}: {begun:?} after {asked}", spec.id));
                 }
--- a/crates/testkit/src/check/tests.rs
+++ b/crates/testkit/src/check/tests.rs
@@ -30,12 +30,22 @@
     }
 }
 
+/// A job that needs another.
+fn dependent(checker: &mut Checker, id: &str, needs: &JobId) -> JobId {
+    let spec = JobSpec {
+        dependencies: vec![needs.clone()],
+        ..spec(id, 4)
+    };
+    checker.submitted(&spec);
+    spec.id
+}
+
 /// Each rule is shown to be caught, by a trace that breaks it and by the
 /// same trace put right.
 #[test]
 fn every_rule_is_caught() {
     type Trace = fn(&mut Checker, &JobId, bool);
-    let cases: [(Rule, Trace); 24] = [
+    let cases: [(Rule, Trace); 29] = [
         (Rule::RanTwice, |c, _, bad| {
             c.started(1, &task(0), place("m1", "a"));
             if !bad {
@@ -105,7 +115,7 @@
         }),
         (Rule::NotDone, |c, id, bad| {
             for i in 0..if bad { 3 } else { 4 } {
-                c.completed(&task(i));
+                c.completed(1, &task(i));
             }
             c.answered(1, id, false, 200, Some(JobStage::Done));
         }),
@@ -138,7 +148,7 @@
             c.answered_to(ticket, 1, id, false, 200, Some(JobStage::Running));
         }),
         (Rule::WentBack, |c, id, bad| {
-            (0..4).for_each(|i| c.completed(&task(i)));
+            (0..4).for_each(|i| c.completed(1, &task(i)));
             let early = c.ask(1, id);
             c.answered(1, id, false, 200, Some(JobStage::Done));
             let late = c.ask(1, id);
@@ -148,7 +158,7 @@
         // Two final stages never go together.
         (Rule::WentBack, |c, id, bad| {
             c.asked_cancel(id);
-            (0..4).for_each(|i| c.completed(&task(i)));
+            (0..4).for_each(|i| c.completed(1, &task(i)));
             let early = c.ask(1, id);
             c.answered(1, id, false, 200, Some(JobStage::Done));
             let stage = match bad {
@@ -219,6 +229,63 @@
             }
             c.close(240_002);
         }),
+        (Rule::TooEarly, |c, id, bad| {
+            let next = dependent(c, "j-2", id);
+            let completed = if bad { 3 } else { 4 };
+            (0..completed).for_each(|i| c.completed(1, &task(i)));
+            c.started(
+                2,
+                &TaskRef {
+                    job: next,
+                    index: 0,
+                },
+                place("m1", "a"),
+            );
+        }),
+        // Through another, and not before the time for it is over.
+        (Rule::Orphaned, |c, id, bad| {
+            let next = dependent(c, "j-2", id);
+            let last = dependent(c, "j-3", &next);
+            c.asked_cancel(id);
+            c.answered(5, id, false, 200, Some(JobStage::Cancelled));
+            let at = 5 + 100 + u64::from(bad);
+            c.answered(at, &last, false, 200, Some(JobStage::Queued));
+            c.answered(at, &last, false, 200, Some(JobStage::Cancelled));
+        }),
+        // A cancellation that is answered with `done` cancels nothing.
+        (Rule::WentBack, |c, id, bad| {
+            let next = dependent(c, "j-2", id);
+            (0..4).for_each(|i| c.completed(1, &task(i)));
+            c.asked_cancel(id);
+            if bad {
+                c.answered(5, id, false, 200, Some(JobStage::Done));
+            }
+            c.answered(6, &next, false, 200, Some(JobStage::Cancelled));
+        }),
+        // Its time begins when the last job that it needs is done.
+        (Rule::LateBegin, |c, id, bad| {
+            c.jobs.get_mut(id).unwrap().class = "other".to_owned();
+            c.ask(1, id);
+            c.started(2, &task(0), place("m1", "a"));
+            let next = dependent(c, "j-2", id);
+            c.ask(1, &next);
+            (0..4).for_each(|i| c.completed(100_000, &task(i)));
+            let at = 340_000 + u64::from(bad);
+            c.started(
+                at,
+                &TaskRef {
+                    job: next,
+                    index: 0,
+                },
+                place("m1", "a"),
+            );
+            c.close(500_000);
+        }),
+        (Rule::WrongAnswer, |c, id, bad| {
+            c.answered(1, id, true, 201, Some(JobStage::Queued));
+            let next = dependent(c, "j-2", id);
+            c.check_admission(2, &next, if bad { 422 } else { 503 });
+        }),
     ];
     for (i, (rule, trace)) in cases.into_iter().enumerate() {
         for bad in [true, false] {
--- a/crates/testkit/src/faults.rs
+++ b/crates/testkit/src/faults.rs
@@ -4,6 +4,7 @@
 use crate::Ms;
 use forkshift_wire::{JobId, MachineId};
 use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
 use rand::Rng;
 
 /// All zones. Controllers are in them in turn.
@@ -70,6 +71,15 @@
         /// Until they are back.
         back: Ms,
     },
+    /// A controller ends, and comes back as the new release.
+    Upgrade {
+        /// Which.
+        node: usize,
+        /// Until it is back.
+        back: Ms,
+    },
+    /// The limits of the state service that were announced come into force.
+    LowerLimits,
     /// A controller reaches some others no more.
     Cut {
         /// Which.
@@ -245,7 +255,8 @@
     /// How long it lasts, and what it has delayed.
     pub(crate) fn lasts(&self, lease_ms: Ms) -> Ms {
         match self {
-            Self::Crash { back, .. } => *back,
+            Self::Crash { back, .. } | Self::Upgrade { back, .. } => *back,
+            Self::LowerLimits => 0,
             Self::Cut { time, .. }
             | Self::ZoneCut { time, .. }
             | Self::Refuse { time, .. }
@@ -291,6 +302,7 @@
     pub(crate) fn aimed(mut self, n: usize) -> Self {
         match &mut self {
             Self::Crash { node, .. }
+            | Self::Upgrade { node, .. }
             | Self::Cut { node, .. }
             | Self::Refuse { node, .. }
             | Self::Slow { node, .. }
@@ -328,6 +340,30 @@
     draw(rng, from, to, n, KINDS)
 }
 
+/// Pause between two turns of an upgrade.
+const TURNS_APART: std::ops::Range<Ms> = 2_000..15_000;
+
+/// An upgrade of all controllers, one or two at a time and in any order, and
+/// lower limits some time after it, perhaps before the last one is back.
+pub fn random_upgrade(rng: &mut StdRng, from: Ms, nodes: usize) -> Vec<Fault> {
+    let mut order: Vec<usize> = (0..nodes).collect();
+    order.shuffle(rng);
+    let mut at = from;
+    let mut faults = Vec::new();
+    for node in order {
+        let back = rng.random_range(500..6_000);
+        let kind = FaultKind::Upgrade { node, back };
+        faults.push(Fault { at, kind });
+        if rng.random_range(0..4) > 0 {
+            at += rng.random_range(TURNS_APART);
+        }
+    }
+    at += 8_000 + rng.random_range(0..30_000);
+    let kind = FaultKind::LowerLimits;
+    faults.push(Fault { at, kind });
+    faults
+}
+
 fn draw(rng: &mut StdRng, from: Ms, to: Ms, n: usize, kinds: u32) -> Vec<Fault> {
     let mut faults: Vec<Fault> = (0..n)
         .map(|_| Fault {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -16,9 +16,10 @@
 pub use cloud::SlowBoots;
 pub use day::{Day, Draw};
 pub use faults::{
-    random_faults, random_faults_once, random_pairs, Fault, FaultKind, MachineFault, Which, Who,
+    random_faults, random_faults_once, random_pairs, random_upgrade, Fault, FaultKind,
+    MachineFault, Which, Who,
 };
-pub use world::{settings, Mistake, Plan, Size, World};
+pub use world::{settings, Mistake, NextLimits, Plan, Size, World};
 
 /// Milliseconds of virtual time.
 pub type Ms = u64;
--- a/crates/testkit/src/main.rs
+++ b/crates/testkit/src/main.rs
@@ -15,6 +15,8 @@
     Once,
     /// In pairs and known combinations, of all kinds.
     Pairs,
+    /// As pairs, with an upgrade, lower limits and pipelines.
+    Upgrade,
 }
 
 impl From<DrawArg> for Draw {
@@ -23,6 +25,7 @@
             DrawArg::Single => Draw::Single,
             DrawArg::Once => Draw::Once,
             DrawArg::Pairs => Draw::Pairs,
+            DrawArg::Upgrade => Draw::Upgrade,
         }
     }
 }
--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -62,6 +62,10 @@
     pub(crate) writes: u64,
     /// Machines whose records said that they are given up, and why.
     pub(crate) given_up: BTreeMap<MachineId, String>,
+    /// Largest value, in bytes, and most changes in a transaction.
+    sizes: SizeLimits,
+    /// Transactions that were refused for their size.
+    pub(crate) too_large: u64,
     requests_limit: Limit,
     writes_limit: Limit,
     /// Requests beyond the limits, which are carried out all the same, and
@@ -69,6 +73,34 @@
     pub(crate) over_limit: (u64, u64),
 }
 
+/// Limits on a transaction's size.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SizeLimits {
+    pub(crate) value_bytes: usize,
+    pub(crate) txn_ops: usize,
+}
+
+impl SizeLimits {
+    /// What of a transaction goes beyond them.
+    fn excess(&self, txn: &Txn) -> Option<String> {
+        if txn.writes.len() > self.txn_ops {
+            return Some(format!("{} changes", txn.writes.len()));
+        }
+        if txn.conds.len() > self.txn_ops * CONDITIONS_PER_CHANGE {
+            return Some(format!("{} conditions", txn.conds.len()));
+        }
+        txn.writes.iter().find_map(|write| match write {
+            Write::Put { put, value, .. } if value.to_string().len() > self.value_bytes => {
+                Some(format!("{put} is too large"))
+            }
+            _ => None,
+        })
+    }
+}
+
+/// Conditions that a transaction may have for each change.
+const CONDITIONS_PER_CHANGE: usize = 4;
+
 /// Changes that are kept for watches.
 const LOG_MOST: usize = 10_000;
 
@@ -79,8 +111,10 @@
 }
 
 impl<W> State<W> {
-    pub(crate) fn new(rps: f64, write_rps: f64) -> Self {
+    pub(crate) fn new(rps: f64, write_rps: f64, sizes: SizeLimits) -> Self {
         Self {
+            sizes,
+            too_large: 0,
             requests_limit: Limit::new(rps),
             writes_limit: Limit::new(write_rps),
             over_limit: (0, 0),
@@ -96,6 +130,12 @@
         }
     }
 
+    /// Lower limits come into force.
+    pub(crate) fn set_limits(&mut self, write_rps: f64, sizes: SizeLimits) {
+        self.writes_limit = Limit::new(write_rps);
+        self.sizes = sizes;
+    }
+
     /// An outage begins or ends. After it every lease has its full time.
     pub(crate) fn set_down(&mut self, down: bool, now: Ms) {
         self.down = down;
@@ -216,6 +256,11 @@
     }
 
     fn txn(&mut self, txn: Txn) -> (u16, Value) {
+        if let Some(excess) = self.sizes.excess(&txn) {
+            self.too_large += 1;
+            log::info!("refused: {excess}");
+            return (400, json!({"error": excess}));
+        }
         for write in &txn.writes {
             if let Write::Put {
                 lease: Some(lease), ..
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -381,7 +381,7 @@
                     self.exit(a, &key, ExitCause::Error);
                 }
                 TaskStage::Running => {
-                    a.check.completed(&key.0);
+                    a.check.completed(a.now, &key.0);
                     self.exit(a, &key, ExitCause::Done);
                 }
                 _ => {}
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -14,11 +14,12 @@
 use crate::check::{Calm, Checker};
 use crate::cloud::Cloud;
 use crate::faults::{Fault, FaultKind, ZONES};
-use crate::state::State;
+use crate::state::{SizeLimits, State};
 use crate::worker::{Truth, Worker};
 use crate::Ms;
 use digest::Digest;
-use forkshift_core::{Config, Effect, Input, Node, Operator, RequestId, Target};
+use forkshift_core::records;
+use forkshift_core::{Config, Effect, FormatVersion, Input, Node, Operator, RequestId, Target};
 use forkshift_wire::settings::Settings;
 use forkshift_wire::users::JobKind;
 use forkshift_wire::{JobId, MachineId, TaskRef};
@@ -64,8 +65,27 @@
     pub lease_ms: Ms,
     /// Time for a cancelled job's tasks to be gone.
     pub cancel_ms: Ms,
+    /// Limits of the state service that are announced for later.
+    pub next_limits: Option<NextLimits>,
+    /// All controllers begin as the old release.
+    pub begins_old: bool,
 }
 
+/// Limits of the state service that are announced.
+#[derive(Clone, Copy, Debug)]
+pub struct NextLimits {
+    /// Changes a second.
+    pub write_rps: f64,
+    /// Largest value, in KiB.
+    pub value_kb: usize,
+    /// Most changes in a transaction.
+    pub txn_ops: usize,
+}
+
+/// Largest value, in KiB, and most changes in a transaction, at the beginning.
+const VALUE_KB: usize = 8;
+const TXN_OPS: usize = 12;
+
 impl Default for Size {
     fn default() -> Self {
         Self {
@@ -80,6 +100,8 @@
             report_ms: 1_000,
             lease_ms: 10_000,
             cancel_ms: 35_000,
+            next_limits: None,
+            begins_old: false,
         }
     }
 }
@@ -116,6 +138,7 @@
             report_ms: 5_000,
             lease_ms: 24_000,
             cancel_ms: 35_000,
+            ..Self::default()
         }
     }
 
@@ -134,6 +157,7 @@
             report_ms: 2_000,
             lease_ms: 13_000,
             cancel_ms: 35_000,
+            ..Self::default()
         }
     }
 }
@@ -151,8 +175,13 @@
         report_ms,
         lease_ms,
         cancel_ms,
+        next_limits,
         ..
     } = size;
+    let next = next_limits.map_or(String::new(), |next| {
+        let (write_rps, value_kb, txn_ops) = (next.write_rps, next.value_kb, next.txn_ops);
+        format!("[cluster.state.next]\nwrite_rps = {write_rps:?}\nvalue_kb = {value_kb}.0\ntxn_ops = {txn_ops}\n")
+    });
     let seconds = |ms: &Ms| *ms as f64 / 1000.0;
     let (report_s, lease_s) = (seconds(report_ms), seconds(lease_ms));
     let cancel_s = seconds(cancel_ms);
@@ -171,7 +200,7 @@
          [cluster]\ninitial_size = {nodes}\nzones = [\"a\", \"b\", \"c\"]\ntime_bound_ms = 250.0\n{teams}\
          [[cluster.objectives]]\nkind = \"wait\"\nclass = \"serve\"\nwithin_s = 8.0\nshare = 0.9\n\
          [cluster.workers]\nreport_s = {report_s:?}\nlease_s = {lease_s:?}\ngang_wait_s = 20.0\ngang_peer_s = 3.0\ncancel_s = {cancel_s:?}\n\
-         [cluster.state]\nrps = {rps:?}\nwrite_rps = {write_rps:?}\nvalue_kb = 8.0\ntxn_ops = 12\n\
+         [cluster.state]\nrps = {rps:?}\nwrite_rps = {write_rps:?}\nvalue_kb = {VALUE_KB}.0\ntxn_ops = {TXN_OPS}\n{next}\
          [cluster.cloud]\nrps = {cloud_rps:?}\nlist_lag_s = 4.0\n\
          [cluster.limits]\ncpu = 0.12\nmem_mb = 40.0\nsockets = 600\n",
         node + 1,
@@ -225,6 +254,8 @@
 
 struct Host {
     node: Option<Node>,
+    /// It is still of the old release.
+    is_old: bool,
     start: u64,
     inbox: Vec<Input>,
     stepped: Ms,
@@ -294,7 +325,14 @@
             now: 0,
             rng: StdRng::seed_from_u64(seed),
             hosts: Vec::new(),
-            state: State::new(size.rps, size.write_rps),
+            state: State::new(
+                size.rps,
+                size.write_rps,
+                SizeLimits {
+                    value_bytes: VALUE_KB * 1024,
+                    txn_ops: TXN_OPS,
+                },
+            ),
             cloud: Cloud::new(size.capacity),
             size,
             workers: BTreeMap::new(),
@@ -337,6 +375,7 @@
         for n in 0..size.nodes {
             world.hosts.push(Host {
                 node: None,
+                is_old: size.begins_old,
                 start: 0,
                 inbox: Vec::new(),
                 stepped: 0,
@@ -362,11 +401,11 @@
         host.inbox.clear();
         host.open.clear();
         host.requests.clear();
-        host.node = Some(Node::new(
-            Config::new(&settings, Operator::default()),
-            self.starts,
-            seed,
-        ));
+        let mut config = Config::new(&settings, Operator::default());
+        if host.is_old {
+            config.format = FormatVersion::FIRST;
+        }
+        host.node = Some(Node::new(config, self.starts, seed));
     }
 
     fn at(&mut self, time: Ms, event: Event) {
@@ -453,6 +492,16 @@
         self.state.over_limit
     }
 
+    /// Transactions that the state service refused for their size.
+    pub fn too_large(&self) -> u64 {
+        self.state.too_large
+    }
+
+    /// The format that the controllers have finalized, as it is recorded.
+    pub fn finalized_format(&self) -> Option<u64> {
+        self.state.value(records::FINALIZED_FORMAT)?.as_u64()
+    }
+
     /// When a user was first told that a job is cancelled.
     pub fn cancelled_at(&self, id: &JobId) -> Option<Ms> {
         self.check.cancelled_at(id)
@@ -611,6 +660,7 @@
         let mut left = Vec::new();
         for user in &self.users {
             let spec = &user.plan.spec;
+            // A job that needs one that was never accepted is never submitted.
             if user.aim == Aim::Submit {
                 left.push(format!("{}: not accepted", spec.id));
             }
@@ -625,7 +675,9 @@
             });
             let cancelled = self.check.was_cancelled(&spec.id);
             let done = tasks.clone().all(|t| self.check.is_completed(&t));
-            if !cancelled && !done && spec.kind != JobKind::Service {
+            if !cancelled && self.check.is_cancel_wanted(&spec.id) && !done {
+                left.push(format!("{}: not cancelled", spec.id));
+            } else if !cancelled && !done && spec.kind != JobKind::Service {
                 left.push(format!(
                     "{}: {:?} of {} tasks is not done",
                     spec.id, spec.kind, spec.tasks
--- a/crates/testkit/src/world/fleet.rs
+++ b/crates/testkit/src/world/fleet.rs
@@ -130,7 +130,7 @@
                     lease_ms: self.size.lease_ms,
                 };
                 if cause == ExitCause::Done {
-                    around.check.completed(task);
+                    around.check.completed(around.now, task);
                 }
                 if cause == ExitCause::Error {
                     around.check.failed(self.now, task, m);
--- a/crates/testkit/src/world/inject.rs
+++ b/crates/testkit/src/world/inject.rs
@@ -2,6 +2,7 @@
 
 use super::{Event, World, STEP};
 use crate::faults::{FaultKind, MachineFault, Which, Who};
+use crate::state::SizeLimits;
 use crate::worker::Worker;
 use crate::Ms;
 use forkshift_core::records::{self, ShareId};
@@ -95,6 +96,17 @@
         }
     }
 
+    /// The limits that were announced come into force.
+    fn lower_limits(&mut self) {
+        if let Some(next) = self.size.next_limits {
+            let sizes = SizeLimits {
+                value_bytes: next.value_kb * 1024,
+                txn_ops: next.txn_ops,
+            };
+            self.state.set_limits(next.write_rps, sizes);
+        }
+    }
+
     /// A machine stops with all that is on it.
     pub(super) fn die(&mut self, id: &MachineId) {
         self.end_worker(id);
@@ -136,6 +148,12 @@
                     self.at(now + back, Event::Restart(n));
                 }
             }
+            FaultKind::Upgrade { node, back } => {
+                self.hosts[node].node = None;
+                self.hosts[node].is_old = false;
+                self.at(now + back, Event::Restart(node));
+            }
+            FaultKind::LowerLimits => self.lower_limits(),
             FaultKind::Cut {
                 node,
                 state,
--- a/crates/testkit/src/world/users.rs
+++ b/crates/testkit/src/world/users.rs
@@ -2,14 +2,19 @@
 
 use super::network::{Dest, Message, Origin};
 use super::World;
+use crate::day::PIPELINE_JOBS_MOST;
 use crate::faults::Who;
 use crate::worker::Truth;
 use crate::Ms;
 use forkshift_wire::users::{JobKind, JobSpec, JobStage, JobStatus, Priority};
 use forkshift_wire::JobId;
 use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
 use rand::Rng;
 
+/// Pause of a user who waits for jobs to be accepted before the next.
+const RETRY_SUBMISSION: Ms = 200;
+
 /// A mistake in a job, for which its tasks fail on every machine.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Mistake {
@@ -162,6 +167,74 @@
     }
 }
 
+/// Arrays and pipelines.
+impl Plan {
+    /// An array of many small tasks, which take several records.
+    pub fn large_array(rng: &mut StdRng, n: u32, at: Ms) -> Self {
+        let tasks = rng.random_range(60..300);
+        let mut plan = Self::plain(
+            n,
+            at,
+            JobKind::Array,
+            tasks,
+            rng.random_range(2_000..20_000),
+        );
+        plan.spec.id = JobId::new(&format!("j-{n:06}"));
+        plan.spec.cpus = 1.0;
+        plan.spec.gpus = 0.0;
+        plan.spec.memory_gb = 1.0;
+        plan.spec.team = format!("team-{}", rng.random_range(0..4));
+        plan.cancel_at =
+            (rng.random_range(0..4) == 0).then(|| at + rng.random_range(1_000..90_000));
+        plan
+    }
+
+    /// A pipeline of two to six jobs drawn at random, numbered from `first` on.
+    /// Each needs one or two of the jobs before it, and the first ones perhaps
+    /// one of the day's other jobs, of any team. The end may come late,
+    /// and any of them may be cancelled.
+    pub fn pipeline(rng: &mut StdRng, first: u32, at: Ms, others: &[JobId]) -> Vec<Self> {
+        let jobs = rng.random_range(2..=PIPELINE_JOBS_MOST);
+        let mut plans: Vec<Self> = Vec::new();
+        for i in 0..jobs {
+            let mut plan = Self::random(rng, first + i, at + u64::from(i) * 300);
+            let kind = match rng.random_range(0..3) {
+                0 => JobKind::Gang,
+                _ => JobKind::Array,
+            };
+            let spec = &mut plan.spec;
+            spec.class = "chained".to_owned();
+            spec.kind = kind;
+            spec.spread = false;
+            spec.tasks = rng.random_range(1..4);
+            spec.estimate_s = plan.run_ms as f64 / 1000.0;
+            spec.priority = Priority::Low;
+            let mut needs: Vec<JobId> = Vec::new();
+            for _ in 0..rng.random_range(1..3) {
+                if i > 0 {
+                    let before = rng.random_range(i.saturating_sub(2)..i);
+                    needs.push(JobId::new(&format!("j-{:06}", first + before)));
+                }
+            }
+            if i < 2 && rng.random_range(0..3) == 0 {
+                needs.extend(others.choose(rng).cloned());
+            }
+            spec.dependencies = needs;
+            plan.cancel_at =
+                (rng.random_range(0..12) == 0).then(|| plan.at + rng.random_range(500..60_000));
+            plans.push(plan);
+        }
+        if let Some(last) = plans.last_mut() {
+            last.spec.priority = Priority::High;
+            last.spec.deadline_s = Some(120.0);
+            if rng.random_range(0..6) == 0 {
+                last.at += rng.random_range(20_000..90_000);
+            }
+        }
+        plans
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub(super) enum Aim {
     Submit,
@@ -199,6 +272,12 @@
             if user.open || user.aim == Aim::Over || self.now < user.next {
                 continue;
             }
+            // Users name only jobs that were accepted.
+            let mut needs = user.plan.spec.dependencies.iter();
+            if user.aim == Aim::Submit && !needs.all(|d| self.check.is_accepted(d)) {
+                user.next = self.now + RETRY_SUBMISSION;
+                continue;
+            }
             if user.aim == Aim::Poll && user.plan.cancel_at.is_some_and(|t| self.now >= t) {
                 user.aim = Aim::Cancel;
             }
@@ -257,6 +336,9 @@
             && self
                 .check
                 .answered_to(ticket, now, &id, submission, status, stage);
+        if submission {
+            self.check.check_admission(now, &id, status);
+        }
         let good = matches!(status, 200 | 201);
         let last = stage.is_some_and(JobStage::is_final);
         (user.aim, user.next) = match user.aim {
--- a/crates/testkit/src/world/waiting.rs
+++ b/crates/testkit/src/world/waiting.rs
@@ -30,7 +30,8 @@
             let over = self.check.told(&s.id).is_some() || self.all_done(s);
             // Retries of a job with a mistake are slowed down on purpose.
             let broken = user.plan.mistake.is_some();
-            if user.aim != Aim::Poll || called_off || over || broken {
+            let blocked = self.check.is_blocked(&s.id);
+            if blocked || user.aim != Aim::Poll || called_off || over || broken {
                 found.push((s.id.clone(), false));
                 continue;
             }
