--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -83,17 +83,31 @@
         self.at = now;
     }
 
+    /// The most that it holds, and that it may owe.
+    fn burst(&self) -> f64 {
+        self.rate.max(1.0)
+    }
+
     /// Takes `n`, even into debt if forced to. What is forced through in a
     /// turmoil must not silence everything else for long.
     pub(crate) fn take(&mut self, n: f64, force: bool) -> bool {
         // More than one second's worth is let through when the bucket is full.
-        if force || self.tokens >= n.min(self.rate.max(1.0)) {
-            self.tokens = (self.tokens - n).max(-n.max(self.rate.max(1.0)));
+        if force || self.tokens >= n.min(self.burst()) {
+            self.tokens = (self.tokens - n).max(-n.max(self.burst()));
             return true;
         }
         false
     }
 
+    /// Takes `n` for a call of an urgency. A user who waits may have up to one
+    /// second's worth in advance, which what can wait pays back: with little
+    /// left for each controller, submissions once waited for a second behind
+    /// writes that nobody waited for.
+    fn take_for(&mut self, n: f64, urgency: Urgency) -> bool {
+        let in_advance = urgency == Urgency::User && self.tokens - n >= -self.burst();
+        self.take(n, urgency == Urgency::Member || in_advance)
+    }
+
     pub(crate) fn drain(&mut self) {
         self.tokens = self.tokens.min(0.0);
     }
@@ -289,7 +303,7 @@
                 continue;
             }
             let n = self.changes.get(&place).map_or(0, |c| c.writes) as f64;
-            if n > 0.0 && !self.writes.take(n, member) {
+            if n > 0.0 && !self.writes.take_for(n, place.0) {
                 // The order of changes is kept: none goes before this one.
                 changes = false;
                 continue;
--- a/crates/core/src/store/tests.rs
+++ b/crates/core/src/store/tests.rs
@@ -34,3 +34,22 @@
         }
     }
 }
+
+/// With few changes a second, a user's write goes out at once, though work has
+/// used up what there was; it is paid back by what can wait.
+#[test]
+fn a_user_does_not_wait_for_what_can_wait() {
+    let at_once = [(Urgency::User, true), (Urgency::Work, false)];
+    for (urgency, goes) in at_once {
+        let mut store = Store::new(100.0, 3.0);
+        store.push(Urgency::Work, call(10_000, 3));
+        assert_eq!(store.due(0).0.len(), 1);
+        store.push(urgency, call(10_000, 2));
+        assert_eq!(store.due(1).0.len(), usize::from(goes), "{urgency:?}");
+        // No more than one second's worth is had in advance.
+        store.push(urgency, call(10_000, 2));
+        assert_eq!(store.due(2).0.len(), 0, "{urgency:?}");
+        let sent: usize = (3..10_000).map(|now| store.due(now).0.len()).sum();
+        assert_eq!(sent, 2 - usize::from(goes), "{urgency:?}");
+    }
+}
