--- a/crates/core/src/commit/tests.rs
+++ b/crates/core/src/commit/tests.rs
@@ -1,8 +1,10 @@
 //! Tests of `commit`.
 
 use super::*;
-use crate::fixture::Fixture;
+use crate::context::{Effect, Input};
+use crate::fixture::{spec, team_of, Fixture, WALL};
 use crate::job::Binding;
+use crate::layout::Layout;
 use crate::records::{live_key, JobHeadRecord, TaskBlockRecord};
 use forkshift_wire::state::{Change, Changes};
 use forkshift_wire::users::JobKind;
@@ -113,3 +115,208 @@
         assert_eq!(used, kept, "{sent:?}: the quota");
     }
 }
+
+/// The records of a share's jobs, as the state service would have them.
+#[derive(Clone, Default)]
+struct Records {
+    items: std::collections::BTreeMap<String, Item>,
+    revision: u64,
+}
+
+impl Records {
+    /// Carries out a transaction, and answers it.
+    fn carry_out(&mut self, txn: &Txn, share_key: &str) -> (u16, serde_json::Value) {
+        let version = |key: &str| self.items.get(key).map_or(0, |i| i.version);
+        let holds = |c: &&Cond| c.key != share_key && version(&c.key) != c.version;
+        let failed: Vec<String> = txn
+            .conds
+            .iter()
+            .filter(holds)
+            .map(|c| c.key.clone())
+            .collect();
+        if !failed.is_empty() {
+            return (409, json!({"failed": failed, "ledger_rev": self.revision}));
+        }
+        self.revision += 1;
+        for write in &txn.writes {
+            match write {
+                Write::Put { put, value, .. } => {
+                    let (key, value, version) = (put.clone(), value.clone(), self.revision);
+                    let item = Item {
+                        key,
+                        value,
+                        version,
+                    };
+                    self.items.insert(put.clone(), item);
+                }
+                Write::Remove { remove } => drop(self.items.remove(remove)),
+            }
+        }
+        (200, json!({"ledger_rev": self.revision}))
+    }
+
+    fn live(&self) -> Vec<Item> {
+        let all = self.items.values();
+        all.filter(|i| i.key.starts_with("live/"))
+            .cloned()
+            .collect()
+    }
+}
+
+/// Everything that matters of a job's tasks.
+fn tasks_of(f: &mut Fixture, id: &JobId) -> (Vec<(u32, u32)>, Vec<(u32, u64)>) {
+    let job = &f.share().jobs[id];
+    let bound = job.bound.iter().map(|(i, b)| (*i, b.attempt)).collect();
+    (job.done.within(0, job.spec.tasks), bound)
+}
+
+/// Answers every transaction that is sent until none is left; after each, all
+/// that is recorded is looked at.
+fn settle(f: &mut Fixture, records: &mut Records, mut look: impl FnMut(&Records)) {
+    let share_key = share_key(f.share);
+    let mut steps = 0;
+    let mut effects = Vec::new();
+    while steps < 200 || !effects.is_empty() {
+        if effects.is_empty() {
+            effects = f.step(200);
+            steps += 1;
+        }
+        for (call, body) in std::mem::take(&mut effects).iter().filter_map(txn_of) {
+            let txn: Txn = serde_json::from_slice(&body).expect("a transaction");
+            check_limits(f, &txn);
+            let is_of_jobs =
+                |w: &Write| w.key().starts_with("live/") || w.key().starts_with("job/");
+            let (status, reply) = match txn.writes.iter().all(is_of_jobs) {
+                true => records.carry_out(&txn, &share_key),
+                false => (200, json!({"ledger_rev": records.revision})),
+            };
+            look(records);
+            let body = reply.to_string().into_bytes();
+            let answer = Input::Answer { call, status, body };
+            let now = f.node.ctx.now;
+            effects.extend(f.node.step(now, WALL, vec![answer]));
+        }
+    }
+}
+
+/// The call and the body of a transaction that is sent.
+fn txn_of(effect: &Effect) -> Option<(u64, Vec<u8>)> {
+    match effect {
+        Effect::Call { id, path, body, .. } if path == "/txn" => {
+            Some((*id, body.clone().unwrap_or_default()))
+        }
+        _ => None,
+    }
+}
+
+fn check_limits(f: &Fixture, txn: &Txn) {
+    let limits = &f.node.ctx.limits;
+    assert!(txn.writes.len() <= limits.txn_ops, "changes");
+    assert!(txn.conds.len() <= limits.conditions(), "conditions");
+    for write in &txn.writes {
+        if let Write::Put { put, value, .. } = write {
+            assert!(value.to_string().len() <= limits.value_bytes, "{put}");
+        }
+    }
+}
+
+/// A job that the first release recorded in large blocks is moved to small ones
+/// when it next changes. Whoever takes over after any transaction of that finds
+/// each task once, as it was or as it has become.
+#[test]
+fn a_job_is_moved_to_smaller_records_whatever_happens_on_the_way() {
+    for tasks in [10, 60, 300] {
+        let mut f = Fixture::new();
+        let spec = spec(&JobId::new("j-1"), &team_of(&mut f), JobKind::Array, tasks);
+        let id = spec.id.clone();
+        // As the first release has it: blocks of 204 tasks; one in three is
+        // done, one in three is on the machine.
+        let layout = Layout::unnamed(&f.node.ctx.cfg.state_limits);
+        let block = |b: u32| {
+            let (from, to) = layout.tasks_of(b);
+            let all = || from..to.min(tasks);
+            TaskBlockRecord {
+                next: 2,
+                done: all().filter(|i| i % 3 == 0).map(|i| (i, i + 1)).collect(),
+                bound: all()
+                    .filter(|i| i % 3 == 1)
+                    .map(|i| (i, 2, MachineId::new("m-1")))
+                    .collect(),
+            }
+        };
+        let head = JobHeadRecord {
+            spec,
+            cancelled: false,
+            cancelled_at: 0,
+            at: WALL,
+            layout: None,
+            block: block(0),
+        };
+        let mut records = Records {
+            revision: 5,
+            ..Records::default()
+        };
+        let mut put = |key: String, value| {
+            let version = 4;
+            let item = Item {
+                key: key.clone(),
+                value,
+                version,
+            };
+            records.items.insert(key, item);
+        };
+        put(live_key(f.share, &id, 0), to_value(head).expect("a head"));
+        for b in 1..=layout.block_of(tasks - 1) {
+            put(
+                live_key(f.share, &id, b),
+                to_value(block(b)).expect("a block"),
+            );
+        }
+        f.load(records.live());
+        let before = tasks_of(&mut f, &id);
+        let all = |(done, bound): &(Vec<(u32, u32)>, Vec<(u32, u64)>)| (done.len(), bound.len());
+        assert!(all(&before).0 > 0 && all(&before).1 > 0);
+        f.finalize_format();
+        f.exit_task(&id, 1);
+        let after = tasks_of(&mut f, &id);
+        assert_ne!(before, after);
+        let mut seen = Vec::new();
+        settle(&mut f, &mut records, |records| {
+            let mut next = Fixture::new();
+            next.finalize_format();
+            next.load(records.live());
+            seen.push(tasks_of(&mut next, &JobId::new("j-1")));
+        });
+        assert!(
+            seen.iter().all(|s| *s == before || *s == after),
+            "{tasks} tasks"
+        );
+        let changed = seen
+            .iter()
+            .position(|s| *s == after)
+            .expect("it is written");
+        assert!(
+            seen[changed..].iter().all(|s| *s == after),
+            "{tasks} tasks: back again"
+        );
+        // Nothing of the old layout is left, and nothing is too large.
+        let most = f.node.ctx.limits.value_bytes;
+        for item in records.live() {
+            assert!(item.value.to_string().len() <= most, "{}", item.key);
+        }
+        let mut next = Fixture::new();
+        next.finalize_format();
+        next.load(records.live());
+        let effects = next.step(200);
+        let removes = |e: &&Effect| {
+            matches!(e, Effect::Call { body: Some(b), .. }
+            if String::from_utf8_lossy(b).contains("\"remove\""))
+        };
+        let text = |e: &Effect| match e {
+            Effect::Call { body: Some(b), .. } => String::from_utf8_lossy(b).into_owned(),
+            _ => String::new(),
+        };
+        let left: Vec<String> = effects.iter().filter(removes).map(text).collect();
+        assert_eq!(left, Vec::<String>::new(), "{tasks} tasks: left over");
+    }
+}
--- a/crates/core/src/fixture.rs
+++ b/crates/core/src/fixture.rs
@@ -10,6 +10,7 @@
     ShareRecord, LEADER,
 };
 use crate::share::{Phase, Share};
+use crate::view::Stamped;
 use crate::Ms;
 use forkshift_wire::settings::Settings;
 use forkshift_wire::state::Item;
@@ -18,6 +19,7 @@
 use forkshift_wire::{JobId, MachineId, TaskRef};
 use serde::Serialize;
 use serde_json::{json, to_value, Value};
+use std::rc::Rc;
 
 const SETTINGS: &str = include_str!("../../../examples/settings.toml");
 pub(crate) const NOW: Ms = 100_000;
@@ -180,6 +182,28 @@
         }
     }
 
+    /// All controllers know the newest format, and the limits that are announced
+    /// are those of the large deployments' next ones.
+    pub(crate) fn finalize_format(&mut self) {
+        let mut cfg = (*self.node.ctx.cfg).clone();
+        cfg.least_state_limits.value_bytes = 2_048;
+        cfg.least_state_limits.txn_ops = 4;
+        self.node.ctx.cfg = Rc::new(cfg);
+        self.node.view.finalized_format = Some(Stamped {
+            rec: FormatVersion::CURRENT,
+            version: 5,
+        });
+        self.step(0);
+    }
+
+    /// A task on the machine has completed.
+    pub(crate) fn exit_task(&mut self, id: &JobId, index: u32) {
+        let share = self.share();
+        share.unbind(id, index);
+        let job = share.jobs.get_mut(id).expect("it is there");
+        job.done.insert(index);
+    }
+
     /// Takes the share over anew, with these records.
     pub(crate) fn load(&mut self, items: Vec<Item>) {
         let Node { ctx, view, .. } = &mut self.node;
@@ -235,6 +259,11 @@
     }
 }
 
+/// A team whose jobs belong to the share.
+pub(crate) fn team_of(f: &mut Fixture) -> String {
+    f.share().teams.keys().next().expect("a team").clone()
+}
+
 /// Status and body of the answer to a request.
 pub(crate) fn answer_to(effects: &[Effect], request: u64) -> Option<(u16, String)> {
     let text = |r: &Reply| (r.status, String::from_utf8_lossy(&r.body).into_owned());
--- a/crates/testkit/src/faults.rs
+++ b/crates/testkit/src/faults.rs
@@ -78,6 +78,13 @@
         /// Until it is back.
         back: Ms,
     },
+    /// A controller ends, and comes back as the old release.
+    Downgrade {
+        /// Which.
+        node: usize,
+        /// Until it is back.
+        back: Ms,
+    },
     /// The limits of the state service that were announced come into force.
     LowerLimits,
     /// A controller reaches some others no more.
@@ -255,7 +262,9 @@
     /// How long it lasts, and what it has delayed.
     pub(crate) fn lasts(&self, lease_ms: Ms) -> Ms {
         match self {
-            Self::Crash { back, .. } | Self::Upgrade { back, .. } => *back,
+            Self::Crash { back, .. }
+            | Self::Upgrade { back, .. }
+            | Self::Downgrade { back, .. } => *back,
             Self::LowerLimits => 0,
             Self::Cut { time, .. }
             | Self::ZoneCut { time, .. }
@@ -303,6 +312,7 @@
         match &mut self {
             Self::Crash { node, .. }
             | Self::Upgrade { node, .. }
+            | Self::Downgrade { node, .. }
             | Self::Cut { node, .. }
             | Self::Refuse { node, .. }
             | Self::Slow { node, .. }
--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -60,6 +60,8 @@
     pub(crate) down: bool,
     /// Puts and deletes so far.
     pub(crate) writes: u64,
+    /// What was put so far, if that is kept.
+    pub(crate) puts: Option<Vec<(String, Value)>>,
     /// Machines whose records said that they are given up, and why.
     pub(crate) given_up: BTreeMap<MachineId, String>,
     /// Largest value, in bytes, and most changes in a transaction.
@@ -126,6 +128,7 @@
             waiting: Vec::new(),
             down: false,
             writes: 0,
+            puts: None,
             given_up: BTreeMap::new(),
         }
     }
@@ -289,6 +292,9 @@
         for write in txn.writes {
             match write {
                 Write::Put { put, value, lease } => {
+                    if let Some(puts) = &mut self.puts {
+                        puts.push((put.clone(), value.clone()));
+                    }
                     self.log
                         .push_back((self.revision, put.clone(), Some(value.clone())));
                     let version = self.revision;
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -304,6 +304,8 @@
     /// How many there were, and how many got an answer in time.
     asides_answered: (u64, u64),
     reports: u64,
+    /// Messages between controllers, if they are kept.
+    messages: Option<Vec<Vec<u8>>>,
     digest: Digest,
     /// Watches what truly happens.
     pub check: Checker,
@@ -369,6 +371,7 @@
             next_aside: 0,
             asides_answered: (0, 0),
             reports: 0,
+            messages: None,
             digest: Digest::default(),
             check: Checker::new(limits, size.cancel_ms),
         };
@@ -502,6 +505,22 @@
         self.state.value(records::FINALIZED_FORMAT)?.as_u64()
     }
 
+    /// From now on, all that controllers write and tell each other is kept.
+    pub fn keep_formats(&mut self) {
+        self.state.puts = Some(Vec::new());
+        self.messages = Some(Vec::new());
+    }
+
+    /// Records that were put, with their keys, since they are kept.
+    pub fn kept_records(&self) -> &[(String, serde_json::Value)] {
+        self.state.puts.as_deref().unwrap_or_default()
+    }
+
+    /// Messages between controllers since they are kept.
+    pub fn kept_messages(&self) -> &[Vec<u8>] {
+        self.messages.as_deref().unwrap_or_default()
+    }
+
     /// When a user was first told that a job is cancelled.
     pub fn cancelled_at(&self, id: &JobId) -> Option<Ms> {
         self.check.cancelled_at(id)
--- a/crates/testkit/src/world/network.rs
+++ b/crates/testkit/src/world/network.rs
@@ -251,6 +251,9 @@
 
     /// A message to a peer comes, or comes late, or comes twice, or is lost.
     pub(super) fn tell(&mut self, from: usize, to: &str, message: Vec<u8>) {
+        if let Some(kept) = &mut self.messages {
+            kept.push(message.clone());
+        }
         let to = to
             .strip_prefix("berth-")
             .and_then(|n| n.parse::<usize>().ok());
