--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -133,3 +133,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -280,7 +280,7 @@
     }
 
     /// What memory says of a job of ours: nothing, if its record may say more.
-    fn remembered(&mut self, id: &JobId) -> Option<Reply> {
+    pub(crate) fn remembered(&mut self, id: &JobId) -> Option<Reply> {
         let share = self.share_of(id)?;
         let (k, epoch) = (share.id, share.epoch);
         // The view may have gone on in this very batch, and the share with it.
--- a/crates/core/src/commit/tests.rs
+++ b/crates/core/src/commit/tests.rs
@@ -163,8 +163,11 @@
     }
 }
 
-/// Everything that matters of a job's tasks.
-fn tasks_of(f: &mut Fixture, id: &JobId) -> (Vec<(u32, u32)>, Vec<(u32, u64)>) {
+/// Everything that matters of a job's tasks: those that are done, as ranges, and
+/// those that may be on a machine, with their attempts.
+type Tasks = (Vec<(u32, u32)>, Vec<(u32, u64)>);
+
+fn tasks_of(f: &mut Fixture, id: &JobId) -> Tasks {
     let job = &f.share().jobs[id];
     let bound = job.bound.iter().map(|(i, b)| (*i, b.attempt)).collect();
     (job.done.within(0, job.spec.tasks), bound)
@@ -274,8 +277,7 @@
         }
         f.load(records.live());
         let before = tasks_of(&mut f, &id);
-        let all = |(done, bound): &(Vec<(u32, u32)>, Vec<(u32, u64)>)| (done.len(), bound.len());
-        assert!(all(&before).0 > 0 && all(&before).1 > 0);
+        assert!(!before.0.is_empty() && !before.1.is_empty());
         f.finalize_format();
         f.exit_task(&id, 1);
         let after = tasks_of(&mut f, &id);
--- a/crates/core/src/dependencies/tests.rs
+++ b/crates/core/src/dependencies/tests.rs
@@ -1,1 +1,236 @@
 //! Tests of `dependencies`.
+
+use super::*;
+use crate::context::Effect;
+use crate::fixture::{spec, team_of, Fixture};
+use crate::job::Sent;
+use crate::records::JobRecord;
+use forkshift_wire::peer::Envelope;
+use forkshift_wire::users::{JobKind, JobSpec};
+use serde_json::json;
+
+fn id(n: u32) -> JobId {
+    JobId::new(&format!("j-{n}"))
+}
+
+/// A job of the share that needs these, as it was accepted.
+fn add(f: &mut Fixture, n: u32, needs: &[u32], priority: Priority) {
+    let team = team_of(f);
+    let spec = JobSpec {
+        dependencies: needs.iter().map(|n| id(*n)).collect(),
+        priority,
+        ..spec(&id(n), &team, JobKind::Array, 1)
+    };
+    let Node { shares, ctx, .. } = &mut f.node;
+    let share = shares.get_mut(&f.share).expect("it is ours");
+    share.add_job(ctx, spec, None, 5_000_000, 6);
+    f.step(0);
+}
+
+fn is_read(pending: &Pending) -> bool {
+    matches!(pending, Pending::DependencyRead { .. })
+}
+
+fn record(f: &mut Fixture, n: u32, stage: JobStage) -> serde_json::Value {
+    let team = team_of(f);
+    let rec = JobRecord {
+        spec: spec(&id(n), &team, JobKind::Array, 1),
+        share: f.share,
+        stage,
+    };
+    json!({"key": job_key(&id(n)), "data": rec, "stamp": 7})
+}
+
+/// How a holder learns that a dependency is over.
+#[derive(Clone, Copy, Debug)]
+enum Source {
+    OwnWrite,
+    Message,
+    Read,
+}
+
+/// Whichever way it is learnt, and only when it is: a blocked job has no place,
+/// then it has one, or it is cancelled.
+#[test]
+fn a_job_begins_when_its_last_dependency_is_done() {
+    for source in [Source::OwnWrite, Source::Message, Source::Read] {
+        for stage in [JobStage::Done, JobStage::Cancelled] {
+            let name = format!("{source:?}, {stage:?}");
+            let mut f = Fixture::new();
+            f.finalize_format();
+            add(&mut f, 1, &[2], Priority::Normal);
+            f.step(2_000);
+            let job = &f.share().jobs[&id(1)];
+            assert!(job.is_blocked() && job.bound.is_empty(), "{name}: blocked");
+            match source {
+                Source::OwnWrite => f.node.finals.insert_written(id(2), stage),
+                Source::Message => f
+                    .node
+                    .on_job_over_message("j-2", stage == JobStage::Cancelled),
+                Source::Read => {
+                    let body = record(&mut f, 2, stage);
+                    f.answer(is_read, 200, &body);
+                }
+            }
+            // The machine is there all the while.
+            let token = f.token();
+            f.report(1, token, &[]);
+            f.step(1_000);
+            let job = &f.share().jobs[&id(1)];
+            assert_eq!(job.cancelled, stage == JobStage::Cancelled, "{name}");
+            assert_eq!(job.bound.len(), usize::from(!job.cancelled), "{name}");
+        }
+    }
+}
+
+/// Until the last one is done it stays blocked, and its age counts from then.
+#[test]
+fn times_count_from_the_last_dependency() {
+    let mut f = Fixture::new();
+    f.finalize_format();
+    add(&mut f, 1, &[2, 3], Priority::Normal);
+    f.node.on_job_over_message("j-2", false);
+    f.step(10_000);
+    assert!(f.share().jobs[&id(1)].is_blocked());
+    f.node.on_job_over_message("j-3", false);
+    f.step(0);
+    let now = f.node.ctx.now;
+    let job = &f.share().jobs[&id(1)];
+    assert!(!job.is_blocked());
+    assert_eq!(job.age(now), 0);
+}
+
+/// All of a chain that is held here is cancelled at once, however long it is;
+/// what precedes the cancelled job is not.
+#[test]
+fn a_cancellation_passes_on_to_all_that_follow() {
+    let mut f = Fixture::new();
+    f.finalize_format();
+    add(&mut f, 1, &[], Priority::Normal);
+    let length = 400;
+    for n in 2..=length {
+        add(&mut f, n, &[n - 1], Priority::Normal);
+    }
+    f.node.on_job_over_message("j-100", true);
+    f.step(0);
+    let cancelled = |f: &mut Fixture, n| f.share().jobs.get(&id(n)).is_none_or(|j| j.cancelled);
+    let all: Vec<bool> = (1..=length).map(|n| cancelled(&mut f, n)).collect();
+    assert!(all[100..].iter().all(|c| *c), "what follows");
+    assert!(all[..99].iter().all(|c| !c), "what precedes");
+}
+
+/// A job is as urgent as the most urgent one that needs it, through others and
+/// whichever was submitted first.
+#[test]
+fn urgency_passes_on_to_what_is_needed() {
+    for late in [false, true] {
+        let mut f = Fixture::new();
+        f.finalize_format();
+        add(&mut f, 1, &[], Priority::Low);
+        add(&mut f, 2, &[1], Priority::Low);
+        if late {
+            f.step(20_000);
+        }
+        add(&mut f, 3, &[2], Priority::High);
+        add(&mut f, 4, &[2], Priority::Normal);
+        for n in 1..=3 {
+            let priority = f.share().jobs[&id(n)].priority();
+            assert_eq!(priority, Priority::High, "j-{n}, late {late}");
+        }
+        assert_eq!(f.share().jobs[&id(4)].priority(), Priority::Normal);
+    }
+    // Of another controller's jobs it is told.
+    let mut f = Fixture::new();
+    f.finalize_format();
+    add(&mut f, 1, &[], Priority::Low);
+    f.node.on_needed_message("j-1", Priority::High as u8, None);
+    assert_eq!(f.share().jobs[&id(1)].priority(), Priority::High);
+    f.node.on_needed_message("j-1", 200, None);
+    f.node.on_needed_message("no id", 1, None);
+    assert_eq!(f.share().jobs[&id(1)].priority(), Priority::High);
+}
+
+/// After a takeover a job that has begun waits for nothing; any other reads its
+/// dependencies again.
+#[test]
+fn what_a_job_waits_for_is_rebuilt_from_records() {
+    for (next, is_blocked) in [(0, true), (1, false)] {
+        let mut f = Fixture::new();
+        f.finalize_format();
+        add(&mut f, 1, &[2], Priority::Normal);
+        let job = f.share().jobs.get_mut(&id(1)).expect("it is there");
+        job.blocks.get_mut(&0).expect("a head").next = next;
+        let head = job.head_rec();
+        let key = crate::records::live_key(f.share, &id(1), 0);
+        let value = serde_json::to_value(head).expect("a record");
+        let item = forkshift_wire::state::Item {
+            key,
+            value,
+            version: 9,
+        };
+        let mut f = Fixture::new();
+        f.finalize_format();
+        f.load(vec![item]);
+        f.step(0);
+        assert_eq!(f.share().jobs[&id(1)].is_blocked(), is_blocked, "{next}");
+        let reads = f.node.ctx.pending.values().filter(|p| is_read(p)).count();
+        assert_eq!(reads, usize::from(is_blocked), "{next}");
+    }
+}
+
+/// Where nothing was heard of a dependency for long, its dependent is not called
+/// queued: it may have been cancelled.
+#[test]
+fn a_blocked_job_is_not_called_queued_on_old_knowledge() {
+    let half = |f: &Fixture| f.node.ctx.cfg.cancel_ms / 2;
+    for (is_held_here, after_half, answers) in
+        [(false, false, 200), (false, true, 503), (true, true, 200)]
+    {
+        let mut f = Fixture::new();
+        f.finalize_format();
+        if is_held_here {
+            add(&mut f, 2, &[], Priority::Normal);
+            f.bind(&id(2), 0, Sent::Inherited);
+        }
+        add(&mut f, 1, &[2], Priority::Normal);
+        let passes = half(&f) + u64::from(after_half) * 10 - 5;
+        // The controller keeps its lease all the while.
+        f.node.ctx.now += passes;
+        let now = f.node.ctx.now;
+        f.node.member.on_extend(&f.node.ctx, now, 200);
+        let reply = f.node.remembered(&id(1)).expect("it is ours");
+        assert_eq!(
+            reply.status, answers,
+            "here {is_held_here}, late {after_half}"
+        );
+    }
+}
+
+/// Messages of the first release's format are all that is sent until all
+/// controllers know more.
+#[test]
+fn ends_are_told_only_to_controllers_that_know_dependencies() {
+    for is_finalized in [false, true] {
+        let mut f = Fixture::new();
+        let mut cfg = (*f.node.ctx.cfg).clone();
+        cfg.nodes.push(NodeName::new("berth-9"));
+        f.node.ctx.cfg = std::rc::Rc::new(cfg);
+        if is_finalized {
+            f.finalize_format();
+        }
+        f.node.finals.insert_written(id(2), JobStage::Done);
+        let effects = f.step(0);
+        let tells = |e: &Effect| match e {
+            Effect::Tell { message, .. } => Envelope::decode(message).ok(),
+            _ => None,
+        };
+        let told: Vec<Envelope> = effects.iter().filter_map(tells).collect();
+        let is_end = |e: &&Envelope| matches!(e.body, Body::JobOver { .. });
+        assert_eq!(
+            told.iter().filter(is_end).count(),
+            usize::from(is_finalized)
+        );
+        let newest = told.iter().map(|e| e.version).max();
+        assert_eq!(newest == Some(6), is_finalized);
+    }
+}
--- a/crates/core/src/fixture.rs
+++ b/crates/core/src/fixture.rs
@@ -223,11 +223,27 @@
 
     /// A request, and its answer if that comes at once.
     pub(crate) fn ask(&mut self, request: u64, method: &str, path: &str) -> Option<(u16, String)> {
+        self.send(request, method, path, Vec::new())
+    }
+
+    /// A submission, and its answer if that comes at once.
+    pub(crate) fn submit(&mut self, request: u64, spec: &JobSpec) -> Option<(u16, String)> {
+        let body = serde_json::to_vec(spec).expect("a submission");
+        self.send(request, "POST", "/submissions", body)
+    }
+
+    fn send(
+        &mut self,
+        request: u64,
+        method: &str,
+        path: &str,
+        body: Vec<u8>,
+    ) -> Option<(u16, String)> {
         let input = Input::Request {
             request: RequestId(request),
             method: method.to_owned(),
             path: path.to_owned(),
-            body: Some(Vec::new()),
+            body: Some(body),
         };
         let now = self.node.ctx.now;
         let effects = self.node.step(now, WALL + now - NOW, vec![input]);
--- a/crates/wire/src/peer/tests.rs
+++ b/crates/wire/src/peer/tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 #[test]
-fn only_whole_messages_of_this_version_are_taken() {
+fn only_whole_messages_of_versions_that_are_spoken_are_taken() {
     let message = Envelope {
         version: VERSION,
         from: "berth-1".to_owned(),
@@ -47,3 +47,34 @@
     };
     assert!(Envelope { body, ..message }.encode().is_err());
 }
+
+/// A message goes out under the oldest version that has its body, so that
+/// controllers of the first release understand all that they ever did.
+#[test]
+fn bodies_have_the_oldest_version_that_knows_them() {
+    let over = Body::JobOver {
+        id: "j-1".to_owned(),
+        cancelled: true,
+    };
+    let needed = Body::Needed {
+        id: "j-1".to_owned(),
+        priority: 2,
+        due: Some(7),
+    };
+    let grant = Body::Grant {
+        writes: 1,
+        requests: 2,
+    };
+    for (body, version) in [(over, 6), (needed, 6), (grant, 5)] {
+        assert_eq!(body.version(), version);
+        let message = Envelope {
+            version,
+            from: "berth-1".to_owned(),
+            inc: 7,
+            epoch: 3,
+            body,
+        };
+        let bytes = message.encode().unwrap();
+        assert_eq!(Envelope::decode(&bytes).unwrap(), message);
+    }
+}
--- a/crates/wire/src/users/tests.rs
+++ b/crates/wire/src/users/tests.rs
@@ -28,6 +28,10 @@
         ("rigs", json!("g8")),
         ("same_place", json!(0)),
         ("due_s", json!(-2.0)),
+        ("awaits", json!("j-1")),
+        ("awaits", json!(["j-1", 2])),
+        ("awaits", json!(["j-1", "k-2"])),
+        ("awaits", json!([null])),
     ];
     for (field, value) in cases {
         let mut body = sample();
@@ -55,3 +59,26 @@
         assert!(JobSpec::parse(body.as_bytes()).is_err(), "{body:?}");
     }
 }
+
+/// Whatever stands for an empty list is one; a job that is named twice counts
+/// once; and a submission without a list is written as it ever was.
+#[test]
+fn lists_of_dependencies_are_read_and_written() {
+    let cases = [
+        (json!(null), vec![]),
+        (json!([]), vec![]),
+        (json!(["j-2", "j-1", "j-2"]), vec!["j-2", "j-1"]),
+    ];
+    for (value, expected) in cases {
+        let mut body = sample();
+        body["awaits"] = value.clone();
+        let spec = JobSpec::parse(body.to_string().as_bytes()).expect("a submission");
+        let ids: Vec<&str> = spec.dependencies.iter().map(JobId::as_str).collect();
+        assert_eq!(ids, expected, "{value}");
+        let written = serde_json::to_value(&spec).expect("a submission");
+        assert_eq!(written.get("awaits").is_some(), !expected.is_empty());
+    }
+    assert!(
+        JobSpec::parse(sample().to_string().as_bytes()).is_ok_and(|s| s.dependencies.is_empty())
+    );
+}
