--- a/crates/core/src/commit/tests.rs
+++ b/crates/core/src/commit/tests.rs
@@ -223,6 +223,51 @@
     }
 }
 
+/// The records of an array as the first release has them: one task in three is
+/// done, one in three is on the machine.
+fn old_records(f: &mut Fixture, id: &JobId, tasks: u32) -> Records {
+    let spec = spec(id, &team_of(f), JobKind::Array, tasks);
+    let layout = Layout::unnamed(&f.node.ctx.cfg.state_limits);
+    let block = |b: u32| {
+        let (from, to) = layout.tasks_of(b);
+        let all = || from..to.min(tasks);
+        let done = all().filter(|i| i % 3 == 0).map(|i| (i, i + 1));
+        let bound = all().filter(|i| i % 3 == 1);
+        TaskBlockRecord {
+            next: 2,
+            done: done.collect(),
+            bound: bound.map(|i| (i, 2, MachineId::new("m-1"))).collect(),
+        }
+    };
+    let head = JobHeadRecord {
+        spec,
+        cancelled: false,
+        cancelled_at: 0,
+        at: WALL,
+        layout: None,
+        block: block(0),
+    };
+    let mut records = Records {
+        revision: 5,
+        ..Records::default()
+    };
+    let mut put = |key: String, value| {
+        let version = 4;
+        let item = Item {
+            key: key.clone(),
+            value,
+            version,
+        };
+        records.items.insert(key, item);
+    };
+    put(live_key(f.share, id, 0), to_value(head).expect("a head"));
+    for b in 1..=layout.block_of(tasks - 1) {
+        let value = to_value(block(b)).expect("a block");
+        put(live_key(f.share, id, b), value);
+    }
+    records
+}
+
 /// A job that the first release recorded in large blocks is moved to small ones
 /// when it next changes. Whoever takes over after any transaction of that finds
 /// each task once, as it was or as it has become.
@@ -230,51 +275,8 @@
 fn a_job_is_moved_to_smaller_records_whatever_happens_on_the_way() {
     for tasks in [10, 60, 300] {
         let mut f = Fixture::new();
-        let spec = spec(&JobId::new("j-1"), &team_of(&mut f), JobKind::Array, tasks);
-        let id = spec.id.clone();
-        // As the first release has it: blocks of 204 tasks; one in three is
-        // done, one in three is on the machine.
-        let layout = Layout::unnamed(&f.node.ctx.cfg.state_limits);
-        let block = |b: u32| {
-            let (from, to) = layout.tasks_of(b);
-            let all = || from..to.min(tasks);
-            TaskBlockRecord {
-                next: 2,
-                done: all().filter(|i| i % 3 == 0).map(|i| (i, i + 1)).collect(),
-                bound: all()
-                    .filter(|i| i % 3 == 1)
-                    .map(|i| (i, 2, MachineId::new("m-1")))
-                    .collect(),
-            }
-        };
-        let head = JobHeadRecord {
-            spec,
-            cancelled: false,
-            cancelled_at: 0,
-            at: WALL,
-            layout: None,
-            block: block(0),
-        };
-        let mut records = Records {
-            revision: 5,
-            ..Records::default()
-        };
-        let mut put = |key: String, value| {
-            let version = 4;
-            let item = Item {
-                key: key.clone(),
-                value,
-                version,
-            };
-            records.items.insert(key, item);
-        };
-        put(live_key(f.share, &id, 0), to_value(head).expect("a head"));
-        for b in 1..=layout.block_of(tasks - 1) {
-            put(
-                live_key(f.share, &id, b),
-                to_value(block(b)).expect("a block"),
-            );
-        }
+        let id = JobId::new("j-1");
+        let mut records = old_records(&mut f, &id, tasks);
         f.load(records.live());
         let before = tasks_of(&mut f, &id);
         assert!(!before.0.is_empty() && !before.1.is_empty());
@@ -322,3 +324,38 @@
         assert_eq!(left, Vec::<String>::new(), "{tasks} tasks: left over");
     }
 }
+
+/// What is written under a layout that the head does not name yet does not
+/// count: a start that rests on it waits.
+#[test]
+fn nothing_is_durable_before_the_head_names_the_layout() {
+    let mut f = Fixture::new();
+    let (id, index) = (JobId::new("j-1"), 30);
+    let mut records = old_records(&mut f, &id, 300);
+    f.load(records.live());
+    f.finalize_format();
+    let job = f.share().jobs.get_mut(&id).expect("it is there");
+    let version = job.touch(job.block_of(index));
+    f.share().dirty.touch(&id);
+    let share_key = share_key(f.share);
+    let mut durable = Vec::new();
+    let mut effects = f.step(1_000);
+    for _ in 0..100 {
+        for (call, body) in std::mem::take(&mut effects).iter().filter_map(txn_of) {
+            let txn: Txn = serde_json::from_slice(&body).expect("a transaction");
+            let (status, reply) = records.carry_out(&txn, &share_key);
+            let body = reply.to_string().into_bytes();
+            let answer = Input::Answer { call, status, body };
+            let now = f.node.ctx.now;
+            effects.extend(f.node.step(now, WALL, vec![answer]));
+            let head = &records.items[&live_key(f.share, &id, 0)];
+            let is_named = head.value.get("layout").is_some();
+            let is_durable = f.share().jobs[&id].is_durable(index, version);
+            durable.push(is_durable);
+            assert!(is_named || !is_durable, "before the head was written");
+        }
+        effects.extend(f.step(200));
+    }
+    assert_eq!(durable.first(), Some(&false));
+    assert_eq!(durable.last(), Some(&true));
+}
