--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -19,6 +19,9 @@
 
 /// Pause before a write that failed is tried again.
 const RETRY: Ms = 150;
+/// Pause before a write is tried again that was refused as malformed or too
+/// large although it keeps to the smallest limits that are known.
+const REFUSED_RETRY: Ms = 5_000;
 /// A transaction's share of the 64 KiB that it may have.
 const TXN_BYTES: usize = 40 * 1024;
 
@@ -152,7 +155,7 @@
                 self.written(ctx, finals, &write, reply.revision);
                 continue;
             }
-            job.retry_at = ctx.now + RETRY;
+            job.retry_at = ctx.now + retry_pause(ctx, status);
             if status == 503 {
                 // The write is tried again all the same; whoever waits for it
                 // is told at once to come back.
@@ -311,6 +314,17 @@
     }
 }
 
+/// Pause before a write is tried again. One that is too large is cut to smaller
+/// limits next time, if there are any.
+fn retry_pause(ctx: &Context, status: u16) -> Ms {
+    let is_cut = ctx.limits == ctx.cfg.least_state_limits;
+    if status == 400 && is_cut {
+        REFUSED_RETRY
+    } else {
+        RETRY
+    }
+}
+
 /// Tells users who wait for a cancellation how the job ended.
 fn answer(ctx: &mut Context, waiters: Vec<RequestId>, id: &JobId, stage: JobStage) {
     for request in waiters {
--- a/crates/core/src/dependencies.rs
+++ b/crates/core/src/dependencies.rs
@@ -145,7 +145,7 @@
             let Some(job) = job.filter(|j| j.is_blocked() && !j.cancelled) else {
                 continue;
             };
-            let (priority, due) = (job.priority(), job.due_for_dependencies());
+            let priority = job.priority();
             let unresolved: Vec<JobId> = job.unresolved.iter().cloned().collect();
             for dependency in &unresolved {
                 match self.finals.get(dependency) {
@@ -153,7 +153,7 @@
                     None => self.dependencies.add(dependency, &id, self.ctx.now),
                 }
             }
-            self.raise(unresolved, priority, due);
+            self.raise(unresolved, priority);
         }
     }
 
@@ -293,11 +293,10 @@
         job.unresolved.iter().all(is_certain)
     }
 
-    /// Jobs are needed by one of a priority and with a time by which they should
-    /// be done: that holds for all that they need themselves.
-    fn raise(&mut self, jobs: Vec<JobId>, priority: Priority, due: Option<Ms>) {
-        let mut raised: Vec<(JobId, Option<Ms>)> = jobs.into_iter().map(|id| (id, due)).collect();
-        while let Some((id, due)) = raised.pop() {
+    /// Jobs are needed by one of a priority: that holds for all that they need
+    /// themselves.
+    fn raise(&mut self, mut jobs: Vec<JobId>, priority: Priority) {
+        while let Some(id) = jobs.pop() {
             let Some(share) = holding(&mut self.shares, &id) else {
                 let share = self.dependencies.waiting.get(&id).and_then(|d| d.share);
                 if let Some(share) = share {
@@ -308,11 +307,11 @@
             let Some(job) = share.jobs.get_mut(&id) else {
                 continue;
             };
-            if !job.inherit(priority, due) {
+            if job.inherited_priority >= priority {
                 continue;
             }
-            let due = job.due_for_dependencies();
-            raised.extend(job.unresolved.iter().map(|id| (id.clone(), due)));
+            job.inherited_priority = priority;
+            jobs.extend(job.unresolved.iter().cloned());
             share.hurry(&self.ctx);
         }
     }
@@ -321,22 +320,18 @@
     fn tell_needed(&mut self, id: &JobId, share: ShareId) {
         let dependents = self.dependencies.dependents_of(id);
         let jobs = dependents.filter_map(|d| self.shares.values().find_map(|s| s.jobs.get(d)));
-        let needs = jobs.map(|j| (j.priority(), j.due_for_dependencies()));
-        let (mut priority, mut due) = (Priority::Low, None);
-        for (p, d) in needs {
-            priority = priority.max(p);
-            due = earlier(due, d);
-        }
+        let Some(priority) = jobs.map(Job::priority).max() else {
+            return;
+        };
         let body = Body::Needed {
             id: id.to_string(),
             priority: priority as u8,
-            due,
         };
         self.tell_holder(share, body);
     }
 
     /// A job of ours is needed by one that another controller holds.
-    pub(crate) fn on_needed_message(&mut self, id: &str, priority: u8, due: Option<u64>) {
+    pub(crate) fn on_needed_message(&mut self, id: &str, priority: u8) {
         const ALL: [Priority; 4] = [
             Priority::Low,
             Priority::Normal,
@@ -347,16 +342,11 @@
             return;
         };
         if holds(&self.shares, &id) {
-            self.raise(vec![id], *priority, due);
+            self.raise(vec![id], *priority);
         }
     }
 }
 
-/// The earlier of two times, of which each may be missing.
-pub(crate) fn earlier(a: Option<Ms>, b: Option<Ms>) -> Option<Ms> {
-    a.into_iter().chain(b).min()
-}
-
 /// The share in use that holds an unfinished job.
 fn holding<'a>(shares: &'a mut BTreeMap<ShareId, Share>, id: &JobId) -> Option<&'a mut Share> {
     let mut active = shares.values_mut().filter(|s| s.phase == Phase::Active);
--- a/crates/core/src/dependencies/tests.rs
+++ b/crates/core/src/dependencies/tests.rs
@@ -64,9 +64,19 @@
             assert!(job.is_blocked() && job.bound.is_empty(), "{name}: blocked");
             match source {
                 Source::OwnWrite => f.node.finals.insert_written(id(2), stage),
-                Source::Message => f
-                    .node
-                    .on_job_over_message("j-2", stage == JobStage::Cancelled),
+                Source::Message => {
+                    let message = Envelope {
+                        version: 6,
+                        from: "berth-9".to_owned(),
+                        inc: 3,
+                        epoch: 0,
+                        body: Body::JobOver {
+                            id: "j-2".to_owned(),
+                            cancelled: stage == JobStage::Cancelled,
+                        },
+                    };
+                    f.node.on_peer(&message.encode().expect("a message"));
+                }
                 Source::Read => {
                     let body = record(&mut f, 2, stage);
                     f.answer(is_read, 200, &body);
@@ -143,10 +153,10 @@
     let mut f = Fixture::new();
     f.finalize_format();
     add(&mut f, 1, &[], Priority::Low);
-    f.node.on_needed_message("j-1", Priority::High as u8, None);
+    f.node.on_needed_message("j-1", Priority::High as u8);
     assert_eq!(f.share().jobs[&id(1)].priority(), Priority::High);
-    f.node.on_needed_message("j-1", 200, None);
-    f.node.on_needed_message("no id", 1, None);
+    f.node.on_needed_message("j-1", 200);
+    f.node.on_needed_message("no id", 1);
     assert_eq!(f.share().jobs[&id(1)].priority(), Priority::High);
 }
 
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -2,7 +2,6 @@
 
 use crate::blame::{well_after, JobFailures};
 use crate::context::RequestId;
-use crate::dependencies::earlier;
 use crate::layout::Layout;
 use crate::ranges::Ranges;
 use crate::records::{JobHeadRecord, ShareId, TaskBlockRecord};
@@ -111,8 +110,6 @@
     pub(crate) unresolved: BTreeSet<JobId>,
     /// The highest priority of the jobs that need it.
     pub(crate) inherited_priority: Priority,
-    /// Time of day by which it should be done for the deadlines of those jobs.
-    pub(crate) inherited_due: Option<Ms>,
     /// Time of day at which it was submitted.
     pub(crate) at: Ms,
     /// How long it had waited when this holder learnt of it, and when that was.
@@ -158,7 +155,6 @@
             retry_at: 0,
             unresolved: spec.dependencies.iter().cloned().collect(),
             inherited_priority: Priority::Low,
-            inherited_due: None,
             at: 0,
             waited: 0,
             since: now,
@@ -367,27 +363,6 @@
         }
     }
 
-    /// Time of day by which it should be done, for its own deadline and for
-    /// those of the jobs that need it.
-    pub(crate) fn due(&self) -> Option<Ms> {
-        let own = self.spec.deadline_s.map(|s| self.at + crate::ms(s));
-        earlier(own, self.inherited_due)
-    }
-
-    /// Time of day by which the jobs that it needs should be done.
-    pub(crate) fn due_for_dependencies(&self) -> Option<Ms> {
-        let run = crate::ms(self.spec.estimate_s);
-        self.due().map(|due| due.saturating_sub(run))
-    }
-
-    /// A job needs this one. Returns whether that makes it more urgent.
-    pub(crate) fn inherit(&mut self, priority: Priority, due: Option<Ms>) -> bool {
-        let before = (self.inherited_priority, self.inherited_due);
-        self.inherited_priority = self.inherited_priority.max(priority);
-        self.inherited_due = earlier(self.inherited_due, due);
-        before != (self.inherited_priority, self.inherited_due)
-    }
-
     /// How its tasks are spread over blocks.
     pub(crate) fn layout(&self) -> Layout {
         self.layout
--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -96,7 +96,7 @@
                 }
             }
             Body::Cancel { id } => self.on_cancel_message(epoch, &id),
-            Body::Needed { id, priority, due } => self.on_needed_message(&id, priority, due),
+            Body::Needed { id, priority } => self.on_needed_message(&id, priority),
         }
     }
 
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -111,9 +111,6 @@
         id: String,
         /// The highest priority among those that need it, the lowest being 0.
         priority: u8,
-        /// Time of day by which it should be done for their deadlines, in
-        /// milliseconds.
-        due: Option<u64>,
     },
 }
 
--- a/crates/wire/src/peer/tests.rs
+++ b/crates/wire/src/peer/tests.rs
@@ -59,7 +59,6 @@
     let needed = Body::Needed {
         id: "j-1".to_owned(),
         priority: 2,
-        due: Some(7),
     };
     let grant = Body::Grant {
         writes: 1,
