--- a/crates/core/src/leader/renting.rs
+++ b/crates/core/src/leader/renting.rs
@@ -422,3 +422,6 @@
 fn zone_names(view: &View) -> Vec<String> {
     view.zones().into_iter().map(str::to_owned).collect()
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/core/src/leader/renting/tests.rs
@@ -0,0 +1,76 @@
+//! Tests of `renting`.
+
+use super::*;
+use crate::context::Effect;
+use crate::fixture::Fixture;
+use crate::node::Node;
+use crate::view::Stamped;
+use serde_json::json;
+use std::collections::BTreeSet;
+
+fn is_rented(pending: &Pending) -> bool {
+    matches!(pending, Pending::Rented { .. })
+}
+
+/// Machines whose records a transaction puts.
+fn put_machines(effects: &[Effect]) -> Vec<String> {
+    let mut put = Vec::new();
+    for effect in effects {
+        let Effect::Call { path, body, .. } = effect else {
+            continue;
+        };
+        if path != "/txn" {
+            continue;
+        }
+        let txn: Txn =
+            serde_json::from_slice(body.as_deref().unwrap_or_default()).expect("a transaction");
+        let keys = txn.writes.iter().map(Write::key);
+        let new = keys.filter_map(|k| k.strip_prefix("c/machine/host-"));
+        put.extend(new.map(str::to_owned));
+    }
+    put
+}
+
+/// The limits fall between a part of an outcome and its answer: each machine
+/// gets its record all the same, once.
+#[test]
+fn an_outcome_is_recorded_whole_when_limits_fall_on_the_way() {
+    for rented in [5, 11, 12, 30] {
+        let mut f = Fixture::new();
+        // It has led for a while.
+        f.step(0);
+        let machine_type = "big".to_owned();
+        let zone = "hall-a".to_owned();
+        let intent = RentalIntent {
+            parts: vec![(f.share, rented)],
+            machine_type,
+            zone,
+            spot: false,
+            placed: 0,
+        };
+        let stamped = Stamped {
+            rec: intent,
+            version: 9,
+        };
+        f.node.view.rental_intents.insert("r-1".to_owned(), stamped);
+        let names: Vec<String> = (0..rented).map(|i| format!("host-{i:03}")).collect();
+        let body = json!({"berths": names}).to_string();
+        let Node {
+            leader, ctx, view, ..
+        } = &mut f.node;
+        leader.on_rent(ctx, view, "r-1", 200, body.as_bytes());
+        let mut put = put_machines(&f.step(0));
+        f.finalize_format();
+        for revision in 20..40 {
+            if !f.node.ctx.pending.values().any(is_rented) {
+                break;
+            }
+            let mut effects = f.answer(is_rented, 200, &json!({"ledger_rev": revision}));
+            effects.extend(f.step(1_000));
+            put.extend(put_machines(&effects));
+        }
+        let different: BTreeSet<&String> = put.iter().collect();
+        assert_eq!(put.len(), rented as usize, "of {rented}: {put:?}");
+        assert_eq!(different.len(), rented as usize, "of {rented}: twice");
+    }
+}
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -342,3 +342,6 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub bound: Vec<(u32, u64, MachineId)>,
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/core/src/records/tests.rs
@@ -0,0 +1,62 @@
+//! Tests of `records`.
+
+use super::*;
+
+fn shape(n: u32) -> ShapeRecord {
+    ShapeRecord {
+        res: (1_000, 0, 1_000),
+        n,
+        types: None,
+        zones: None,
+        spot: false,
+        spare: false,
+        reclaims: false,
+        borrows: false,
+    }
+}
+
+fn machines(n: u32) -> Vec<MachineId> {
+    let id = |i| MachineId::new(&format!("host-{i:06}"));
+    (0..n).map(id).collect()
+}
+
+/// A demand is cut to the largest value, what is least missed first, and the
+/// most urgent of each list stays.
+#[test]
+fn a_demand_is_cut_by_what_is_least_missed() {
+    let full = DemandRecord {
+        rev: 7,
+        shapes: (1..=24).map(shape).collect(),
+        now: (1..=24).map(shape).collect(),
+        free: machines(20),
+        surplus: machines(200),
+        borrowed: machines(200),
+    };
+    let size = |rec: &DemandRecord| serde_json::to_vec(rec).expect("a record").len();
+    let whole = size(&full);
+    // Bytes, and which lists are left whole, cut, or empty.
+    let cases = [
+        (whole, [24, 24, 20, 200, 200]),
+        (whole - 1, [24, 24, 20, 200, 100]),
+        (6_000, [24, 24, 20, 200, 50]),
+        (2_048, [24, 24, 0, 0, 0]),
+        (1_000, [12, 0, 0, 0, 0]),
+        (10, [0, 0, 0, 0, 0]),
+    ];
+    for (bytes, left) in cases {
+        let cut = full.clone().cut_to(bytes);
+        assert!(
+            size(&cut) <= bytes.max(size(&DemandRecord::default())),
+            "{bytes}"
+        );
+        let lengths = [
+            cut.shapes.len(),
+            cut.now.len(),
+            cut.free.len(),
+            cut.surplus.len(),
+            cut.borrowed.len(),
+        ];
+        assert_eq!(lengths, left, "{bytes}");
+        assert!(cut.shapes.iter().eq(full.shapes.iter().take(left[0])));
+    }
+}
