--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -3,8 +3,9 @@
 //! versions that were read.
 
 use crate::api::read_job;
-use crate::context::{Creation, Lookup, Pending, Reply, RequestId};
+use crate::io::{Reply, RequestId};
 use crate::node::Node;
+use crate::pending::{Creation, Lookup, Pending};
 use crate::records::job_key;
 use crate::store::Urgency;
 use forkshift_wire::state::Item;
--- a/crates/core/src/admission/tests.rs
+++ b/crates/core/src/admission/tests.rs
@@ -1,8 +1,8 @@
 //! Tests of `admission`.
 
 use super::*;
-use crate::context::Effect;
 use crate::fixture::{answer_to, spec, team_of, Fixture};
+use crate::io::Effect;
 use crate::records::JobRecord;
 use forkshift_wire::state::{Txn, Write};
 use forkshift_wire::users::JobStatus;
--- /dev/null
+++ b/crates/core/src/api/cancellations.rs
@@ -0,0 +1,149 @@
+//! Cancellations: of jobs that are held here, and of those that another
+//! controller is to cancel.
+
+use crate::api::questions::read_job;
+use crate::api::{status, ANSWER_MS};
+use crate::context::revision_of;
+use crate::io::{Reply, RequestId};
+use crate::node::Node;
+use crate::pending::{AbortPoll, Lookup, Pending};
+use crate::records::{abort_key, job_key, ShareId};
+use crate::share::Phase;
+use crate::store::Urgency;
+use crate::Ms;
+use forkshift_wire::state::{Txn, Write};
+use forkshift_wire::users::JobStage;
+use forkshift_wire::JobId;
+
+/// Pause between two looks at whether a cancellation was carried out.
+const POLL_MS: Ms = 250;
+
+impl Node {
+    pub(crate) fn abort(&mut self, request: RequestId, id: &str) -> Option<Reply> {
+        let Some(id) = JobId::parse(id) else {
+            return Some(Reply::error(404, "no such job"));
+        };
+        if let Some(stage) = self.finals.get(&id) {
+            return Some(Reply::json(200, &status(&id, stage)));
+        }
+        let right = self.member.has_right(&self.ctx, &self.view);
+        let Node { shares, ctx, .. } = self;
+        let ours = shares
+            .values_mut()
+            .find(|s| s.phase == Phase::Active && s.jobs.contains_key(&id));
+        if let Some(share) = ours {
+            share.cancel(ctx, &id);
+            let job = share.jobs.get_mut(&id)?;
+            // An earlier holder may have told the user already; what is left of
+            // the job may take long to end.
+            if job.cancel_durable {
+                return Some(Reply::json(200, &status(&id, JobStage::Cancelled)));
+            }
+            // Stopping is always allowed, but it is not for us to confirm it.
+            if !right {
+                return Some(Reply::later("not now"));
+            }
+            job.cancel_waiters.push(request);
+            let until = ctx.now + ANSWER_MS;
+            self.cancel_ends.push_back((until, request, id));
+            return None;
+        }
+        self.look_up(request, id, Lookup::Abort)
+    }
+
+    /// Leaves word for the holder, in the place that it watches.
+    pub(crate) fn pass_abort(&mut self, request: RequestId, id: JobId, share: ShareId) {
+        let until = self.ctx.now + ANSWER_MS * 3 / 4;
+        self.tell_cancel(&id, share);
+        let known = self.view.aborts.get(&id).copied();
+        let key = abort_key(&id);
+        let poll = AbortPoll {
+            request,
+            id,
+            version: known.unwrap_or(0),
+            until,
+        };
+        if known.is_some() {
+            return self.poll_abort(poll);
+        }
+        let txn = Txn {
+            conds: Vec::new(),
+            writes: vec![Write::put(key, true.into())],
+        };
+        self.ctx.txn(Urgency::User, &txn, Pending::Abort(poll));
+    }
+
+    /// The write of a key that asks for a cancellation was answered.
+    pub(crate) fn on_abort_put(&mut self, mut poll: AbortPoll, code: u16, body: &[u8]) {
+        if code == 200 {
+            poll.version = revision_of(body);
+            self.poll_abort(poll);
+        } else {
+            self.ctx.respond(poll.request, Reply::later("not now"));
+        }
+    }
+
+    pub(crate) fn poll_abort(&mut self, poll: AbortPoll) {
+        let path = format!("/kv/{}", job_key(&poll.id));
+        self.ctx.read(Urgency::User, path, Pending::AbortPoll(poll));
+    }
+
+    /// The read that shows whether a cancellation was carried out was answered.
+    pub(crate) fn on_abort_poll(&mut self, poll: AbortPoll, code: u16, body: &[u8]) {
+        let AbortPoll {
+            request,
+            id,
+            version,
+            until,
+        } = &poll;
+        let record = if code == 200 { read_job(body) } else { None };
+        match record {
+            Some(record) if record.stage.is_final() => {
+                self.finals.insert(id.clone(), record.stage);
+                let reply = Reply::json(200, &status(id, record.stage));
+                self.ctx.respond(*request, reply);
+                // The holder may have been told by message, and have done it
+                // before any view showed the key: it is for us to remove.
+                crate::share::remove_key(&mut self.ctx, abort_key(id), *version);
+            }
+            _ if code == 503 => self.ctx.respond(*request, Reply::later("not now")),
+            _ if self.ctx.now < *until => self.later_polls.push((self.ctx.now + POLL_MS, poll)),
+            _ => self.ctx.respond(*request, Reply::later("being cancelled")),
+        }
+    }
+
+    /// Answers users whose cancellation could not be written in time.
+    pub(crate) fn end_waits(&mut self) {
+        let now = self.ctx.now;
+        while self
+            .cancel_ends
+            .front()
+            .is_some_and(|(until, ..)| now >= *until)
+        {
+            let Some((_, request, id)) = self.cancel_ends.pop_front() else {
+                return;
+            };
+            let Some(job) = self.share_of(&id).and_then(|s| s.jobs.get_mut(&id)) else {
+                continue;
+            };
+            let waiting = job.cancel_waiters.len();
+            job.cancel_waiters.retain(|waiter| *waiter != request);
+            if job.cancel_waiters.len() < waiting {
+                self.ctx.respond(request, Reply::later("being cancelled"));
+            }
+        }
+    }
+
+    /// Looks again at cancellations that others are to carry out.
+    pub(crate) fn repeat_polls(&mut self) {
+        let now = self.ctx.now;
+        let polls = std::mem::take(&mut self.later_polls);
+        for (at, poll) in polls {
+            if now >= at {
+                self.poll_abort(poll);
+            } else {
+                self.later_polls.push((at, poll));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/api/questions.rs
@@ -0,0 +1,148 @@
+//! Questions about jobs, answered from memory by right, or from their records.
+
+use crate::api::status;
+use crate::io::{Reply, RequestId};
+use crate::node::Node;
+use crate::pending::{Lookup, Pending};
+use crate::records::{job_key, JobRecord};
+use crate::store::Urgency;
+use crate::Ms;
+use forkshift_wire::state::Item;
+use forkshift_wire::users::JobStage;
+use forkshift_wire::JobId;
+use serde_json::from_value;
+
+/// A question is asked of the state service again if its connection breaks
+/// within this; users wait 2 s for an answer.
+const LOOKUP_MS: Ms = 1_000;
+
+impl Node {
+    pub(crate) fn question(&mut self, request: RequestId, id: &str) -> Option<Reply> {
+        let Some(id) = JobId::parse(id) else {
+            return Some(Reply::error(404, "no such job"));
+        };
+        if let Some(stage) = self.finals.get(&id) {
+            return Some(Reply::json(200, &status(&id, stage)));
+        }
+        if self.member.has_right(&self.ctx, &self.view) {
+            if let Some(reply) = self.remembered(&id) {
+                return Some(reply);
+            }
+        }
+        self.look_up(request, id, Lookup::Question)
+    }
+
+    /// What memory says of a job of ours: nothing, if its record may say more.
+    pub(crate) fn remembered(&mut self, id: &JobId) -> Option<Reply> {
+        let share = self.share_of(id)?;
+        let (k, epoch) = (share.id, share.epoch);
+        // The view may have gone on in this very batch, and the share with it.
+        let still_ours = self
+            .view
+            .shares
+            .get(&k)
+            .is_some_and(|s| s.rec.epoch == epoch);
+        let job = self.share_of(id).filter(|_| still_ours)?.jobs.get(id)?;
+        if !job.is_certain() {
+            return None;
+        }
+        // A cancellation that we have not heard of may be on its way to it.
+        let job = self.shares.get(&k)?.jobs.get(id)?;
+        if !self.is_known_unfinished(job) {
+            return Some(Reply::later("not known at the moment"));
+        }
+        Some(Reply::json(200, &job.status()))
+    }
+
+    /// Reads a job's record, for an answer that must not be older than what
+    /// any node has told.
+    pub(crate) fn look_up(&mut self, request: RequestId, id: JobId, why: Lookup) -> Option<Reply> {
+        let until = self.ctx.now + LOOKUP_MS;
+        self.read_job(request, id, why, until);
+        None
+    }
+
+    pub(crate) fn read_job(&mut self, request: RequestId, id: JobId, why: Lookup, until: Ms) {
+        let path = format!("/kv/{}", job_key(&id));
+        let pending = Pending::Lookup {
+            request,
+            id,
+            why,
+            until,
+        };
+        self.ctx.read(Urgency::User, path, pending);
+    }
+
+    /// The read of a job's record was answered.
+    pub(crate) fn on_lookup(
+        &mut self,
+        request: RequestId,
+        id: JobId,
+        why: Lookup,
+        until: Ms,
+        code: u16,
+        body: &[u8],
+    ) {
+        // What was told meanwhile is newer than what was read.
+        if let Some(stage) = self.finals.get(&id) {
+            let reply = Reply::json(200, &status(&id, stage));
+            return self.ctx.respond(request, reply);
+        }
+        let record = match code {
+            200 => read_job(body),
+            // It was accepted after the read.
+            404 if self.homes.get(&id).is_some() || self.share_of(&id).is_some() => {
+                if self.ctx.now < until {
+                    return self.read_job(request, id, why, until);
+                }
+                None
+            }
+            404 => {
+                let reply = match why {
+                    Lookup::Submission(otherwise) => otherwise,
+                    Lookup::Question | Lookup::Abort => Reply::error(404, "no such job"),
+                };
+                return self.ctx.respond(request, reply);
+            }
+            // A connection that broke is no outage: a read may be repeated.
+            0 if self.ctx.now < until => return self.read_job(request, id, why, until),
+            _ => None,
+        };
+        let Some(record) = record.filter(|r| !self.is_cancelled_with_another(r)) else {
+            return self.ctx.respond(request, Reply::later("not now"));
+        };
+        if record.stage.is_final() {
+            self.finals.insert(id.clone(), record.stage);
+        } else {
+            self.homes.insert(id.clone(), record.share);
+        }
+        if !record.stage.is_final() && matches!(why, Lookup::Abort) {
+            return self.pass_abort(request, id, record.share);
+        }
+        self.ctx
+            .respond(request, Reply::json(200, &status(&id, record.stage)));
+    }
+
+    /// Whether a job whose record does not say so yet is known to be cancelled
+    /// with one that it needs. It must not be called queued for long.
+    pub(crate) fn is_cancelled_with_another(&mut self, record: &JobRecord) -> bool {
+        let dependencies = &record.spec.dependencies;
+        if record.stage.is_final() || dependencies.is_empty() {
+            return false;
+        }
+        let finals = &self.finals;
+        let is_cancelled = |id: &JobId| finals.get(id) == Some(JobStage::Cancelled);
+        if dependencies.iter().any(is_cancelled) {
+            return true;
+        }
+        let job = self.share_of(&record.spec.id);
+        let job = job.and_then(|s| s.jobs.get(&record.spec.id));
+        job.is_some_and(|j| j.cancelled)
+    }
+}
+
+/// The record of a job in an answer of the state service.
+pub(crate) fn read_job(body: &[u8]) -> Option<JobRecord> {
+    let item: Item = serde_json::from_slice(body).ok()?;
+    from_value(item.value).ok()
+}
--- /dev/null
+++ b/crates/core/src/api/submissions.rs
@@ -0,0 +1,206 @@
+//! Submissions: whether a job can be accepted, and the transaction that accepts it.
+
+use crate::api::{status, ANSWER_MS};
+use crate::context::revision_of;
+use crate::io::{Reply, RequestId};
+use crate::layout::can_be_recorded;
+use crate::node::Node;
+use crate::pending::{Creation, Lookup, Pending};
+use crate::records::{
+    job_key, live_key, total_of, JobHeadRecord, JobRecord, ShareId, TaskBlockRecord,
+};
+use crate::share::new_layout;
+use crate::store::Urgency;
+use forkshift_sched::{Quota, Resources};
+use forkshift_wire::state::{Cond, Txn, TxnReply, Write};
+use forkshift_wire::users::{JobKind, JobSpec, JobStage};
+use forkshift_wire::JobId;
+use serde_json::to_value;
+
+impl Node {
+    pub(crate) fn submit(&mut self, request: RequestId, body: Option<Vec<u8>>) -> Option<Reply> {
+        let Some(body) = body else {
+            return Some(Reply::error(413, "too large"));
+        };
+        let spec = match JobSpec::parse(&body) {
+            Ok(spec) => spec,
+            Err(e) => {
+                // A repetition of a job that is known gets its state, even if
+                // it would not be accepted today.
+                let refusal = Reply::error(400, &e.to_string());
+                return match id_of(&body) {
+                    Some(id) => self.look_up(request, id, Lookup::Submission(refusal)),
+                    None => Some(refusal),
+                };
+            }
+        };
+        let id = spec.id.clone();
+        if let Some(stage) = self.finals.get(&id) {
+            return Some(Reply::json(200, &status(&id, stage)));
+        }
+        if self.member.has_right(&self.ctx, &self.view) {
+            if let Some(reply) = self.remembered(&id) {
+                return Some(reply);
+            }
+            if self.share_of(&id).is_some() {
+                let unknown = Lookup::Submission(Reply::later("try again"));
+                return self.look_up(request, id, unknown);
+            }
+        }
+        if let Some(refusal) = self.refuse_dependencies(&spec) {
+            return self.look_up(request, id, Lookup::Submission(refusal));
+        }
+        match self.judge(&spec) {
+            Ok(share) => {
+                let until = self.ctx.now + ANSWER_MS;
+                let creation = Creation {
+                    request,
+                    spec,
+                    share,
+                    until,
+                    dependencies: Vec::new(),
+                    is_cancelled: false,
+                };
+                self.admit(creation);
+                None
+            }
+            Err(refusal) => self.look_up(request, id, Lookup::Submission(refusal)),
+        }
+    }
+
+    /// Whether a job can ever run, and in which share.
+    pub(crate) fn judge(&self, spec: &JobSpec) -> Result<ShareId, Reply> {
+        let Some(team) = self.ctx.cfg.teams.get(&spec.team) else {
+            return Err(Reply::error(422, "unknown team"));
+        };
+        if self.view.types.is_empty() {
+            return Err(Reply::later("the machine types are not known yet"));
+        }
+        let task = Resources::new(spec.cpus, spec.gpus, spec.memory_gb);
+        let fits = self.view.types.values().map(|t| &t.rec).any(|t| {
+            let allowed = spec
+                .types
+                .as_ref()
+                .is_none_or(|names| names.contains(&t.name));
+            let there = spec.zone.as_ref().is_none_or(|z| t.zones.contains(z));
+            allowed && there && task.fits(&total_of(t))
+        });
+        if !fits {
+            return Err(Reply::error(422, "a task fits no allowed machine type"));
+        }
+        let at_once = match spec.kind {
+            JobKind::Array => 1,
+            JobKind::Gang | JobKind::Service => i64::from(spec.tasks),
+        };
+        let quota = Quota {
+            limit: team.limit,
+            ..Quota::default()
+        };
+        if !quota.could_allow(&task, at_once) {
+            return Err(Reply::error(422, "more than the team's limit"));
+        }
+        if !can_be_recorded(spec, &self.ctx.limits) {
+            return Err(Reply::error(422, "too large to be recorded"));
+        }
+        Ok(team.share)
+    }
+
+    /// Writes the records by which a job is accepted.
+    pub(crate) fn create(&mut self, creation: Creation) {
+        let Creation { spec, share, .. } = &creation;
+        let record = JobRecord {
+            spec: spec.clone(),
+            share: *share,
+            stage: creation.stage(),
+        };
+        let head = JobHeadRecord {
+            spec: spec.clone(),
+            cancelled: false,
+            cancelled_at: 0,
+            at: self.ctx.wall,
+            layout: new_layout(&self.ctx, spec).to_record(),
+            block: TaskBlockRecord::default(),
+        };
+        let key = job_key(&spec.id);
+        let mut txn = Txn {
+            conds: vec![Cond {
+                key: key.clone(),
+                version: 0,
+            }],
+            writes: vec![Write::put(key, to_value(record).unwrap_or_default())],
+        };
+        let dependencies = creation.dependencies.iter();
+        txn.conds.extend(dependencies.map(|(id, version)| Cond {
+            key: job_key(id),
+            version: *version,
+        }));
+        if !creation.is_cancelled {
+            let key = live_key(*share, &spec.id, 0);
+            let head = to_value(head).unwrap_or_default();
+            txn.writes.push(Write::put(key, head));
+        }
+        let pending = Pending::Create(Box::new(creation));
+        self.ctx.txn(Urgency::User, &txn, pending);
+    }
+
+    /// The transaction that accepts a job was answered.
+    pub(crate) fn on_created(&mut self, creation: Creation, code: u16, body: &[u8]) {
+        let stage = creation.stage();
+        let is_accepted = code == 409 && is_known(&creation, body);
+        let Creation {
+            request,
+            spec,
+            share,
+            until,
+            ..
+        } = &creation;
+        let (request, share, until) = (*request, *share, *until);
+        let id = spec.id.clone();
+        match code {
+            200 if stage.is_final() => {
+                self.finals.insert_written(id.clone(), stage);
+                let reply = Reply::json(201, &status(&id, stage));
+                self.ctx.respond(request, reply);
+            }
+            200 => {
+                let revision = revision_of(body);
+                self.homes.insert(id.clone(), share);
+                self.tell_new_job(share, spec, revision);
+                if let Some(share) = self.shares.get_mut(&share) {
+                    let at = self.ctx.wall;
+                    share.on_job_accepted(&mut self.ctx, creation.spec, at, revision);
+                }
+                let reply = Reply::json(201, &status(&id, JobStage::Queued));
+                self.ctx.respond(request, reply);
+            }
+            // A dependency has changed since it was read.
+            409 if !is_accepted && self.ctx.now < until => self.admit(creation),
+            409 => {
+                let lost = Reply::later("try again");
+                if let Some(reply) = self.look_up(request, id, Lookup::Submission(lost)) {
+                    self.ctx.respond(request, reply);
+                }
+            }
+            0 | 429 if self.ctx.now < until => {
+                // If an earlier copy is carried out after all, the condition
+                // fails and the job is found.
+                self.create(creation);
+            }
+            _ => self.ctx.respond(request, Reply::later("not now")),
+        }
+    }
+}
+
+/// Whether a transaction that was to accept a job failed because it was
+/// accepted before.
+pub(crate) fn is_known(creation: &Creation, body: &[u8]) -> bool {
+    let reply: TxnReply = serde_json::from_slice(body).unwrap_or_default();
+    let key = job_key(&creation.spec.id);
+    reply.failed.is_empty() || reply.failed.contains(&key)
+}
+
+/// The id that a body names, whatever else it holds.
+pub(crate) fn id_of(body: &[u8]) -> Option<JobId> {
+    let value: serde_json::Value = serde_json::from_slice(body).ok()?;
+    JobId::parse(value.get("uid")?.as_str()?)
+}
--- a/crates/core/src/api/tests.rs
+++ b/crates/core/src/api/tests.rs
@@ -3,6 +3,9 @@
 use super::*;
 use crate::fixture::{answer_to, Fixture, EPOCH};
 use crate::job::Sent;
+use crate::pending::Pending;
+use crate::records::{job_key, JobRecord};
+use forkshift_wire::users::JobKind;
 use forkshift_wire::NodeName;
 use serde_json::json;
 
@@ -146,7 +149,7 @@
         cfg.nodes.push(NodeName::new("another"));
         let token = f.token();
         let report = f.message(1, token, &[]);
-        let request = crate::context::Input::Request {
+        let request = crate::io::Input::Request {
             request: RequestId(1),
             method: "POST".to_owned(),
             path: "/v1/report".to_owned(),
--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests.rs
@@ -74,7 +74,7 @@
             let member = ctx(n, &names);
             let mut own = Budget::default();
             for effect in &leader.out {
-                let crate::context::Effect::Tell { node, message } = effect else {
+                let crate::io::Effect::Tell { node, message } = effect else {
                     continue;
                 };
                 let body = Envelope::decode(message).map(|e| e.body);
--- a/crates/core/src/commands.rs
+++ b/crates/core/src/commands.rs
@@ -4,8 +4,9 @@
 //! of them. They never ride on the answer to a report: that can be lost
 //! without anybody knowing.
 
-use crate::context::{Context, Pending};
+use crate::context::Context;
 use crate::job::{Sent, Stop};
+use crate::pending::Pending;
 use crate::records::ShareId;
 use crate::share::Share;
 use forkshift_wire::workers::{Command, CommandRequest, Report, Verb};
--- a/crates/core/src/commands/tests.rs
+++ b/crates/core/src/commands/tests.rs
@@ -1,8 +1,8 @@
 //! Tests of `commands`.
 
 use super::*;
-use crate::context::Effect;
 use crate::fixture::Fixture;
+use crate::io::Effect;
 use forkshift_wire::users::JobKind;
 use forkshift_wire::workers::TaskStage;
 use serde_json::to_value;
--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -5,9 +5,11 @@
 //! the version that is known to be written.
 
 use crate::api::status;
-use crate::context::{Context, JobWrite, Pending, Reply, RequestId};
+use crate::context::Context;
+use crate::io::{Reply, RequestId};
 use crate::job::{Job, Sent};
 use crate::known_jobs::Finals;
+use crate::pending::{JobWrite, Pending};
 use crate::records::{job_key, share_key, JobRecord};
 use crate::share::Share;
 use crate::store::Urgency;
--- a/crates/core/src/commit/tests.rs
+++ b/crates/core/src/commit/tests.rs
@@ -1,8 +1,8 @@
 //! Tests of `commit`.
 
 use super::*;
-use crate::context::{Effect, Input};
 use crate::fixture::{spec, team_of, Fixture, WALL};
+use crate::io::{Effect, Input};
 use crate::job::Binding;
 use crate::layout::Layout;
 use crate::records::{live_key, JobHeadRecord, TaskBlockRecord};
--- /dev/null
+++ b/crates/core/src/demand.rs
@@ -0,0 +1,415 @@
+//! The unmet demand of a share: what found no room on machines that are there or
+//! to come, and spare places that are missing. The leader is told of it.
+
+use crate::context::Context;
+use crate::machine::Machine;
+use crate::pending::Pending;
+use crate::records::{demand_key, share_key, total_of, DemandRecord, ShapeRecord};
+use crate::rounds::{host, names};
+use crate::share::Share;
+use crate::store::Urgency;
+use crate::view::View;
+use crate::Ms;
+use forkshift_sched::{run_round, Host, PendingTasks, Quota, Resources, Shortfall};
+use forkshift_wire::peer::Body;
+use forkshift_wire::state::{Cond, Txn, Write};
+use forkshift_wire::users::JobKind;
+use forkshift_wire::{MachineId, TaskRef};
+use serde_json::to_value;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Most shapes in the unmet demand of a share.
+const SHAPES_MOST: usize = 24;
+
+/// A running task that should end within this many boots leaves a spare place.
+const SOON_BOOTS: f64 = 0.8;
+
+/// A machine that is not up after this many boots is overdue: it is not waited
+/// for, and its share asks for another one.
+pub(crate) const OVERDUE_BOOTS: f64 = 1.5;
+
+/// The part of the changes at the state service that goes into records of unmet demand.
+const DEMAND_PART: f64 = 0.05;
+
+impl Share {
+    /// Books what found no room on machines that are still to come; what is
+    /// left then, and spare places, are the share's unmet demand.
+    pub(crate) fn compute_unmet_demand(
+        &mut self,
+        ctx: &mut Context,
+        view: &View,
+        usable: &[MachineId],
+        mut hosts: Vec<Host>,
+        mut wants: Vec<PendingTasks>,
+        mut quotas: Vec<Quota>,
+    ) {
+        wants.sort_by(PendingTasks::by_claim);
+        self.leave_out_faulty(ctx, usable, &mut hosts);
+        let now = self.shapes_of(ctx, view, &wants, &mut quotas.clone());
+        // What guest teams use here counts as room for all others: it can be
+        // reclaimed at once. Their tasks fill spare places as soon as these are
+        // free; when they counted as taken, machine after machine was rented.
+        let (mut guests, mut wants): (Vec<PendingTasks>, Vec<PendingTasks>) =
+            wants.into_iter().partition(|w| w.is_guest_work);
+        let reclaimable = usable.iter().map(|id| self.reclaimable_on(ctx, id));
+        let reclaimable: Vec<Resources> = reclaimable.collect();
+        for (host, more) in hosts.iter_mut().zip(&reclaimable) {
+            host.free += *more;
+        }
+        let draining = self.push_draining(&mut hosts);
+        self.push_booting(ctx, &mut hosts);
+        self.push_rental_intents(ctx, view, &mut hosts);
+        for want in &mut wants {
+            want.avoid.clear();
+        }
+        let weights = ctx.cfg.ops.weights;
+        let booked = run_round(&mut wants, &mut hosts, &mut quotas, &weights);
+        for (i, id) in draining.iter().enumerate() {
+            // What is needed again is not drained any further.
+            if booked.iter().any(|b| b.host == usable.len() + i) {
+                self.stop_draining(id);
+            }
+        }
+        wants.sort_by(PendingTasks::by_claim);
+        let mut shapes = self.shapes_of(ctx, view, &wants, &mut quotas);
+        shapes.extend(self.book_spare_places(ctx, usable, &mut hosts));
+        self.drain_guests(ctx, usable, &hosts);
+        for (host, more) in hosts.iter_mut().zip(&reclaimable) {
+            host.free = host.free.saturating_sub(more);
+        }
+        run_round(&mut guests, &mut hosts, &mut quotas, &weights);
+        shapes.extend(self.shapes_of(ctx, view, &guests, &mut quotas));
+        shapes.truncate(SHAPES_MOST);
+        self.note_idle(ctx, usable, &hosts);
+        // A missing spare place fits on no machine that is here, or it
+        // would have been booked there; only what waits speaks against it.
+        if shapes.iter().all(|s| s.spare || s.borrows) {
+            hosts.truncate(usable.len());
+            self.drain(ctx, view, usable, &mut hosts);
+        }
+        let (free, surplus) = self.empty_machines(usable);
+        let rec = DemandRecord {
+            rev: view.revision,
+            shapes,
+            now,
+            free,
+            surplus,
+            borrowed: self.borrowed_machines(ctx, usable),
+        };
+        self.show_demand(ctx, view, rec);
+    }
+
+    /// Counts on nothing from machines that may be faulty: they are tried with
+    /// little, and may be given up.
+    fn leave_out_faulty(&self, ctx: &Context, usable: &[MachineId], hosts: &mut [Host]) {
+        for (id, host) in usable.iter().zip(hosts) {
+            host.held = false;
+            if self.newly_on_probation(ctx, id) {
+                host.free = Resources::default();
+            }
+        }
+    }
+
+    /// Adds the machines that are being drained, and names them.
+    fn push_draining(&self, hosts: &mut Vec<Host>) -> Vec<MachineId> {
+        let draining = self.machines.values().filter(|m| m.draining);
+        let mut ids = Vec::new();
+        for machine in draining {
+            ids.push(machine.id.clone());
+            hosts.push(host(machine));
+        }
+        ids
+    }
+
+    /// Adds the machines that boot. One that is overdue may come much later, or
+    /// never.
+    fn push_booting(&self, ctx: &Context, hosts: &mut Vec<Host>) {
+        for machine in self.machines.values() {
+            let overdue = (machine.boot_ms as f64 * OVERDUE_BOOTS) as Ms;
+            let due = ctx.now < machine.since + overdue;
+            if machine.heard.is_none() && machine.condemned.is_none() && due {
+                hosts.push(coming(machine.total, machine, ctx.now));
+            }
+        }
+    }
+
+    /// Books spare places, also on what comes free soon, and returns those that
+    /// are missing.
+    fn book_spare_places(
+        &mut self,
+        ctx: &mut Context,
+        usable: &[MachineId],
+        hosts: &mut [Host],
+    ) -> Vec<ShapeRecord> {
+        let mut soon = hosts.to_vec();
+        for (id, host) in usable.iter().zip(&mut soon) {
+            host.free += self.free_soon(ctx, id);
+        }
+        let missing = self.spare(ctx, &mut soon);
+        for (host, after) in hosts.iter_mut().zip(&soon) {
+            host.free = host.free.least(&after.free);
+        }
+        missing
+    }
+
+    /// Empty machines that are kept as spare, and those that nothing needs.
+    fn empty_machines(&self, usable: &[MachineId]) -> (Vec<MachineId>, Vec<MachineId>) {
+        let empty = usable.iter().filter_map(|id| self.machines.get(id));
+        let empty = empty.filter(|m| m.tasks.is_empty() && !m.calling && m.exited.is_empty());
+        let (surplus, free): (Vec<&Machine>, Vec<&Machine>) =
+            empty.partition(|m| m.idle_since.is_some());
+        let ids = |list: Vec<&Machine>| list.into_iter().map(|m| m.id.clone()).collect();
+        (ids(free), ids(surplus))
+    }
+
+    /// The tasks that wait, as shapes, as far as the quotas allow.
+    fn shapes_of(
+        &self,
+        ctx: &mut Context,
+        view: &View,
+        wants: &[PendingTasks],
+        quotas: &mut [Quota],
+    ) -> Vec<ShapeRecord> {
+        let mut shapes: Vec<ShapeRecord> = Vec::new();
+        let names: BTreeMap<u16, String> = type_names(ctx, view);
+        let zone_names: BTreeMap<u16, String> = view
+            .zones()
+            .into_iter()
+            .map(|z| (ctx.intern(z) as u16, z.to_owned()))
+            .collect();
+        let mut held: BTreeMap<usize, Shortfall> = BTreeMap::new();
+        for want in wants {
+            // What a round keeps from being placed needs no machine either.
+            if held.get(&want.team).is_some_and(|s| s.concerns(&want.task)) {
+                continue;
+            }
+            if want.reserves && !want.waiting.is_empty() {
+                let short = held.entry(want.team).or_default();
+                *short = short.or(&quotas[want.team].shortfall(&want.task));
+            }
+            let mut n = 0;
+            while n < want.waiting.len() && quotas[want.team].allows(&want.task) {
+                quotas[want.team].used += want.task;
+                n += 1;
+            }
+            if n == 0 || (want.gang && n < want.waiting.len()) {
+                continue;
+            }
+            let allowed = zone_names.iter().filter(|(z, _)| want.zone_allowed(**z));
+            let allowed: Vec<String> = allowed.map(|(_, name)| name.clone()).collect();
+            let types = want.types.as_ref();
+            add_shape(
+                &mut shapes,
+                ShapeRecord {
+                    res: (want.task.cpus, want.task.gpus, want.task.memory),
+                    n: n as u32,
+                    types: types.map(|t| t.iter().filter_map(|t| names.get(t).cloned()).collect()),
+                    zones: (allowed.len() < zone_names.len()).then_some(allowed),
+                    spot: want.spot,
+                    spare: false,
+                    reclaims: want.reclaims_machines,
+                    borrows: want.borrows,
+                },
+            );
+        }
+        shapes.truncate(SHAPES_MOST);
+        shapes
+    }
+
+    fn push_rental_intents(&self, ctx: &mut Context, view: &View, hosts: &mut Vec<Host>) {
+        for intent in view.rental_intents.values().map(|c| &c.rec) {
+            let Some(of_type) = view.types.get(&intent.machine_type) else {
+                continue;
+            };
+            let left = intent.in_turn().into_iter().skip(intent.placed as usize);
+            let t = &of_type.rec;
+            for _ in left.filter(|k| *k == self.id) {
+                hosts.push(Host {
+                    free: total_of(t),
+                    total: total_of(t),
+                    machine_type: ctx.intern(&intent.machine_type) as u16,
+                    zone: ctx.intern(&intent.zone) as u16,
+                    spot: intent.spot,
+                    price: t.price / 3600.0,
+                    fetch_rate: t.fetch_gb_per_s,
+                    images: BTreeSet::new(),
+                    held: false,
+                    delay: t.boot_s,
+                });
+            }
+        }
+    }
+
+    /// Books spare places for classes whose tasks must start sooner than a
+    /// machine boots, and returns those that found none.
+    fn spare(&mut self, ctx: &mut Context, hosts: &mut [Host]) -> Vec<ShapeRecord> {
+        let boot_s = self.boot_ms() as f64 / 1000.0;
+        let mut missing = Vec::new();
+        let now = ctx.now;
+        let factor = ctx.cfg.ops.spare;
+        if self.counting_since.is_none() && self.machines.values().any(|m| m.heard.is_some()) {
+            self.counting_since = Some(now);
+        }
+        let elapsed = self.counting_since.map_or(0, |t| now - t);
+        let mut classes: Vec<(f64, ShapeRecord, f64)> = Vec::new();
+        for (class, stats) in &mut self.classes {
+            let Some(wait) = ctx.cfg.waits.get(class) else {
+                continue;
+            };
+            if *wait < boot_s {
+                classes.push((*wait, stats.last.clone(), stats.rate(now, elapsed)));
+            }
+        }
+        classes.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, shape, rate) in classes {
+            let arrive = rate * boot_s * factor;
+            let target = (arrive + arrive.sqrt() * factor.min(1.0)).ceil() as u32;
+            let task = shape.resources();
+            let types = names(ctx, shape.types.as_deref());
+            let mut left = target;
+            for host in hosts.iter_mut() {
+                let allowed = (shape.spot || !host.spot)
+                    && types
+                        .as_ref()
+                        .is_none_or(|t| t.contains(&host.machine_type));
+                while left > 0 && allowed && task.fits(&host.free) {
+                    host.free -= task;
+                    left -= 1;
+                }
+            }
+            if left > 0 {
+                add_shape(&mut missing, ShapeRecord { n: left, ..shape });
+            }
+        }
+        missing
+    }
+
+    /// What will be free on a machine before another could be up, as far as
+    /// estimates tell: it serves as spare as well as a new machine would.
+    fn free_soon(&self, ctx: &Context, id: &MachineId) -> Resources {
+        let Some(machine) = self.machines.get(id) else {
+            return Resources::default();
+        };
+        let by = ctx.now + (machine.boot_ms as f64 * SOON_BOOTS) as Ms;
+        let ends = |task: &&TaskRef| {
+            let job = self.jobs.get(&task.job)?;
+            let binding = job.bound.get(&task.index)?;
+            let end = binding.running_since? + crate::ms(job.spec.estimate_s);
+            let ends_soon = job.spec.kind != JobKind::Service && end < by;
+            (ends_soon && !self.is_reclaimable(ctx, job, binding)).then_some(job.task)
+        };
+        let tasks = machine.tasks.iter();
+        tasks
+            .filter_map(|t| ends(&t))
+            .fold(Resources::default(), |sum, r| sum + r)
+    }
+
+    /// Notes since when a machine has been of no use.
+    fn note_idle(&mut self, ctx: &Context, usable: &[MachineId], hosts: &[Host]) {
+        for machine in self.machines.values_mut().filter(|m| m.draining) {
+            if machine.note_empty(machine.tasks.is_empty(), ctx.now) {
+                self.look.touch(&machine.id);
+            }
+        }
+        for (id, host) in usable.iter().zip(hosts) {
+            let Some(machine) = self.machines.get_mut(id) else {
+                continue;
+            };
+            let empty = machine.tasks.is_empty() && host.free == machine.total;
+            if machine.note_empty(empty, ctx.now) {
+                self.look.touch(id);
+            }
+        }
+    }
+
+    /// Tells the leader the unmet demand, whenever that changes, and now and
+    /// then that it has not.
+    fn tell_demand(&mut self, ctx: &mut Context, view: &View, rec: &DemandRecord) {
+        let Some(leader) = view.leader.as_ref().map(|l| l.rec.clone()) else {
+            return;
+        };
+        let refresh = crate::ms(ctx.cfg.ops.round_s);
+        if rec.is_like(&self.told) && ctx.now < self.told_at + refresh {
+            return;
+        }
+        self.told = rec.clone();
+        self.told_at = ctx.now;
+        if leader.node == ctx.cfg.node {
+            ctx.unmet_demand.push((self.id, self.epoch, rec.clone()));
+            return;
+        }
+        let body = Body::Demand {
+            share: self.id.0,
+            demand: serde_json::to_string(rec).unwrap_or_default(),
+        };
+        ctx.tell(&leader.node, self.epoch, body);
+    }
+
+    fn show_demand(&mut self, ctx: &mut Context, view: &View, rec: DemandRecord) {
+        self.tell_demand(ctx, view, &rec);
+        // The record is for a leader that our messages do not reach.
+        let shares = f64::from(ctx.cfg.shares());
+        let pause = crate::ms(shares / (ctx.limits.write_rps * DEMAND_PART)).max(1_500);
+        let unseen = self.demand_putting || view.revision < self.demand_from;
+        if unseen || ctx.now < self.demand_at + pause {
+            return;
+        }
+        let rec = rec.cut_to(ctx.limits.value_bytes);
+        let none = DemandRecord::default();
+        let shown = view.demands.get(&self.id).map_or(&none, |d| &d.rec);
+        let stale = !rec.shapes.is_empty() && shown.rev < view.revision;
+        let changed = !rec.is_like(shown);
+        if !(changed || stale) {
+            return;
+        }
+        self.demand_putting = true;
+        self.demand_at = ctx.now;
+        log::debug!(
+            "share {}: unmet demand {:?}, {:?} wait now",
+            self.id,
+            rec.shapes,
+            rec.now
+        );
+        let txn = Txn {
+            conds: vec![Cond {
+                key: share_key(self.id),
+                version: self.version,
+            }],
+            writes: vec![Write::put(
+                demand_key(self.id),
+                to_value(rec).unwrap_or_default(),
+            )],
+        };
+        let share = self.id;
+        ctx.txn(Urgency::Later, &txn, Pending::Demand { share });
+    }
+}
+
+fn add_shape(shapes: &mut Vec<ShapeRecord>, shape: ShapeRecord) {
+    let same = |s: &&mut ShapeRecord| {
+        s.res == shape.res
+            && s.types == shape.types
+            && s.zones == shape.zones
+            && s.spot == shape.spot
+            && s.reclaims == shape.reclaims
+            && s.borrows == shape.borrows
+    };
+    match shapes.iter_mut().find(same) {
+        Some(known) => known.n += shape.n,
+        None => shapes.push(shape),
+    }
+}
+
+fn type_names(ctx: &mut Context, view: &View) -> BTreeMap<u16, String> {
+    let types = view.types.keys();
+    types.map(|t| (ctx.intern(t) as u16, t.clone())).collect()
+}
+
+fn coming(free: Resources, m: &Machine, now: Ms) -> Host {
+    let left = m.boot_ms.saturating_sub(now.saturating_sub(m.since));
+    Host {
+        free,
+        delay: left as f64 / 1000.0,
+        ..host(m)
+    }
+}
--- a/crates/core/src/dependencies.rs
+++ b/crates/core/src/dependencies.rs
@@ -13,10 +13,11 @@
 //! that need it, whoever holds them.
 
 use crate::api::read_job;
-use crate::context::{Context, Pending};
+use crate::context::Context;
 use crate::job::Job;
 use crate::known_jobs::FinalStage;
 use crate::node::Node;
+use crate::pending::Pending;
 use crate::records::{job_key, ShareId};
 use crate::share::{Phase, Share};
 use crate::store::Urgency;
--- a/crates/core/src/dependencies/tests.rs
+++ b/crates/core/src/dependencies/tests.rs
@@ -1,8 +1,8 @@
 //! Tests of `dependencies`.
 
 use super::*;
-use crate::context::Effect;
 use crate::fixture::{spec, team_of, Fixture};
+use crate::io::Effect;
 use crate::job::Sent;
 use crate::records::JobRecord;
 use forkshift_wire::peer::Envelope;
--- a/crates/core/src/fixture.rs
+++ b/crates/core/src/fixture.rs
@@ -1,10 +1,11 @@
 //! A controller that holds a share with a machine, for tests of what it does.
 
 use crate::config::{Config, Operator};
-use crate::context::{Effect, Input, Pending, Reply, RequestId};
 use crate::format::FormatVersion;
+use crate::io::{Effect, Input, Reply, RequestId};
 use crate::job::{Binding, Sent};
 use crate::node::Node;
+use crate::pending::Pending;
 use crate::records::{
     machine_key, node_key, share_key, type_key, LeaderRecord, MachineRecord, NodeRecord, ShareId,
     ShareRecord, LEADER,
--- a/crates/core/src/forward.rs
+++ b/crates/core/src/forward.rs
@@ -8,7 +8,7 @@
 //! it. Without an answer in time the request is dealt with here.
 
 use crate::api::status;
-use crate::context::{Reply, RequestId};
+use crate::io::{Reply, RequestId};
 use crate::node::Node;
 use crate::Ms;
 use forkshift_wire::peer::Body;
--- a/crates/core/src/job.rs
+++ b/crates/core/src/job.rs
@@ -1,7 +1,7 @@
 //! An unfinished job in its holder's memory.
 
 use crate::blame::{well_after, JobFailures};
-use crate::context::RequestId;
+use crate::io::RequestId;
 use crate::layout::Layout;
 use crate::ranges::Ranges;
 use crate::records::{JobHeadRecord, ShareId, TaskBlockRecord};
--- a/crates/core/src/leader/assignment.rs
+++ b/crates/core/src/leader/assignment.rs
@@ -2,7 +2,8 @@
 //! came back get their part again.
 
 use super::Leader;
-use crate::context::{Context, Pending};
+use crate::context::Context;
+use crate::pending::Pending;
 use crate::records::{share_key, ShareId};
 use crate::share::hand_over;
 use crate::store::Urgency;
--- a/crates/core/src/leader/deletion.rs
+++ b/crates/core/src/leader/deletion.rs
@@ -3,7 +3,8 @@
 //! The removed record proves to the holder that nothing is left there.
 
 use super::Leader;
-use crate::context::{Context, Pending};
+use crate::context::Context;
+use crate::pending::Pending;
 use crate::records::{machine_key, LEADER};
 use crate::store::Urgency;
 use crate::view::View;
--- a/crates/core/src/leader/finalization.rs
+++ b/crates/core/src/leader/finalization.rs
@@ -3,8 +3,9 @@
 //! back as the old release, so its absence is no consent.
 
 use super::Leader;
-use crate::context::{Context, Pending};
+use crate::context::Context;
 use crate::format::FormatVersion;
+use crate::pending::Pending;
 use crate::records::{node_key, FINALIZED_FORMAT};
 use crate::store::Urgency;
 use crate::view::View;
--- a/crates/core/src/leader/inventory.rs
+++ b/crates/core/src/leader/inventory.rs
@@ -3,7 +3,8 @@
 //! the records of machines.
 
 use super::Leader;
-use crate::context::{Context, Pending};
+use crate::context::Context;
+use crate::pending::Pending;
 use crate::records::{type_key, MachineRecord};
 use crate::store::Urgency;
 use crate::view::View;
--- a/crates/core/src/leader/lending.rs
+++ b/crates/core/src/leader/lending.rs
@@ -1,7 +1,8 @@
 //! Moves free machines between shares, to where tasks wait.
 
 use super::{total_in, Leader};
-use crate::context::{Context, Pending};
+use crate::context::Context;
+use crate::pending::Pending;
 use crate::records::{machine_key, DemandRecord, MachineRecord, ShapeRecord, ShareId};
 use crate::store::Urgency;
 use crate::view::{Stamped, View};
--- a/crates/core/src/leader/renting.rs
+++ b/crates/core/src/leader/renting.rs
@@ -7,7 +7,9 @@
 
 use super::inventory::BOOT_S_UNKNOWN;
 use super::Leader;
-use crate::context::{revision_of, Context, Pending};
+use crate::context::{revision_of, Context};
+use crate::demand::OVERDUE_BOOTS;
+use crate::pending::Pending;
 use crate::records::{
     machine_key, rental_intent_key, total_of, DemandRecord, MachineRecord, RentalIntent,
     ShapeRecord, ShareId,
@@ -21,9 +23,6 @@
 use serde_json::to_value;
 use std::collections::{BTreeMap, HashMap};
 
-/// A machine that has not come up after this many boots is overdue: its share
-/// asks for another one.
-const BOOTS_OVERDUE: f64 = 1.5;
 /// Where a machine was overdue, others are asked for only if nothing as good
 /// is to be had elsewhere, for this many boots.
 const BOOTS_AVOIDED: f64 = 6.0;
@@ -134,8 +133,8 @@
             }
             let known_for = ctx.now - self.seen.get(id).copied().unwrap_or(ctx.now);
             let machine_type = view.types.get(&rec.machine_type);
-            let boot = machine_type.map_or(60.0, |t| t.rec.boot_s);
-            if known_for > crate::ms(boot * BOOTS_OVERDUE) {
+            let boot = machine_type.map_or(BOOT_S_UNKNOWN, |t| t.rec.boot_s);
+            if known_for > crate::ms(boot * OVERDUE_BOOTS) {
                 let kind = (rec.machine_type.clone(), rec.zone.clone(), rec.spot);
                 let until = ctx.now + crate::ms(boot * BOOTS_AVOIDED);
                 self.avoided.insert(kind, until);
--- a/crates/core/src/leader/renting/tests.rs
+++ b/crates/core/src/leader/renting/tests.rs
@@ -1,8 +1,8 @@
 //! Tests of `renting`.
 
 use super::*;
-use crate::context::Effect;
 use crate::fixture::Fixture;
+use crate::io::Effect;
 use crate::node::Node;
 use crate::view::Stamped;
 use serde_json::json;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 mod commit;
 pub mod config;
 mod context;
+mod demand;
 mod dependencies;
 mod drain;
 mod evidence;
@@ -22,6 +23,7 @@
 mod fixture;
 mod format;
 mod forward;
+mod io;
 mod job;
 mod known_jobs;
 mod layout;
@@ -30,6 +32,7 @@
 mod member;
 mod node;
 mod peers;
+mod pending;
 mod preempt;
 mod ranges;
 mod reclaim;
@@ -42,8 +45,8 @@
 mod view;
 
 pub use config::{Config, Operator, StateLimits};
-pub use context::{CallId, Effect, Input, Reply, RequestId, Target};
 pub use format::FormatVersion;
+pub use io::{CallId, Effect, Input, Reply, RequestId, Target};
 pub use node::Node;
 
 /// Milliseconds of a steady clock.
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -1,6 +1,7 @@
 //! Membership: this controller's lease, its record, and leadership.
 
-use crate::context::{revision_of, Context, Pending};
+use crate::context::{revision_of, Context};
+use crate::pending::Pending;
 use crate::records::{node_key, LeaderRecord, NodeRecord, LEADER};
 use crate::store::Urgency;
 use crate::view::View;
--- /dev/null
+++ b/crates/core/src/node/answers.rs
@@ -0,0 +1,145 @@
+//! The ends of calls, each taken to whoever made the call.
+
+use super::is_state;
+use super::Node;
+use crate::context::revision_of;
+use crate::member::is_no_such_lease;
+use crate::pending::Pending;
+use forkshift_wire::MachineId;
+
+impl Node {
+    pub(super) fn on_answer(&mut self, pending: Pending, status: u16, body: &[u8]) {
+        match pending {
+            Pending::Lease { sent } => self.member.on_lease(&self.ctx, sent, status, body),
+            Pending::Extend { sent } => self.member.on_extend(&self.ctx, sent, status),
+            Pending::NodePut { lease } => self.member.on_node_put(lease, status, body),
+            Pending::LeaderPut => self.member.on_leader_put(status, body),
+            Pending::ViewList => self.on_view_list(status, body),
+            Pending::ViewWatch => self.on_view_watch(status, body),
+            Pending::ViewPeek => self.on_view_peek(status, body),
+            Pending::SharePut(shares) => {
+                self.leader.on_share_put(&shares);
+                self.moving.retain(|k, _| !shares.contains(k));
+            }
+            Pending::ShareList { share, epoch } => {
+                if let Some(s) = self.shares.get_mut(&share).filter(|s| s.epoch == epoch) {
+                    s.on_list(&mut self.ctx, status, body);
+                }
+            }
+            Pending::ShareWatch { share, epoch } => {
+                if let Some(s) = self.shares.get_mut(&share).filter(|s| s.epoch == epoch) {
+                    s.on_watch(&mut self.ctx, status, body);
+                }
+            }
+            Pending::Create(creation) => self.on_created(*creation, status, body),
+            Pending::Lookup {
+                request,
+                id,
+                why,
+                until,
+            } => self.on_lookup(request, id, why, until, status, body),
+            Pending::AdmissionRead { request, id } => {
+                self.on_admission_read(request, &id, status, body);
+            }
+            Pending::DependencyRead { id, sent } => {
+                self.on_dependency_read(&id, sent, status, body);
+            }
+            Pending::Abort(poll) => self.on_abort_put(poll, status, body),
+            Pending::AbortPoll(poll) => self.on_abort_poll(poll, status, body),
+            Pending::JobTxn { share, epoch, jobs } => {
+                self.missed(status, body);
+                if let Some(s) = self.shares.get_mut(&share).filter(|s| s.epoch == epoch) {
+                    s.on_txn(&mut self.ctx, &mut self.finals, jobs, status, body);
+                }
+            }
+            Pending::JobFix {
+                share,
+                epoch,
+                id,
+                block,
+            } => {
+                if let Some(s) = self.shares.get_mut(&share).filter(|s| s.epoch == epoch) {
+                    s.on_fix(&mut self.ctx, &id, block, status, body);
+                }
+            }
+            Pending::JobFinal { share, epoch, id } => {
+                if let Some(s) = self.shares.get_mut(&share).filter(|s| s.epoch == epoch) {
+                    s.on_final(&mut self.ctx, &mut self.finals, &id, status, body);
+                }
+            }
+            Pending::MachinePut(id) => self.on_machine_put(&id, status, body),
+            Pending::Demand { share } => {
+                self.missed(status, body);
+                if let Some(s) = self.shares.get_mut(&share) {
+                    s.demand_putting = false;
+                    s.demand_from = s.demand_from.max(revision_of(body));
+                }
+            }
+            Pending::Housekeeping => {}
+            Pending::Commands {
+                share,
+                epoch,
+                machine,
+                token,
+                commands,
+            } => {
+                if let Some(s) = self.shares.get_mut(&share).filter(|s| s.epoch == epoch) {
+                    s.on_commands(&mut self.ctx, &machine, token, &commands, status, body);
+                }
+            }
+            Pending::Catalog => self
+                .leader
+                .on_catalog(&mut self.ctx, &self.view, status, body),
+            Pending::MachineList { page } => {
+                self.leader
+                    .on_list(&mut self.ctx, &self.view, page, status, body);
+            }
+            Pending::RentalIntentPut { request } => {
+                self.leader.on_rental_intent_put(&request, body)
+            }
+            Pending::Rent { request } => {
+                self.leader
+                    .on_rent(&mut self.ctx, &self.view, &request, status, body);
+            }
+            Pending::Rented { request } => {
+                self.leader
+                    .on_rented(&mut self.ctx, &self.view, &request, status, body);
+            }
+            Pending::Delete { machines } => {
+                self.leader
+                    .on_delete(&mut self.ctx, &self.view, machines, status, body);
+            }
+            Pending::Evict {
+                share,
+                epoch,
+                machines,
+            } => {
+                if let Some(s) = self.shares.get_mut(&share).filter(|s| s.epoch == epoch) {
+                    s.on_evicted(&self.ctx, &machines, status);
+                }
+            }
+            Pending::Removed { machines } => self.leader.on_removed(&machines, status),
+        }
+    }
+
+    pub(super) fn on_machine_put(&mut self, id: &MachineId, status: u16, body: &[u8]) {
+        self.missed(status, body);
+        for share in self.shares.values_mut() {
+            if let Some(machine) = share.machines.get_mut(id) {
+                machine.putting = false;
+                machine.put_from = machine.put_from.max(revision_of(body));
+                share.look.touch(id);
+            }
+        }
+    }
+
+    /// The state service calls a change malformed: it may have grown stricter.
+    pub(super) fn note_refused(&mut self, pending: &Pending, body: &[u8]) {
+        if !is_state(pending) || is_no_such_lease(body) {
+            return;
+        }
+        let why = String::from_utf8_lossy(body);
+        log::error!("the state service refuses a change: {why}, {pending:?}");
+        self.ctx.is_size_refused = true;
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/view_sync.rs
@@ -0,0 +1,118 @@
+//! Keeps the copy of what all controllers share up to date, by a listing and a
+//! watch.
+
+use super::Node;
+use crate::context::{is_watch_lost, revision_of};
+use crate::pending::Pending;
+use crate::records::CLUSTER;
+use crate::share::{Phase, Share};
+use crate::store::Urgency;
+use crate::Ms;
+use forkshift_wire::state::{Changes, Page};
+
+/// Longest wait of the watch on what all controllers share.
+const WATCH_MS: Ms = 10_000;
+
+/// The part of the requests to the state service that goes into that watch:
+/// without a pause it would be opened anew with every single change.
+const WATCH_PART: f64 = 0.2;
+
+impl Node {
+    /// Keeps the view up to date.
+    pub(super) fn follow_view(&mut self) {
+        let now = self.ctx.now;
+        if !self.view.ready {
+            if !self.listing && now >= self.watch_at {
+                self.listing = true;
+                self.listed.clear();
+                self.list("");
+            }
+            return;
+        }
+        // Changes elsewhere in the service do not end the watch, so the view
+        // may stay behind a revision that something waits for.
+        let behind = |s: &Share| matches!(s.phase, Phase::Waiting(r) if r > self.view.revision);
+        let wanting = self.shares.values().any(behind)
+            || self.member.waits_for_view(&self.view)
+            || self.view.revision < self.missed;
+        if wanting && !self.peeking && now >= self.peek_at {
+            self.peeking = true;
+            self.ctx
+                .watch(CLUSTER, self.view.revision, 0, Pending::ViewPeek);
+        }
+        if !self.watching && now >= self.watch_at {
+            self.watching = true;
+            self.watch_at = now + self.ctx.watch_pause(WATCH_PART);
+            let revision = self.view.revision;
+            self.ctx
+                .watch(CLUSTER, revision, WATCH_MS, Pending::ViewWatch);
+        }
+    }
+
+    pub(super) fn list(&mut self, from: &str) {
+        let mut path = format!("/kv?starts={CLUSTER}&most=500");
+        if !from.is_empty() {
+            path.push_str(&format!("&from={from}"));
+        }
+        self.ctx.read(Urgency::Member, path, Pending::ViewList);
+    }
+
+    pub(super) fn on_view_list(&mut self, status: u16, body: &[u8]) {
+        let page: Option<Page> = serde_json::from_slice(body).ok().filter(|_| status == 200);
+        let Some(mut page) = page else {
+            self.listing = false;
+            self.watch_at = self.ctx.now + 200;
+            return;
+        };
+        if self.listed.is_empty() {
+            // What changes while the pages are read is shown by the watch.
+            self.list_rev = page.revision;
+        }
+        self.listed.append(&mut page.items);
+        if page.more {
+            if let Some(last) = self.listed.last() {
+                let from = last.key.clone();
+                self.list(&from);
+                return;
+            }
+        }
+        self.listing = false;
+        let items = std::mem::take(&mut self.listed);
+        if self.list_rev > self.view.revision || !self.view.ready {
+            self.view.replace(items, self.list_rev);
+        }
+    }
+
+    pub(super) fn on_view_watch(&mut self, status: u16, body: &[u8]) {
+        self.watching = false;
+        if !self.take_changes(status, body) {
+            self.watch_at = self.ctx.now + 250;
+        }
+    }
+
+    pub(super) fn on_view_peek(&mut self, status: u16, body: &[u8]) {
+        self.peeking = false;
+        if !self.take_changes(status, body) {
+            self.peek_at = self.ctx.now + 100;
+        }
+    }
+
+    /// Takes in what a watch has shown. Returns false if it failed.
+    pub(super) fn take_changes(&mut self, status: u16, body: &[u8]) -> bool {
+        match serde_json::from_slice::<Changes>(body) {
+            Ok(changes) if status == 200 => self.view.apply(changes.events, changes.revision),
+            // All is read again, in pages.
+            _ if is_watch_lost(status) => self.view.ready = false,
+            _ => return false,
+        }
+        true
+    }
+
+    /// A condition did not hold: the view has missed something, and must see
+    /// it before the next try.
+    pub(super) fn missed(&mut self, status: u16, body: &[u8]) {
+        if status == 409 {
+            self.missed = self.missed.max(revision_of(body));
+        }
+    }
+}
--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -3,7 +3,7 @@
 //! What they say can be read in the state service as well, so nothing rests
 //! on them: they save the time until a watch shows it.
 
-use crate::context::Reply;
+use crate::io::Reply;
 use crate::node::Node;
 use crate::records::ShareId;
 use crate::store::Use;
--- /dev/null
+++ b/crates/core/src/pending.rs
@@ -0,0 +1,160 @@
+//! Calls that are under way, and what is to be done when each of them ends.
+
+use crate::io::{Reply, RequestId};
+use crate::records::ShareId;
+use crate::Ms;
+use forkshift_wire::users::{JobSpec, JobStage};
+use forkshift_wire::workers::Command;
+use forkshift_wire::{JobId, MachineId};
+
+/// What is to be done when a call ends.
+#[derive(Debug)]
+pub(crate) enum Pending {
+    Lease {
+        sent: Ms,
+    },
+    Extend {
+        sent: Ms,
+    },
+    NodePut {
+        lease: u64,
+    },
+    LeaderPut,
+    ViewList,
+    ViewWatch,
+    ViewPeek,
+    SharePut(Vec<ShareId>),
+    ShareList {
+        share: ShareId,
+        epoch: u64,
+    },
+    ShareWatch {
+        share: ShareId,
+        epoch: u64,
+    },
+    Create(Box<Creation>),
+    Lookup {
+        request: RequestId,
+        id: JobId,
+        why: Lookup,
+        until: Ms,
+    },
+    AdmissionRead {
+        request: RequestId,
+        id: JobId,
+    },
+    DependencyRead {
+        id: JobId,
+        sent: Ms,
+    },
+    Abort(AbortPoll),
+    AbortPoll(AbortPoll),
+    JobTxn {
+        share: ShareId,
+        epoch: u64,
+        jobs: Vec<JobWrite>,
+    },
+    JobFix {
+        share: ShareId,
+        epoch: u64,
+        id: JobId,
+        block: u32,
+    },
+    JobFinal {
+        share: ShareId,
+        epoch: u64,
+        id: JobId,
+    },
+    MachinePut(MachineId),
+    Demand {
+        share: ShareId,
+    },
+    Housekeeping,
+    Commands {
+        share: ShareId,
+        epoch: u64,
+        machine: MachineId,
+        token: u64,
+        commands: Vec<Command>,
+    },
+    Catalog,
+    MachineList {
+        page: Vec<forkshift_wire::cloud::Listed>,
+    },
+    RentalIntentPut {
+        request: String,
+    },
+    Rent {
+        request: String,
+    },
+    Rented {
+        request: String,
+    },
+    Delete {
+        machines: Vec<MachineId>,
+    },
+    /// A holder's own deletion.
+    Evict {
+        share: ShareId,
+        epoch: u64,
+        machines: Vec<MachineId>,
+    },
+    Removed {
+        machines: Vec<MachineId>,
+    },
+}
+
+/// A submission that is being written.
+#[derive(Debug)]
+pub(crate) struct Creation {
+    pub(crate) request: RequestId,
+    pub(crate) spec: JobSpec,
+    pub(crate) share: ShareId,
+    pub(crate) until: Ms,
+    /// Versions of its dependencies' records that it was decided on.
+    pub(crate) dependencies: Vec<(JobId, u64)>,
+    /// A dependency is cancelled, and so is the job, in the same transaction.
+    pub(crate) is_cancelled: bool,
+}
+
+impl Creation {
+    /// The stage in which the job is accepted.
+    pub(crate) fn stage(&self) -> JobStage {
+        if self.is_cancelled {
+            JobStage::Cancelled
+        } else {
+            JobStage::Queued
+        }
+    }
+}
+
+/// A cancellation that another controller is to carry out.
+#[derive(Clone, Debug)]
+pub(crate) struct AbortPoll {
+    pub(crate) request: RequestId,
+    pub(crate) id: JobId,
+    /// Version of the key that tells of it, for its removal.
+    pub(crate) version: u64,
+    pub(crate) until: Ms,
+}
+
+/// What a job is looked up for.
+#[derive(Debug)]
+pub(crate) enum Lookup {
+    /// A question about it.
+    Question,
+    /// A repeated submission; if the job is not known, this answer stands.
+    Submission(Reply),
+    /// A cancellation.
+    Abort,
+}
+
+/// What a transaction writes of one job.
+#[derive(Debug, Clone)]
+pub(crate) struct JobWrite {
+    pub(crate) id: JobId,
+    pub(crate) version: u64,
+    pub(crate) blocks: Vec<u32>,
+    pub(crate) last: bool,
+    pub(crate) cancel: bool,
+}
--- a/crates/core/src/reclaim/tests.rs
+++ b/crates/core/src/reclaim/tests.rs
@@ -1,8 +1,8 @@
 //! Tests of `reclaim`.
 
 use super::*;
-use crate::context::Effect;
 use crate::fixture::{spec, Fixture, WALL};
+use crate::io::Effect;
 use crate::node::Node;
 use crate::records::{machine_key, MachineRecord, ShareId};
 use forkshift_wire::state::Change;
--- a/crates/core/src/reconcile.rs
+++ b/crates/core/src/reconcile.rs
@@ -1,9 +1,10 @@
 //! Reconciliation of a share: brings what machines do in line with what is
 //! recorded of jobs, after every batch of messages.
 
-use crate::context::{Context, Pending};
+use crate::context::Context;
 use crate::job::Sent;
 use crate::machine::Machine;
+use crate::pending::Pending;
 use crate::share::Share;
 use crate::view::View;
 use crate::Ms;
--- a/crates/core/src/reconcile/tests.rs
+++ b/crates/core/src/reconcile/tests.rs
@@ -1,8 +1,8 @@
 //! Tests of `reconcile`.
 
 use super::*;
-use crate::context::Effect;
 use crate::fixture::{Fixture, WALL};
+use crate::io::Effect;
 use crate::records::{live_key, JobHeadRecord};
 use forkshift_wire::state::Item;
 use forkshift_wire::users::JobKind;
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -14,9 +14,11 @@
 pub(crate) use handover::hand_over;
 pub(crate) use jobs::new_layout;
 
-use crate::context::{Context, Pending, Reply};
+use crate::context::Context;
+use crate::io::Reply;
 use crate::job::Job;
 use crate::machine::Machine;
+use crate::pending::Pending;
 use crate::records::{DemandRecord, MachineRecord, ShareId};
 use crate::store::Urgency;
 use crate::timers::TimerQueue;
--- a/crates/core/src/share/handover.rs
+++ b/crates/core/src/share/handover.rs
@@ -1,6 +1,7 @@
 //! Handover of shares between controllers.
 
-use crate::context::{Context, Pending};
+use crate::context::Context;
+use crate::pending::Pending;
 use crate::records::{node_key, share_key, ShareId, ShareRecord, EPOCH};
 use crate::store::Urgency;
 use crate::view::View;
--- a/crates/core/src/share/loading.rs
+++ b/crates/core/src/share/loading.rs
@@ -5,8 +5,9 @@
 //! then a machine that the view lacks does not exist any more.
 
 use super::{remove_key, Phase, Share};
-use crate::context::{is_watch_lost, Context, Pending};
+use crate::context::{is_watch_lost, Context};
 use crate::layout::Layout;
+use crate::pending::Pending;
 use crate::records::{live_prefix, JobHeadRecord, TaskBlockRecord};
 use crate::store::Urgency;
 use crate::view::{Changed, View};
--- a/crates/core/src/share/machines.rs
+++ b/crates/core/src/share/machines.rs
@@ -3,8 +3,9 @@
 
 use super::Share;
 use crate::blame::MachineFailures;
-use crate::context::{Context, Pending};
+use crate::context::Context;
 use crate::machine::Machine;
+use crate::pending::Pending;
 use crate::records::{machine_key, share_key, total_of, MachineRecord};
 use crate::store::Urgency;
 use crate::view::{Changed, View};
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -1,6 +1,6 @@
 //! The way to the state service: one queue, one budget, one backoff.
 
-use crate::context::Pending;
+use crate::pending::Pending;
 use crate::Ms;
 use rand::rngs::StdRng;
 use rand::Rng;
