--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -60,7 +60,7 @@
     /// For how many lists in a row machines have been missing.
     absent: HashMap<MachineId, u32>,
     /// Machines asked of their shares, with the version that was asked.
-    lending: HashMap<MachineId, u64>,
+    lending: BTreeMap<MachineId, u64>,
     /// The revision at which lending was last considered.
     lent_rev: u64,
     /// Demands that holders reported of their shares, under which epoch and when.
@@ -111,7 +111,7 @@
             deleting: BTreeSet::new(),
             seen: HashMap::new(),
             absent: HashMap::new(),
-            lending: HashMap::new(),
+            lending: BTreeMap::new(),
             lent_rev: 0,
             reported: BTreeMap::new(),
             new_reports: false,
--- a/crates/testkit/src/world/network.rs
+++ b/crates/testkit/src/world/network.rs
@@ -1,6 +1,7 @@
 //! The network: what arrives where, when, and whether at all.
 
-use super::{zone_of, Event, World};
+use super::size::zone_of;
+use super::{Event, World};
 use crate::worker::Around;
 use crate::Ms;
 use forkshift_core::{Input, RequestId};
--- a/crates/testkit/src/world/users.rs
+++ b/crates/testkit/src/world/users.rs
@@ -15,6 +15,11 @@
 /// Pause of a user who waits for jobs to be accepted before the next.
 const RETRY_SUBMISSION: Ms = 200;
 
+/// The id of a numbered job that `Plan::plain` builds.
+pub fn job_id(n: u32) -> JobId {
+    JobId::new(&format!("j-{n}"))
+}
+
 /// A mistake in a job, for which its tasks fail on every machine.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Mistake {
@@ -51,7 +56,7 @@
             _ => run_ms as f64 / 1000.0,
         };
         let spec = JobSpec {
-            id: JobId::new(&format!("j-{n}")),
+            id: job_id(n),
             class: "work".to_owned(),
             team: "team-0".to_owned(),
             kind,
