Watches are opened anew after a loss; half a burst after a pause; work leaves room

Instead, what can wait now leaves what a submission takes, and goes in smaller transactions where the rate is low.

--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -74,11 +74,15 @@
             }
         }
         parts.sort_by_key(|p| p.urgency);
+        let together_most = ctx.limits.txn_ops.min(ctx.store.together_most());
         let mut group: Vec<Part> = Vec::new();
         let (mut ops, mut bytes) = (0, 0);
         for part in parts {
-            let full =
-                ops + part.writes.len() > ctx.limits.txn_ops || bytes + part.bytes > TXN_BYTES;
+            let most = match part.urgency {
+                Urgency::Work | Urgency::Later => together_most,
+                _ => ctx.limits.txn_ops,
+            };
+            let full = ops + part.writes.len() > most || bytes + part.bytes > TXN_BYTES;
             let other = group.first().is_some_and(|p| p.urgency != part.urgency);
             if !group.is_empty() && (full || other) {
                 self.send_group(ctx, std::mem::take(&mut group));
--- a/crates/core/src/commit/tests.rs
+++ b/crates/core/src/commit/tests.rs
@@ -81,7 +81,7 @@
         let body = serde_json::to_vec(&changes).expect("changes");
         let Fixture { node, share, .. } = &mut f;
         let ours = node.shares.get_mut(share).expect("it is ours");
-        ours.on_watch(&mut node.ctx, 200, &body);
+        ours.on_watch(&mut node.ctx, 0, 200, &body);
         assert!(!ours.jobs.contains_key(&id), "{name}");
     }
 }
--- a/crates/core/src/failure_detector.rs
+++ b/crates/core/src/failure_detector.rs
@@ -92,6 +92,7 @@
     pub(crate) fn note_pause(&mut self, now: Ms) {
         if now > self.now + self.cfg.report_ms / 2 {
             self.awake_since = now;
+            self.store.note_pause(now);
         }
     }
 
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -47,6 +47,8 @@
     listed: Vec<Item>,
     list_rev: u64,
     watching: bool,
+    /// Numbers the watches on what all controllers share.
+    watch_serial: u64,
     listing: bool,
     peeking: bool,
     peek_at: Ms,
@@ -86,6 +88,7 @@
             listed: Vec::new(),
             list_rev: 0,
             watching: false,
+            watch_serial: 0,
             listing: false,
             peeking: false,
             peek_at: 0,
@@ -161,6 +164,7 @@
 
     fn tick(&mut self) {
         self.member.tick(&mut self.ctx, &self.view);
+        self.reopen_watches();
         self.follow_view();
         self.follow_format();
         self.run_failure_detector();
--- a/crates/core/src/node/answers.rs
+++ b/crates/core/src/node/answers.rs
@@ -15,7 +15,7 @@
             Pending::NodePut { lease } => self.member.on_node_put(lease, status, body),
             Pending::LeaderPut => self.member.on_leader_put(status, body),
             Pending::ViewList => self.on_view_list(status, body),
-            Pending::ViewWatch => self.on_view_watch(status, body),
+            Pending::ViewWatch { serial } => self.on_view_watch(serial, status, body),
             Pending::ViewPeek => self.on_view_peek(status, body),
             Pending::SharePut(shares) => {
                 self.leader.on_share_put(&shares);
@@ -26,9 +26,13 @@
                     s.on_list(&mut self.ctx, status, body);
                 }
             }
-            Pending::ShareWatch { share, epoch } => {
+            Pending::ShareWatch {
+                share,
+                epoch,
+                serial,
+            } => {
                 if let Some(s) = self.shares.get_mut(&share).filter(|s| s.epoch == epoch) {
-                    s.on_watch(&mut self.ctx, status, body);
+                    s.on_watch(&mut self.ctx, serial, status, body);
                 }
             }
             Pending::Create(creation) => self.on_created(*creation, status, body),
--- a/crates/core/src/node/view_sync.rs
+++ b/crates/core/src/node/view_sync.rs
@@ -42,10 +42,13 @@
         }
         if !self.watching && now >= self.watch_at {
             self.watching = true;
+            self.watch_serial += 1;
             self.watch_at = now + self.ctx.watch_pause(WATCH_PART);
             let revision = self.view.revision;
-            self.ctx
-                .watch(CLUSTER, revision, WATCH_MS, Pending::ViewWatch);
+            let pending = Pending::ViewWatch {
+                serial: self.watch_serial,
+            };
+            self.ctx.watch(CLUSTER, revision, WATCH_MS, pending);
         }
     }
 
@@ -83,13 +86,28 @@
         }
     }
 
-    pub(super) fn on_view_watch(&mut self, status: u16, body: &[u8]) {
-        self.watching = false;
-        if !self.take_changes(status, body) {
+    pub(super) fn on_view_watch(&mut self, serial: u64, status: u16, body: &[u8]) {
+        let is_current = serial == self.watch_serial;
+        self.watching &= !is_current;
+        if !self.take_changes(status, body) && is_current {
             self.watch_at = self.ctx.now + 250;
         }
     }
 
+    /// Opens all watches anew if the state service was not reached for a while
+    /// and answers again: those that were open may have lost their answers, and
+    /// would be waited for until they time out. Jobs that were accepted
+    /// elsewhere meanwhile once waited for that long.
+    pub(super) fn reopen_watches(&mut self) {
+        if !self.ctx.store.take_recovered(self.ctx.now) {
+            return;
+        }
+        self.watching = false;
+        for share in self.shares.values_mut() {
+            share.reopen_watch();
+        }
+    }
+
     pub(super) fn on_view_peek(&mut self, status: u16, body: &[u8]) {
         self.peeking = false;
         if !self.take_changes(status, body) {
--- a/crates/core/src/pending.rs
+++ b/crates/core/src/pending.rs
@@ -21,7 +21,10 @@
     },
     LeaderPut,
     ViewList,
-    ViewWatch,
+    ViewWatch {
+        /// Which of them: an earlier one was given up.
+        serial: u64,
+    },
     ViewPeek,
     SharePut(Vec<ShareId>),
     ShareList {
@@ -31,6 +34,8 @@
     ShareWatch {
         share: ShareId,
         epoch: u64,
+        /// Which of them: an earlier one was given up.
+        serial: u64,
     },
     Create(Box<Creation>),
     Lookup {
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -83,6 +83,8 @@
     live_rev: u64,
     /// Whether a watch on its jobs is open.
     watching: bool,
+    /// Numbers those watches.
+    watch_serial: u64,
     /// When the next watch may be opened.
     watch_at: Ms,
     /// When the next round is due.
@@ -157,6 +159,7 @@
             list_at: None,
             live_rev: 0,
             watching: false,
+            watch_serial: 0,
             watch_at: 0,
             next_round: ctx.now,
             last_round: 0,
--- a/crates/core/src/share/loading.rs
+++ b/crates/core/src/share/loading.rs
@@ -158,17 +158,24 @@
             return;
         }
         self.watching = true;
+        self.watch_serial += 1;
         self.watch_at = ctx.now + ctx.watch_pause(WATCH_PART);
         let pending = Pending::ShareWatch {
             share: self.id,
             epoch: self.epoch,
+            serial: self.watch_serial,
         };
         ctx.watch(&live_prefix(self.id), self.live_rev, 10_000, pending);
     }
 
-    /// The watch has shown changes, or has ended.
-    pub(crate) fn on_watch(&mut self, ctx: &mut Context, status: u16, body: &[u8]) {
+    /// Gives up the watch that is open, so that another is opened.
+    pub(crate) fn reopen_watch(&mut self) {
         self.watching = false;
+    }
+
+    /// The watch has shown changes, or has ended.
+    pub(crate) fn on_watch(&mut self, ctx: &mut Context, serial: u64, status: u16, body: &[u8]) {
+        self.watching &= serial != self.watch_serial;
         // Our own writes come back here; a pause lets them come together. Of
         // new jobs we are told by whoever accepted them.
         self.watch_at = self.watch_at.max(ctx.now + WATCH_GAP);
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -99,20 +99,38 @@
         false
     }
 
-    /// Takes `n` for a call of an urgency. A user who waits may have up to one
-    /// second's worth in advance, which what can wait pays back: with little
-    /// left for each controller, submissions once waited for a second behind
-    /// writes that nobody waited for.
+    /// Takes `n` for a call of an urgency. What can wait leaves enough for a
+    /// submission: with few changes a second for each controller, submissions
+    /// once waited for a second behind writes that nobody waited for.
     fn take_for(&mut self, n: f64, urgency: Urgency) -> bool {
-        let in_advance = urgency == Urgency::User && self.tokens - n >= -self.burst();
-        self.take(n, urgency == Urgency::Member || in_advance)
+        let keeps = match urgency {
+            Urgency::Member | Urgency::Lead | Urgency::User => 0.0,
+            Urgency::Work | Urgency::Later => SUBMISSION_WRITES,
+        };
+        let is_low = self.tokens < (n + keeps).min(self.burst());
+        if is_low && urgency != Urgency::Member {
+            return false;
+        }
+        self.take(n, urgency == Urgency::Member)
     }
 
     pub(crate) fn drain(&mut self) {
         self.tokens = self.tokens.min(0.0);
     }
+
+    /// What a pause has filled it with counts in part only.
+    fn note_pause(&mut self, now: Ms) {
+        self.refill(now);
+        self.tokens = self.tokens.min(self.burst() * PAUSED_PART);
+    }
 }
 
+/// The part of a burst that there is after standing still. All controllers may
+/// have stood still together, and each first sends what can't be held back.
+const PAUSED_PART: f64 = 0.5;
+/// Changes of a transaction that accepts a job.
+const SUBMISSION_WRITES: f64 = 2.0;
+
 /// How urgent a call is; the order is that of the queue.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
 pub(crate) enum Urgency {
@@ -164,6 +182,12 @@
     backoff: Ms,
     /// The last answer was a 503.
     out_since: Option<Ms>,
+    /// A call had no answer, or was refused, since the last answer.
+    is_disturbed: bool,
+    /// The service answered again after that, at this time.
+    recovered_at: Option<Ms>,
+    /// When that was last taken note of.
+    noted_at: Ms,
     /// What was sent since the need was last asked for.
     sent: Use,
     sent_since: Ms,
@@ -172,6 +196,8 @@
 /// Longest pause between two tries at a service that refuses.
 const BACKOFF_MOST: Ms = 1_000;
 const BACKOFF_LEAST: Ms = 50;
+/// Least pause between two recoveries that are taken note of.
+const RECOVERY_PAUSE: Ms = 1_000;
 
 impl Store {
     pub(crate) fn new(rps: f64, write_rps: f64) -> Self {
@@ -186,6 +212,9 @@
             pause_until: 0,
             backoff: BACKOFF_LEAST,
             out_since: None,
+            is_disturbed: false,
+            recovered_at: None,
+            noted_at: 0,
             sent: Use::default(),
             sent_since: 0,
         }
@@ -251,6 +280,29 @@
         self.out_since
     }
 
+    /// This controller has stood still until now.
+    pub(crate) fn note_pause(&mut self, now: Ms) {
+        self.requests.note_pause(now);
+        self.writes.note_pause(now);
+    }
+
+    /// Whether the service was not reached for a while and answers again, once
+    /// each time and not too often.
+    pub(crate) fn take_recovered(&mut self, now: Ms) -> bool {
+        if self.recovered_at.is_none() || now < self.noted_at + RECOVERY_PAUSE {
+            return false;
+        }
+        self.recovered_at = None;
+        self.noted_at = now;
+        true
+    }
+
+    /// Most changes that should go together where they can wait: more would use
+    /// up what is kept for submissions.
+    pub(crate) fn together_most(&self) -> usize {
+        (self.writes.burst() - SUBMISSION_WRITES).max(SUBMISSION_WRITES) as usize
+    }
+
     /// How many calls wait.
     pub(crate) fn len(&self) -> usize {
         self.reads.len() + self.changes.len()
@@ -258,6 +310,11 @@
 
     /// Learns from a status how the service is.
     pub(crate) fn heard(&mut self, status: u16, now: Ms, rng: &mut StdRng) {
+        if matches!(status, 0 | 503) {
+            self.is_disturbed = true;
+        } else if std::mem::take(&mut self.is_disturbed) {
+            self.recovered_at = Some(now);
+        }
         match status {
             0 => {}
             429 => {
