--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -22,6 +22,9 @@
 const WRITES_PART: f64 = 0.95;
 /// The part of that which is split evenly.
 const FIXED_PART: f64 = 0.4;
+/// Nothing is had in advance for this long after standing still: in that time
+/// all controllers have used up what they woke with.
+const ADVANCE_PAUSE: Ms = 5_000;
 /// A grant, and what a controller said that it needs, hold for this many looks.
 const VALID_LOOKS: Ms = 4;
 
@@ -82,6 +85,14 @@
         }
     }
 
+    /// Whether users' changes may be made in advance of the budget. Under a grant
+    /// the leader knows what all controllers need. Having stood still, others
+    /// may have, too, and all go on at once.
+    pub(crate) fn allows_advance(&self, ctx: &Context, view: &View) -> bool {
+        let is_awake = ctx.awake_since == 0 || ctx.now >= ctx.awake_since + ADVANCE_PAUSE;
+        is_awake && self.live(ctx, view).is_some()
+    }
+
     /// The grant, as long as whoever gave it leads.
     fn live(&self, ctx: &Context, view: &View) -> Option<&Grant> {
         let leader = view.leader.as_ref().map(|l| &l.rec);
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -176,6 +176,8 @@
         self.budget.tick(&mut self.ctx, &self.view);
         let rate = self.budget.rate(&self.ctx, &self.view);
         self.ctx.store.set_rates(&rate);
+        let in_advance = self.budget.allows_advance(&self.ctx, &self.view);
+        self.ctx.store.allow_advance(in_advance);
         self.follow_dependencies();
         for share in self.shares.values_mut() {
             share.list_again(&mut self.ctx);
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -102,7 +102,12 @@
     /// Takes `n` for a call of an urgency. What can wait leaves enough for a
     /// submission: with few changes a second for each controller, submissions
     /// once waited for a second behind writes that nobody waited for.
-    fn take_for(&mut self, n: f64, urgency: Urgency) -> bool {
+    ///
+    /// In advance, a user's call may take what comes within the next second.
+    fn take_for(&mut self, n: f64, urgency: Urgency, in_advance: bool) -> bool {
+        if in_advance && urgency == Urgency::User && self.tokens - n >= -self.burst() {
+            return self.take(n, true);
+        }
         let keeps = match urgency {
             Urgency::Member | Urgency::Lead | Urgency::User => 0.0,
             Urgency::Work | Urgency::Later => SUBMISSION_WRITES,
@@ -182,6 +187,8 @@
     backoff: Ms,
     /// The last answer was a 503.
     out_since: Option<Ms>,
+    /// Whether users' changes may be made in advance of the budget.
+    in_advance: bool,
     /// A call had no answer, or was refused, since the last answer.
     is_disturbed: bool,
     /// The service answered again after that, at this time.
@@ -212,6 +219,7 @@
             pause_until: 0,
             backoff: BACKOFF_LEAST,
             out_since: None,
+            in_advance: false,
             is_disturbed: false,
             recovered_at: None,
             noted_at: 0,
@@ -226,6 +234,12 @@
         self.writes.set_rate(rate.writes);
     }
 
+    /// Sets whether users' changes may be made in advance: only while others are
+    /// known to leave some of the budget unused.
+    pub(crate) fn allow_advance(&mut self, allowed: bool) {
+        self.in_advance = allowed;
+    }
+
     /// What is needed a second: what was sent lately, and what waits.
     pub(crate) fn take_need(&mut self, now: Ms) -> Use {
         let seconds = now.saturating_sub(self.sent_since).max(1) as f64 / 1000.0;
@@ -360,7 +374,7 @@
                 continue;
             }
             let n = self.changes.get(&place).map_or(0, |c| c.writes) as f64;
-            if n > 0.0 && !self.writes.take_for(n, place.0) {
+            if n > 0.0 && !self.writes.take_for(n, place.0, self.in_advance) {
                 // The order of changes is kept: none goes before this one.
                 changes = false;
                 continue;
--- a/crates/core/src/store/tests.rs
+++ b/crates/core/src/store/tests.rs
@@ -58,6 +58,28 @@
     }
 }
 
+/// In advance, a user has up to one second's worth and no more, where that is
+/// allowed; what can wait never has.
+#[test]
+fn a_user_has_a_second_in_advance_where_that_is_allowed() {
+    // What goes at once, and within three seconds more, of four changes a second.
+    for (in_advance, urgency, first, in_all) in [
+        (true, Urgency::User, 4, 10),
+        (false, Urgency::User, 2, 8),
+        (true, Urgency::Work, 1, 7),
+    ] {
+        let mut store = Store::new(100.0, 4.0);
+        store.allow_advance(in_advance);
+        for _ in 0..20 {
+            store.push(urgency, call(10_000, 2));
+        }
+        let name = format!("{in_advance}, {urgency:?}");
+        assert_eq!(store.due(0).0.len(), first, "{name}");
+        let later: usize = (1..3_001).map(|now| store.due(now).0.len()).sum();
+        assert_eq!(first + later, in_all, "{name}");
+    }
+}
+
 /// After standing still there is half a burst.
 #[test]
 fn a_pause_does_not_fill_the_budget() {
