Core: one way to find the share that holds a job, a record read with its version

What a reading of the whole change found: `holding` and `holds` stood beside `share_of` and a loop in the cancellations; an admission parsed each record twice; `remembered` looked its job up three times; the budget checked its level twice; functions of the split api were more visible than they need be; the testkit's checker had `begun` and `began_at`.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -2,13 +2,12 @@
 //! by reading their lasting records, and the acceptance is conditional on the
 //! versions that were read.
 
-use crate::api::read_job;
+use crate::api::read_versioned_job;
 use crate::io::{Reply, RequestId};
 use crate::node::Node;
 use crate::pending::{Creation, Lookup, Pending};
 use crate::records::job_key;
 use crate::store::Urgency;
-use forkshift_wire::state::Item;
 use forkshift_wire::users::{JobKind, JobSpec, JobStage};
 use forkshift_wire::JobId;
 use std::collections::BTreeSet;
@@ -83,11 +82,13 @@
             return;
         }
         let until = admission.creation.until;
-        match (status, read_job(body)) {
-            (200, Some(record)) if record.spec.kind == JobKind::Service => {
+        match (status, read_versioned_job(body)) {
+            (200, Some((record, _))) if record.spec.kind == JobKind::Service => {
                 self.refuse_admission(request, &format!("{id} is a service"));
             }
-            (200, Some(record)) => self.on_dependency_found(request, id, record.stage, body),
+            (200, Some((record, version))) => {
+                self.on_dependency_found(request, id, record.stage, version);
+            }
             (404, _) => self.refuse_admission(request, &format!("{id} was never accepted")),
             (0, _) if self.ctx.now < until => self.read_for_admission(request, id.clone()),
             _ => {
@@ -103,7 +104,7 @@
         request: RequestId,
         id: &JobId,
         stage: JobStage,
-        body: &[u8],
+        version: u64,
     ) {
         if stage.is_final() {
             self.finals.insert(id.clone(), stage);
@@ -111,7 +112,6 @@
         let Some(admission) = self.admissions.get_mut(&request) else {
             return;
         };
-        let version = serde_json::from_slice(body).map_or(0, |item: Item| item.version);
         admission.unread.remove(id);
         admission.creation.dependencies.push((id.clone(), version));
         admission.creation.is_cancelled |= stage == JobStage::Cancelled;
--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -5,7 +5,7 @@
 mod reports;
 mod submissions;
 
-pub(crate) use questions::read_job;
+pub(crate) use questions::{read_job, read_versioned_job};
 
 use crate::io::{Reply, RequestId};
 use crate::node::Node;
--- a/crates/core/src/api/cancellations.rs
+++ b/crates/core/src/api/cancellations.rs
@@ -5,10 +5,9 @@
 use crate::api::{status, ANSWER_MS};
 use crate::context::revision_of;
 use crate::io::{Reply, RequestId};
-use crate::node::Node;
+use crate::node::{holder_of_mut, Node};
 use crate::pending::{AbortPoll, Lookup, Pending};
 use crate::records::{abort_key, job_key, ShareId};
-use crate::share::Phase;
 use crate::store::Urgency;
 use crate::Ms;
 use forkshift_wire::state::{Txn, Write};
@@ -19,6 +18,7 @@
 const POLL_MS: Ms = 250;
 
 impl Node {
+    /// A user asks to cancel a job.
     pub(crate) fn abort(&mut self, request: RequestId, id: &str) -> Option<Reply> {
         let Some(id) = JobId::parse(id) else {
             return Some(Reply::error(404, "no such job"));
@@ -28,9 +28,7 @@
         }
         let right = self.member.has_right(&self.ctx, &self.view);
         let Node { shares, ctx, .. } = self;
-        let ours = shares
-            .values_mut()
-            .find(|s| s.phase == Phase::Active && s.jobs.contains_key(&id));
+        let ours = holder_of_mut(shares, &id);
         if let Some(share) = ours {
             share.cancel(ctx, &id);
             let job = share.jobs.get_mut(&id)?;
@@ -83,7 +81,7 @@
         }
     }
 
-    pub(crate) fn poll_abort(&mut self, poll: AbortPoll) {
+    fn poll_abort(&mut self, poll: AbortPoll) {
         let path = format!("/kv/{}", job_key(&poll.id));
         self.ctx.read(Urgency::User, path, Pending::AbortPoll(poll));
     }
--- a/crates/core/src/api/questions.rs
+++ b/crates/core/src/api/questions.rs
@@ -2,7 +2,7 @@
 
 use crate::api::status;
 use crate::io::{Reply, RequestId};
-use crate::node::Node;
+use crate::node::{holder_of, Node};
 use crate::pending::{Lookup, Pending};
 use crate::records::{job_key, JobRecord};
 use crate::store::Urgency;
@@ -17,6 +17,7 @@
 const LOOKUP_MS: Ms = 1_000;
 
 impl Node {
+    /// A user asks how a job stands.
     pub(crate) fn question(&mut self, request: RequestId, id: &str) -> Option<Reply> {
         let Some(id) = JobId::parse(id) else {
             return Some(Reply::error(404, "no such job"));
@@ -33,21 +34,16 @@
     }
 
     /// What memory says of a job of ours: nothing, if its record may say more.
-    pub(crate) fn remembered(&mut self, id: &JobId) -> Option<Reply> {
-        let share = self.share_of(id)?;
-        let (k, epoch) = (share.id, share.epoch);
+    pub(crate) fn remembered(&self, id: &JobId) -> Option<Reply> {
+        let share = holder_of(&self.shares, id)?;
         // The view may have gone on in this very batch, and the share with it.
-        let still_ours = self
-            .view
-            .shares
-            .get(&k)
-            .is_some_and(|s| s.rec.epoch == epoch);
-        let job = self.share_of(id).filter(|_| still_ours)?.jobs.get(id)?;
+        let record = self.view.shares.get(&share.id);
+        let still_ours = record.is_some_and(|s| s.rec.epoch == share.epoch);
+        let job = share.jobs.get(id).filter(|_| still_ours)?;
         if !job.is_certain() {
             return None;
         }
         // A cancellation that we have not heard of may be on its way to it.
-        let job = self.shares.get(&k)?.jobs.get(id)?;
         if !self.is_known_unfinished(job) {
             return Some(Reply::later("not known at the moment"));
         }
@@ -62,7 +58,7 @@
         None
     }
 
-    pub(crate) fn read_job(&mut self, request: RequestId, id: JobId, why: Lookup, until: Ms) {
+    fn read_job(&mut self, request: RequestId, id: JobId, why: Lookup, until: Ms) {
         let path = format!("/kv/{}", job_key(&id));
         let pending = Pending::Lookup {
             request,
@@ -125,7 +121,7 @@
 
     /// Whether a job whose record does not say so yet is known to be cancelled
     /// with one that it needs. It must not be called queued for long.
-    pub(crate) fn is_cancelled_with_another(&mut self, record: &JobRecord) -> bool {
+    fn is_cancelled_with_another(&self, record: &JobRecord) -> bool {
         let dependencies = &record.spec.dependencies;
         if record.stage.is_final() || dependencies.is_empty() {
             return false;
@@ -135,14 +131,20 @@
         if dependencies.iter().any(is_cancelled) {
             return true;
         }
-        let job = self.share_of(&record.spec.id);
-        let job = job.and_then(|s| s.jobs.get(&record.spec.id));
+        let share = holder_of(&self.shares, &record.spec.id);
+        let job = share.and_then(|s| s.jobs.get(&record.spec.id));
         job.is_some_and(|j| j.cancelled)
     }
 }
 
 /// The record of a job in an answer of the state service.
 pub(crate) fn read_job(body: &[u8]) -> Option<JobRecord> {
+    read_versioned_job(body).map(|(record, _)| record)
+}
+
+/// The same, with its version.
+pub(crate) fn read_versioned_job(body: &[u8]) -> Option<(JobRecord, u64)> {
     let item: Item = serde_json::from_slice(body).ok()?;
-    from_value(item.value).ok()
+    let record = from_value(item.value).ok()?;
+    Some((record, item.version))
 }
--- a/crates/core/src/api/reports.rs
+++ b/crates/core/src/api/reports.rs
@@ -6,6 +6,7 @@
 use forkshift_wire::workers::{Redirect, Report, ReportReply};
 
 impl Node {
+    /// A worker reports.
     pub(crate) fn report(&mut self, body: Option<Vec<u8>>) -> Reply {
         let Some(body) = body else {
             return Reply::error(413, "too large");
--- a/crates/core/src/api/submissions.rs
+++ b/crates/core/src/api/submissions.rs
@@ -18,6 +18,7 @@
 use serde_json::to_value;
 
 impl Node {
+    /// A user submits a job.
     pub(crate) fn submit(&mut self, request: RequestId, body: Option<Vec<u8>>) -> Option<Reply> {
         let Some(body) = body else {
             return Some(Reply::error(413, "too large"));
@@ -69,7 +70,7 @@
     }
 
     /// Whether a job can ever run, and in which share.
-    pub(crate) fn judge(&self, spec: &JobSpec) -> Result<ShareId, Reply> {
+    fn judge(&self, spec: &JobSpec) -> Result<ShareId, Reply> {
         let Some(team) = self.ctx.cfg.teams.get(&spec.team) else {
             return Err(Reply::error(422, "unknown team"));
         };
@@ -193,14 +194,14 @@
 
 /// Whether a transaction that was to accept a job failed because it was
 /// accepted before.
-pub(crate) fn is_known(creation: &Creation, body: &[u8]) -> bool {
+fn is_known(creation: &Creation, body: &[u8]) -> bool {
     let reply: TxnReply = serde_json::from_slice(body).unwrap_or_default();
     let key = job_key(&creation.spec.id);
     reply.failed.is_empty() || reply.failed.contains(&key)
 }
 
 /// The id that a body names, whatever else it holds.
-pub(crate) fn id_of(body: &[u8]) -> Option<JobId> {
+fn id_of(body: &[u8]) -> Option<JobId> {
     let value: serde_json::Value = serde_json::from_slice(body).ok()?;
     JobId::parse(value.get("uid")?.as_str()?)
 }
--- a/crates/core/src/dependencies.rs
+++ b/crates/core/src/dependencies.rs
@@ -16,10 +16,10 @@
 use crate::context::Context;
 use crate::job::Job;
 use crate::known_jobs::FinalStage;
-use crate::node::Node;
+use crate::node::{holder_of, holder_of_mut, Node};
 use crate::pending::Pending;
 use crate::records::{job_key, ShareId};
-use crate::share::{Phase, Share};
+use crate::share::Phase;
 use crate::store::Urgency;
 use crate::timers::TimerQueue;
 use crate::Ms;
@@ -175,7 +175,7 @@
         if stage != JobStage::Cancelled {
             let now = self.ctx.now;
             let Node { shares, ctx, .. } = self;
-            let Some(share) = holding(shares, dependent) else {
+            let Some(share) = holder_of_mut(shares, dependent) else {
                 return;
             };
             let job = share.jobs.get_mut(dependent);
@@ -188,7 +188,7 @@
         let mut cancelled = vec![dependent.clone()];
         while let Some(id) = cancelled.pop() {
             let Node { shares, ctx, .. } = self;
-            let Some(share) = holding(shares, &id) else {
+            let Some(share) = holder_of_mut(shares, &id) else {
                 continue;
             };
             if share.jobs.get(&id).is_none_or(|j| j.cancelled) {
@@ -249,7 +249,7 @@
             }
             self.dependencies.reads.wake(&id, self.ctx.now + pause);
             // Of our own jobs we know at once.
-            if dependency.is_reading || holds(shares, &id) {
+            if dependency.is_reading || holder_of(shares, &id).is_some() {
                 continue;
             }
             dependency.is_reading = true;
@@ -289,7 +289,7 @@
         let is_certain = |id: &JobId| {
             let dependency = self.dependencies.waiting.get(id);
             let since = dependency.map(|d| d.unfinished_at);
-            holds(&self.shares, id) || since.is_none_or(|t| self.ctx.now < t + most)
+            holder_of(&self.shares, id).is_some() || since.is_none_or(|t| self.ctx.now < t + most)
         };
         job.unresolved.iter().all(is_certain)
     }
@@ -298,7 +298,7 @@
     /// themselves.
     fn raise(&mut self, mut jobs: Vec<JobId>, priority: Priority) {
         while let Some(id) = jobs.pop() {
-            let Some(share) = holding(&mut self.shares, &id) else {
+            let Some(share) = holder_of_mut(&mut self.shares, &id) else {
                 let share = self.dependencies.waiting.get(&id).and_then(|d| d.share);
                 if let Some(share) = share {
                     self.tell_needed(&id, share);
@@ -342,23 +342,11 @@
         let (Some(id), Some(priority)) = (JobId::parse(id), ALL.get(usize::from(priority))) else {
             return;
         };
-        if holds(&self.shares, &id) {
+        if holder_of(&self.shares, &id).is_some() {
             self.raise(vec![id], *priority);
         }
     }
 }
 
-/// The share in use that holds an unfinished job.
-fn holding<'a>(shares: &'a mut BTreeMap<ShareId, Share>, id: &JobId) -> Option<&'a mut Share> {
-    let mut active = shares.values_mut().filter(|s| s.phase == Phase::Active);
-    active.find(|s| s.jobs.contains_key(id))
-}
-
-/// Whether an unfinished job is held here.
-fn holds(shares: &BTreeMap<ShareId, Share>, id: &JobId) -> bool {
-    let mut active = shares.values().filter(|s| s.phase == Phase::Active);
-    active.any(|s| s.jobs.contains_key(id))
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -252,11 +252,25 @@
 
     /// The share that holds an unfinished job, if it is here and in use.
     pub(crate) fn share_of(&mut self, id: &JobId) -> Option<&mut Share> {
-        let mut shares = self.shares.values_mut();
-        shares.find(|s| s.phase == Phase::Active && s.jobs.contains_key(id))
+        holder_of_mut(&mut self.shares, id)
     }
 }
 
+/// The share in use that holds an unfinished job.
+pub(crate) fn holder_of<'a>(shares: &'a BTreeMap<ShareId, Share>, id: &JobId) -> Option<&'a Share> {
+    let mut active = shares.values().filter(|s| s.phase == Phase::Active);
+    active.find(|s| s.jobs.contains_key(id))
+}
+
+/// The same, to be changed.
+pub(crate) fn holder_of_mut<'a>(
+    shares: &'a mut BTreeMap<ShareId, Share>,
+    id: &JobId,
+) -> Option<&'a mut Share> {
+    let mut active = shares.values_mut().filter(|s| s.phase == Phase::Active);
+    active.find(|s| s.jobs.contains_key(id))
+}
+
 /// Whether the answer to a call tells how the state service is.
 fn is_state(pending: &Pending) -> bool {
     !matches!(
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -79,7 +79,7 @@
 
     pub(crate) fn refill(&mut self, now: Ms) {
         let gained = now.saturating_sub(self.at) as f64 / 1000.0 * self.rate;
-        self.tokens = (self.tokens + gained).min(self.rate.max(1.0));
+        self.tokens = (self.tokens + gained).min(self.burst());
         self.at = now;
     }
 
@@ -113,10 +113,8 @@
             Urgency::Work | Urgency::Later => SUBMISSION_WRITES,
         };
         let is_low = self.tokens < (n + keeps).min(self.burst());
-        if is_low && urgency != Urgency::Member {
-            return false;
-        }
-        self.take(n, urgency == Urgency::Member)
+        let goes = !is_low || urgency == Urgency::Member;
+        goes && self.take(n, true)
     }
 
     pub(crate) fn drain(&mut self) {
--- a/crates/testkit/src/check.rs
+++ b/crates/testkit/src/check.rs
@@ -389,11 +389,6 @@
         self.failures.push((now, task.clone(), machine.clone()));
     }
 
-    /// When a task of a job first started.
-    pub fn begun(&self, id: &JobId) -> Option<Ms> {
-        self.begun.get(id).copied()
-    }
-
     /// The longest time from a user's first try until a job was accepted.
     pub fn slowest_acceptance(&self) -> Ms {
         self.slowest
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -509,7 +509,6 @@
         let mut left = Vec::new();
         for user in &self.users {
             let spec = &user.plan.spec;
-            // A job that needs one that was never accepted is never submitted.
             if user.aim == Aim::Submit {
                 left.push(format!("{}: not accepted", spec.id));
             }
--- a/crates/testkit/tests/broken_jobs.rs
+++ b/crates/testkit/tests/broken_jobs.rs
@@ -117,7 +117,7 @@
             }
         }
     }
-    let wait = |(id, at): &(JobId, Ms)| world.check.begun(id).unwrap_or(END) - at;
+    let wait = |(id, at): &(JobId, Ms)| world.check.began_at(id).unwrap_or(END) - at;
     let longest_wait = good.iter().map(wait).max().unwrap_or(0);
     Outcome {
         world,
@@ -402,7 +402,7 @@
     assert!(failures(&day.world, &id(1), 0, 60_000) >= 6, "it did fail");
     let wait_of = |day: &Outcome, n: u32| {
         let at = 45_000 + Ms::from(n) * 20_000;
-        day.world.check.begun(&id(GOOD_FROM + n)).unwrap_or(END) - at
+        day.world.check.began_at(&id(GOOD_FROM + n)).unwrap_or(END) - at
     };
     for n in 0..8 {
         let (wait, before) = (wait_of(&day, n), wait_of(&usual, n));
--- a/crates/testkit/tests/chains.rs
+++ b/crates/testkit/tests/chains.rs
@@ -51,7 +51,7 @@
     let mut world = World::sized(51, plans, vec![], size);
     world.run_until(400_000);
     assert_eq!(world.check.broken, vec![]);
-    let begun = |n| world.check.begun(&id(n)).expect("it has begun");
+    let begun = |n| world.check.began_at(&id(n)).expect("it has begun");
     let behind = (0..BUSY_JOBS).filter(|n| begun(*n) > begun(BUSY_JOBS));
     assert!(behind.count() > 0, "ordinary work was waiting");
     assert_eq!(world.check.told(&id(BUSY_JOBS + 2)), Some(JobStage::Done));
