--- a/crates/testkit/src/cloud.rs
+++ b/crates/testkit/src/cloud.rs
@@ -34,12 +34,23 @@
     pub(crate) slow: Option<(Ms, SlowBoots)>,
     /// What was asked for: when, type, zone, and how many were had.
     pub(crate) rented: Vec<(Ms, String, String, u32)>,
+    /// Every machine that was rented: when, and when it is or would be up.
+    pub(crate) boots: Vec<Boot>,
     /// Machines that came to an end since this was last looked at.
     pub(crate) ended: Vec<MachineId>,
     /// How many in all.
     pub(crate) n_ended: usize,
 }
 
+/// How long a machine takes from its rental until it is up.
+#[derive(Clone, Copy, Debug)]
+pub struct Boot {
+    /// When it was rented.
+    pub rented: Ms,
+    /// When it is up, unless it is deleted before; never, if that is far off.
+    pub up_at: Ms,
+}
+
 /// New machines that come late or never.
 #[derive(Clone, Debug)]
 pub struct SlowBoots {
@@ -79,6 +90,7 @@
             quick_until: 0,
             slow: None,
             rented: Vec::new(),
+            boots: Vec::new(),
             ended: Vec::new(),
             n_ended: 0,
         }
@@ -180,6 +192,10 @@
                 up_at: now.saturating_add(boot),
                 failed: false,
             };
+            self.boots.push(Boot {
+                rented: now,
+                up_at: machine.up_at,
+            });
             self.machines.insert(id.clone(), machine);
             ids.push(id);
         }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -14,7 +14,7 @@
 mod world;
 
 pub use check::{Calm, Checker, Rule};
-pub use cloud::SlowBoots;
+pub use cloud::{Boot, SlowBoots};
 pub use day::{Day, Draw};
 pub use draws::{random_faults, random_faults_once, random_pairs, random_upgrade};
 pub use faults::{Fault, FaultKind, MachineFault, Which, Who};
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -14,7 +14,7 @@
 pub use users::{job_id, Mistake, Plan};
 
 use crate::check::{Calm, Checker};
-use crate::cloud::Cloud;
+use crate::cloud::{Boot, Cloud};
 use crate::faults::{Fault, FaultKind};
 use crate::state::{SizeLimits, State};
 use crate::worker::{Truth, Worker};
@@ -561,6 +561,11 @@
         &self.cloud.rented
     }
 
+    /// The boots of all machines that were rented, in the order of rental.
+    pub fn boots(&self) -> &[Boot] {
+        &self.cloud.boots
+    }
+
     /// Machines that are paid for and not up.
     pub fn booting(&self) -> usize {
         let all = self.cloud.machines.values();
