Testkit: controllers may be processes of their own; the checker counts by job and team

Change: World::remote hands out what is for controllers and takes in what they ask (world/remote.rs); the fleet on offer is data (fleet.rs); workers of such a world keep the protocol's gaps between reports. The checker keeps what is on machines by job and use by team, listings and watches of the state service start where they must instead of going over all keys, so that thousands of workers can be played in real time.

--- a/crates/testkit/src/check.rs
+++ b/crates/testkit/src/check.rs
@@ -1,6 +1,11 @@
 //! The rules of the protocol, checked against what truly happens.
 
 mod dependencies;
+mod observations;
+mod usage;
+
+pub use observations::{Observations, StartSeen};
+use usage::Usage;
 
 use crate::Ms;
 use forkshift_wire::users::{JobKind, JobSpec, JobStage};
@@ -106,8 +111,12 @@
     /// When the last job that a job needs completed.
     ready: BTreeMap<JobId, Ms>,
     done: BTreeMap<JobId, BTreeSet<u32>>,
-    /// Tasks that are on a machine.
-    on: BTreeMap<TaskRef, Vec<Place>>,
+    /// Where the tasks of each job are that are on a machine.
+    on: BTreeMap<JobId, BTreeMap<u32, Vec<Place>>>,
+    /// What each team's tasks on machines use.
+    used: BTreeMap<String, Usage>,
+    /// What is noted for measurements, if anything is.
+    pub(crate) observed: Option<Observations>,
     /// Starts seen.
     pub starts: u64,
     /// Starts of tasks whose job's cancellation had been confirmed: when, how
@@ -149,16 +158,16 @@
         let Some(spec) = self.jobs.get(&task.job).cloned() else {
             return;
         };
-        if self.on.get(task).is_some_and(|p| !p.is_empty()) {
-            let what = format!("{task} on {} and {:?}", place.machine, self.on[task]);
+        if let Some(places) = self.places_of(task) {
+            let what = format!("{task} on {} and {places:?}", place.machine);
             self.fail(Rule::RanTwice, now, what);
         }
+        self.observe_start(now, task, spec.priority);
         self.check_order(now, &task.job, &task.to_string());
         let types = spec.types.as_ref();
-        let others: Vec<&Place> = self
-            .on
-            .iter()
-            .filter(|(t, _)| t.job == task.job && t.index != task.index)
+        let tasks = self.on.get(&task.job).into_iter().flatten();
+        let others: Vec<&Place> = tasks
+            .filter(|(index, _)| **index != task.index)
             .flat_map(|(_, p)| p)
             .collect();
         let same = others.iter().filter(|p| p.zone == place.zone).count() as u32;
@@ -177,7 +186,9 @@
                 self.fail(Rule::RanCancelled, now, format!("{task} starts"));
             }
         }
-        self.on.entry(task.clone()).or_default().push(place);
+        let tasks = self.on.entry(task.job.clone()).or_default();
+        tasks.entry(task.index).or_default().push(place);
+        self.used.entry(spec.team.clone()).or_default().add(&spec);
         // An array begins with any task, the others with all.
         let begins = spec.kind == JobKind::Array || self.running(&task.job) as u32 == spec.tasks;
         if begins {
@@ -190,14 +201,8 @@
         let Some(&(cpus_max, gpus_max)) = self.limits.get(team) else {
             return;
         };
-        let (mut cpus, mut gpus) = (0.0, 0.0);
-        for (task, places) in &self.on {
-            let Some(spec) = self.jobs.get(&task.job).filter(|s| s.team == team) else {
-                continue;
-            };
-            cpus += spec.cpus * places.len() as f64;
-            gpus += spec.gpus * places.len() as f64;
-        }
+        let used = self.used.get(team).copied().unwrap_or_default();
+        let (cpus, gpus) = (used.cpus(), used.gpus());
         let over = |used: f64, most: f64| most > 0.0 && used > most + 1e-6;
         if over(cpus, cpus_max) || over(gpus, gpus_max) {
             self.fail(
@@ -210,16 +215,50 @@
 
     /// A task is not on its machine any more.
     pub fn ended(&mut self, task: &TaskRef, machine: &MachineId) {
-        if let Some(places) = self.on.get_mut(task) {
-            if let Some(i) = places.iter().position(|p| p.machine == *machine) {
-                places.remove(i);
-            }
-            if places.is_empty() {
-                self.on.remove(task);
+        let Some(tasks) = self.on.get_mut(&task.job) else {
+            return;
+        };
+        let Some(places) = tasks.get_mut(&task.index) else {
+            return;
+        };
+        let here = places.iter().position(|p| p.machine == *machine);
+        if let Some(i) = here {
+            places.remove(i);
+            self.release(&task.job, 1);
+        }
+        self.forget_empty(task);
+    }
+
+    /// Where a task is, if it is on any machine.
+    fn places_of(&self, task: &TaskRef) -> Option<&Vec<Place>> {
+        self.on.get(&task.job)?.get(&task.index)
+    }
+
+    /// So many tasks of a job use nothing any more.
+    fn release(&mut self, id: &JobId, tasks: usize) {
+        let Some(spec) = self.jobs.get(id) else {
+            return;
+        };
+        if let Some(used) = self.used.get_mut(&spec.team) {
+            for _ in 0..tasks {
+                used.remove(spec);
             }
         }
     }
 
+    /// Drops the entries of a task that is on no machine.
+    fn forget_empty(&mut self, task: &TaskRef) {
+        let Some(tasks) = self.on.get_mut(&task.job) else {
+            return;
+        };
+        if tasks.get(&task.index).is_some_and(Vec::is_empty) {
+            tasks.remove(&task.index);
+        }
+        if tasks.is_empty() {
+            self.on.remove(&task.job);
+        }
+    }
+
     /// A task has completed.
     pub fn completed(&mut self, now: Ms, task: &TaskRef) {
         let done = self.done.entry(task.job.clone()).or_default();
@@ -237,6 +276,11 @@
             .is_some_and(|d| d.contains(&task.index))
     }
 
+    /// Most CPUs and GPUs that a team may use; 0: no limit.
+    pub(crate) fn limit_of(&self, team: &str) -> (f64, f64) {
+        self.limits.get(team).copied().unwrap_or_default()
+    }
+
     /// Whether a user was told that a job is cancelled.
     pub fn was_cancelled(&self, id: &JobId) -> bool {
         self.cancelled_at.contains_key(id)
@@ -254,7 +298,12 @@
 
     /// Tasks of a job that are on machines.
     pub fn running(&self, id: &JobId) -> usize {
-        self.on.keys().filter(|t| t.job == *id).count()
+        self.on.get(id).map_or(0, BTreeMap::len)
+    }
+
+    /// Tasks that are on machines.
+    pub fn tasks_on_machines(&self) -> usize {
+        self.on.values().map(BTreeMap::len).sum()
     }
 
     /// Whether a user has asked to cancel a job.
@@ -344,6 +393,9 @@
                 if news {
                     let asked = self.first_asked.get(id).copied().unwrap_or(now);
                     self.slowest = self.slowest.max(now - asked);
+                    if let Some(observed) = &mut self.observed {
+                        observed.acceptances.push(now - asked);
+                    }
                 }
                 self.accepted.entry(id.clone()).or_insert(order);
             }
@@ -472,16 +524,24 @@
         let late: Vec<TaskRef> = self
             .on
             .iter()
-            .filter(|(t, places)| {
-                let at = self.cancelled_at.get(&t.job);
-                let may_go_on = places.iter().any(|p| !expired.contains(&p.machine));
-                may_go_on && at.is_some_and(|at| now > at + self.cancel_ms)
+            .filter(|(id, _)| {
+                let at = self.cancelled_at.get(*id);
+                at.is_some_and(|at| now > at + self.cancel_ms)
+            })
+            .flat_map(|(id, tasks)| tasks.iter().map(move |(index, p)| (id, *index, p)))
+            .filter(|(_, _, places)| places.iter().any(|p| !expired.contains(&p.machine)))
+            .map(|(id, index, _)| TaskRef {
+                job: id.clone(),
+                index,
             })
-            .map(|(t, _)| t.clone())
             .collect();
         for task in late {
             self.fail(Rule::RanCancelled, now, format!("{task} is still there"));
-            self.on.remove(&task);
+            let tasks = self.on.get_mut(&task.job);
+            let places = tasks.and_then(|t| t.get_mut(&task.index));
+            let gone = places.map_or(0, |p| std::mem::take(p).len());
+            self.release(&task.job, gone);
+            self.forget_empty(&task);
         }
         self.look_for_open_questions(now);
     }
--- a/crates/testkit/src/check/dependencies.rs
+++ b/crates/testkit/src/check/dependencies.rs
@@ -23,7 +23,7 @@
     }
 
     /// Whether all tasks of a job have completed.
-    fn is_whole(&self, id: &JobId) -> bool {
+    pub(crate) fn is_whole(&self, id: &JobId) -> bool {
         let done = self.done.get(id).map_or(0, BTreeSet::len) as u32;
         self.jobs.get(id).is_some_and(|s| done == s.tasks)
     }
--- a/crates/testkit/src/cloud.rs
+++ b/crates/testkit/src/cloud.rs
@@ -1,7 +1,8 @@
 //! A stand-in for the cloud.
 
+use crate::fleet::{BootModel, Fleet, BOOT_MS};
 use crate::Ms;
-use forkshift_wire::cloud::{Machines, Rent, LIST_MOST};
+use forkshift_wire::cloud::{Catalog, Machines, Rent, LIST_MOST};
 use forkshift_wire::MachineId;
 use rand::rngs::StdRng;
 use rand::Rng;
@@ -25,7 +26,9 @@
     next: u32,
     lists: VecDeque<(Ms, BTreeMap<String, Value>)>,
     pub(crate) down: bool,
-    /// Machines of each zone and kind.
+    /// What is on offer.
+    pub(crate) fleet: Fleet,
+    /// Machines of each zone and kind, where the fleet names no number.
     pub(crate) capacity: u32,
     /// Until when machines are up within two seconds.
     pub(crate) quick_until: Ms,
@@ -75,12 +78,10 @@
 
 /// How far the list lags.
 const LIST_LAG: Ms = 4_000;
-/// Boot time of every type, nominally.
-pub(crate) const BOOT_MS: Ms = 10_000;
-
 impl Cloud {
-    pub(crate) fn new(capacity: u32) -> Self {
+    pub(crate) fn new(capacity: u32, fleet: Fleet) -> Self {
         Self {
+            fleet,
             machines: BTreeMap::new(),
             requests: BTreeMap::new(),
             next: 0,
@@ -108,7 +109,10 @@
         }
         let (bare, query) = path.split_once('?').unwrap_or((path, ""));
         match bare {
-            "/catalog" => (200, catalog()),
+            "/catalog" => {
+                let types = self.fleet.types.clone();
+                (200, json!(Catalog { types }))
+            }
             "/machines/delete" => {
                 let names: Machines = serde_json::from_slice(body).unwrap_or_default();
                 for id in names.machines {
@@ -156,11 +160,7 @@
         let there = self.machines.values().filter(|m| {
             m.machine_type == rent.machine_type && m.zone == rent.zone && m.spot == rent.spot
         });
-        let most = if rent.spot {
-            self.capacity / 2
-        } else {
-            self.capacity
-        };
+        let most = self.most_of(&rent);
         let n = rent.count.min(most.saturating_sub(there.count() as u32));
         if n == 0 {
             return (503, json!({"error": "no capacity"}));
@@ -169,12 +169,7 @@
         for _ in 0..n {
             self.next += 1;
             let id = MachineId::new(&format!("host-{:06}", self.next));
-            let boot = match rng.random_range(0..20) {
-                0 => Ms::MAX / 2,
-                1 => 500,
-                2 => BOOT_MS * 4,
-                _ => rng.random_range(BOOT_MS * 6 / 10..BOOT_MS * 15 / 10),
-            };
+            let boot = self.draw_boot(&rent.machine_type, rng);
             let boot = match self.quick_until > now {
                 true => rng.random_range(200..2_000),
                 false => boot,
@@ -205,6 +200,36 @@
         (200, json!({"berths": ids}))
     }
 
+    /// How many machines there are of the kind that is asked for.
+    fn most_of(&self, rent: &Rent) -> u32 {
+        let kind = (rent.machine_type.clone(), rent.zone.clone(), rent.spot);
+        match self.fleet.capacity.get(&kind) {
+            Some(most) => *most,
+            None if !self.fleet.capacity.is_empty() => 0,
+            None if rent.spot => self.capacity / 2,
+            None => self.capacity,
+        }
+    }
+
+    /// How long a new machine takes until it is up.
+    fn draw_boot(&self, machine_type: &str, rng: &mut StdRng) -> Ms {
+        let usual = |boot: Ms, rng: &mut StdRng| rng.random_range(boot * 6 / 10..boot * 15 / 10);
+        match self.fleet.boots {
+            BootModel::Trying => match rng.random_range(0..20) {
+                0 => Ms::MAX / 2,
+                1 => 500,
+                2 => BOOT_MS * 4,
+                _ => usual(BOOT_MS, rng),
+            },
+            BootModel::Usual { fails } if rng.random_bool(fails) => Ms::MAX / 2,
+            BootModel::Usual { .. } => {
+                let of_type = self.fleet.machine_type(machine_type);
+                let boot_s = of_type.map_or(0.0, |t| t.boot_s);
+                usual((boot_s * 1000.0).max(10.0) as Ms, rng)
+            }
+        }
+    }
+
     /// Notes how things are, for lists that lag.
     pub(crate) fn tick(&mut self, now: Ms) {
         if self.lists.back().is_some_and(|(t, _)| t + 500 > now) {
@@ -219,7 +244,7 @@
                     (_, true) => "running",
                     _ => "booting",
                 };
-                let listed = json!({"uid": id, "addr": id.as_str(), "rig": m.machine_type, "yard": m.zone,
+                let listed = json!({"uid": id, "addr": (self.fleet.address)(id), "rig": m.machine_type, "yard": m.zone,
                        "loaner": m.spot, "stage": stage, "held_s": (now - m.rented) as f64 / 1000.0});
                 (id.to_string(), listed)
             })
@@ -230,14 +255,3 @@
         }
     }
 }
-
-/// Two types, in three zones.
-pub(crate) fn catalog() -> Value {
-    let zones = json!(["a", "b", "c"]);
-    json!({"rigs": [
-        {"name": "g8", "cpus": 64, "accelerators": 8, "mem_gb": 256, "cache_gb": 200, "pull_gb_per_s": 4.0,
-         "hourly": 16.0, "market_price": 5.0, "boot_s": BOOT_MS as f64 / 1000.0, "yards": zones},
-        {"name": "c8", "cpus": 8, "accelerators": 0, "mem_gb": 32, "cache_gb": 50, "pull_gb_per_s": 1.0,
-         "hourly": 0.5, "market_price": 0.2, "boot_s": BOOT_MS as f64 / 1000.0, "yards": zones}
-    ]})
-}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -9,16 +9,21 @@
 mod day;
 mod draws;
 mod faults;
+mod fleet;
 mod state;
 mod worker;
 mod world;
 
-pub use check::{Calm, Checker, Rule};
+pub use check::{Calm, Checker, Rule, StartSeen};
 pub use cloud::{Boot, SlowBoots};
 pub use day::{Day, Draw};
 pub use draws::{random_faults, random_faults_once, random_pairs, random_upgrade};
 pub use faults::{Fault, FaultKind, MachineFault, Which, Who};
-pub use world::{job_id, settings, Mistake, NextLimits, Plan, Size, World};
+pub use fleet::{BootModel, Fleet, Kind};
+pub use world::{
+    job_id, settings, Answer, Asker, Deployment, MachineChange, Mistake, NextLimits, Outgoing,
+    Plan, Service, Size, World,
+};
 
 /// Milliseconds of virtual time.
 pub type Ms = u64;
--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -5,6 +5,7 @@
 use forkshift_wire::MachineId;
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, VecDeque};
+use std::ops::Bound;
 
 struct Entry {
     value: Value,
@@ -70,9 +71,29 @@
     pub(crate) too_large: u64,
     requests_limit: Limit,
     writes_limit: Limit,
-    /// Requests beyond the limits, which are carried out all the same, and
-    /// requests in all.
+    /// Requests beyond the limits, and requests in all.
     pub(crate) over_limit: (u64, u64),
+    service: ServiceModel,
+}
+
+/// How exactly the stand-in follows the protocol where tests need less or more.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ServiceModel {
+    /// Most records on a page of a listing.
+    pub(crate) page_items: usize,
+    /// Refuses requests beyond the limits with 429, rather than only count them.
+    pub(crate) enforces_limits: bool,
+}
+
+impl Default for ServiceModel {
+    /// Small pages, so that paging is exercised; requests beyond the limits are
+    /// counted and carried out.
+    fn default() -> Self {
+        Self {
+            page_items: 40,
+            enforces_limits: false,
+        }
+    }
 }
 
 /// Limits on a transaction's size.
@@ -113,9 +134,10 @@
 }
 
 impl<W> State<W> {
-    pub(crate) fn new(rps: f64, write_rps: f64, sizes: SizeLimits) -> Self {
+    pub(crate) fn new(rps: f64, write_rps: f64, sizes: SizeLimits, service: ServiceModel) -> Self {
         Self {
             sizes,
+            service,
             too_large: 0,
             requests_limit: Limit::new(rps),
             writes_limit: Limit::new(write_rps),
@@ -170,6 +192,9 @@
         let within = self.requests_limit.allows(now, 1.0) && self.writes_limit.allows(now, writes);
         self.over_limit.0 += u64::from(!within);
         self.over_limit.1 += 1;
+        if !within && self.service.enforces_limits {
+            return Some((429, json!({"error": "too many requests"})));
+        }
         let (status, value) = match (method, parts.as_slice()) {
             ("GET", ["kv"]) => self.list(path),
             ("GET", ["kv", ..]) => self.get(&bare["/kv/".len()..]),
@@ -206,7 +231,7 @@
                     && self.log.len() >= LOG_MOST
                 {
                     (410, json!({}))
-                } else if wait > 0 && self.changes(&prefix, from).is_empty() {
+                } else if wait > 0 && !self.has_changed(&prefix, from) {
                     let until = now + wait;
                     self.waiting.push(Waiting {
                         who,
@@ -240,12 +265,15 @@
         let most: usize = query(path, "most")
             .and_then(|v| v.parse().ok())
             .unwrap_or(1_000);
-        // Small pages, so that paging is exercised.
-        let most = most.min(40);
+        let most = most.min(self.service.page_items);
+        let first = match from >= prefix {
+            true => Bound::Excluded(from.to_owned()),
+            false => Bound::Included(prefix.to_owned()),
+        };
         let mut found = self
             .entries
-            .iter()
-            .filter(|(k, _)| k.starts_with(prefix) && k.as_str() > from);
+            .range((first, Bound::Unbounded))
+            .take_while(|(k, _)| k.starts_with(prefix));
         let items: Vec<Value> = found
             .by_ref()
             .take(most)
@@ -335,9 +363,23 @@
         }
     }
 
+    /// The kept changes after a revision to keys with a prefix, oldest first.
+    fn changes_after<'a>(
+        &'a self,
+        prefix: &'a str,
+        from: u64,
+    ) -> impl Iterator<Item = &'a (u64, String, Option<Value>)> {
+        let first = self.log.partition_point(|(r, _, _)| *r <= from);
+        let log = self.log.range(first..);
+        log.filter(move |(_, k, _)| k.starts_with(prefix))
+    }
+
+    fn has_changed(&self, prefix: &str, from: u64) -> bool {
+        self.changes_after(prefix, from).next().is_some()
+    }
+
     fn changes(&self, prefix: &str, from: u64) -> Vec<Value> {
-        let log = self.log.iter();
-        log.filter(|(r, k, _)| *r > from && k.starts_with(prefix))
+        self.changes_after(prefix, from)
             .map(|(r, k, v)| match v {
                 Some(v) => json!({"put": k, "data": v, "stamp": r}),
                 None => json!({"remove": k, "stamp": r}),
@@ -397,7 +439,7 @@
         }
         let mut ready = Vec::new();
         for w in std::mem::take(&mut self.waiting) {
-            let ready_now = now >= w.until || !self.changes(&w.prefix, w.from).is_empty();
+            let ready_now = now >= w.until || self.has_changed(&w.prefix, w.from);
             if ready_now && !shut(&w.who) {
                 let reply = self.changes_reply(&w.prefix, w.from);
                 ready.push((w.who, reply));
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -3,6 +3,7 @@
 use crate::check::{Checker, Place};
 use crate::world::Mistake;
 use crate::Ms;
+use forkshift_wire::cloud::MachineType;
 use forkshift_wire::users::{JobKind, JobSpec};
 use forkshift_wire::workers::{
     Command, CommandRequest, ExitCause, Report, TaskReport, TaskStage, Verb,
@@ -58,6 +59,7 @@
 
 pub(crate) struct Worker {
     pub(crate) id: MachineId,
+    addr: String,
     pub(crate) machine_type: String,
     pub(crate) zone: String,
     pub(crate) spot: bool,
@@ -73,6 +75,10 @@
     pub(crate) next_report: Ms,
     /// The report under way: its number, session, and when it was sent.
     pub(crate) open: Option<(u64, u64, Ms)>,
+    /// When the last report was sent.
+    pub(crate) reported: Option<Ms>,
+    /// When a higher token was last reason for a report.
+    token_reported: Option<Ms>,
     pub(crate) answered: Ms,
     pub(crate) sick_until: Ms,
     pub(crate) hung_until: Ms,
@@ -89,18 +95,23 @@
 }
 
 impl Worker {
-    pub(crate) fn new(id: MachineId, machine_type: &str, zone: &str, spot: bool, now: Ms) -> Self {
-        let (room, fetch_rate) = match machine_type {
-            "g8" => ((64.0, 8.0, 256.0), 4.0),
-            _ => ((8.0, 0.0, 32.0), 1.0),
-        };
+    /// The worker of a machine that is just up.
+    pub(crate) fn new(
+        (id, addr): (MachineId, String),
+        machine_type: &MachineType,
+        zone: &str,
+        spot: bool,
+        now: Ms,
+    ) -> Self {
+        let t = machine_type;
         Self {
             id,
-            machine_type: machine_type.to_owned(),
+            addr,
+            machine_type: t.name.clone(),
             zone: zone.to_owned(),
             spot,
-            room,
-            fetch_rate,
+            room: (t.cpus, t.gpus, t.memory_gb),
+            fetch_rate: t.fetch_gb_per_s,
             session: 1,
             seq: 0,
             token: 0,
@@ -109,6 +120,8 @@
             node: 0,
             next_report: now,
             open: None,
+            reported: None,
+            token_reported: None,
             answered: now,
             sick_until: 0,
             hung_until: 0,
@@ -151,7 +164,7 @@
         self.seq += 1;
         Report {
             machine: self.id.clone(),
-            addr: self.id.to_string(),
+            addr: self.addr.clone(),
             machine_type: self.machine_type.clone(),
             zone: self.zone.clone(),
             spot: self.spot,
@@ -189,6 +202,12 @@
         }
     }
 
+    /// `GET /status`.
+    pub(crate) fn status(&mut self, a: &mut Around) -> Vec<u8> {
+        self.expire(a);
+        serde_json::to_vec(&self.report(a.now)).unwrap_or_default()
+    }
+
     /// `POST /commands`. What was held up while it hung finds the next session
     /// if the lease has run out meanwhile.
     pub(crate) fn commands(&mut self, a: &mut Around, body: &[u8]) -> (u16, Vec<u8>) {
@@ -218,6 +237,21 @@
         self.execute(a, commands);
     }
 
+    /// Lets a higher token or a new session be reason for a report, as the
+    /// protocol has it: a token at most once in half a lease.
+    pub(crate) fn note_news(&mut self, now: Ms, lease_ms: Ms, (session, token): (u64, u64)) {
+        let token_due = self
+            .token_reported
+            .is_none_or(|at| now >= at + lease_ms / 2);
+        let is_higher = self.token > token && token_due;
+        if is_higher {
+            self.token_reported = Some(now);
+        }
+        if is_higher || self.session > session {
+            self.next_report = self.next_report.min(now);
+        }
+    }
+
     fn execute(&mut self, a: &mut Around, commands: &[Command]) {
         let before = self.tasks.len();
         for command in commands {
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -5,18 +5,21 @@
 mod inject;
 mod network;
 mod odd;
+mod remote;
 mod size;
 mod troubles;
 mod users;
 mod waiting;
 
+pub use remote::{Answer, Asker, MachineChange, Outgoing, Service};
 pub use size::{settings, NextLimits, Size};
 pub use users::{job_id, Mistake, Plan};
 
 use crate::check::{Calm, Checker};
 use crate::cloud::{Boot, Cloud};
 use crate::faults::{Fault, FaultKind};
-use crate::state::{SizeLimits, State};
+use crate::fleet::Fleet;
+use crate::state::{ServiceModel, SizeLimits, State};
 use crate::worker::{Truth, Worker};
 use crate::Ms;
 use digest::Digest;
@@ -30,6 +33,7 @@
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
+use remote::Remote;
 use size::{TXN_OPS, VALUE_KB};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use troubles::Troubles;
@@ -41,7 +45,6 @@
 const IDLE: Ms = 50;
 /// Time of day when the world begins.
 const WALL_OFF: Ms = 1_000_000;
-const GANG_WAIT_MS: Ms = 20_000;
 
 enum Event {
     Arrive(Message),
@@ -99,6 +102,31 @@
     cuts: Cuts,
 }
 
+/// Most records on a page of the state service's listings.
+const LIST_ITEMS_MOST: usize = 1_000;
+
+/// What the services around are like.
+struct Services {
+    fleet: Fleet,
+    /// Most CPUs and GPUs of each team.
+    limits: BTreeMap<String, (f64, f64)>,
+    sizes: SizeLimits,
+    model: ServiceModel,
+}
+
+/// What a world with controllers of their own is made of, beside its size.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// Machines that can be rented.
+    pub fleet: Fleet,
+    /// Most CPUs and GPUs that each team may use; 0: no limit.
+    pub team_limits: BTreeMap<String, (f64, f64)>,
+    /// Largest value that the state service takes.
+    pub value_bytes: usize,
+    /// Most changes in one of its transactions.
+    pub txn_ops: usize,
+}
+
 /// All of it.
 pub struct World {
     size: Size,
@@ -137,6 +165,8 @@
     /// Messages between controllers, if they are kept.
     messages: Option<Vec<Vec<u8>>>,
     digest: Digest,
+    /// What goes to and from controllers that are processes of their own.
+    remote: Option<Remote>,
     /// Watches what truly happens.
     pub check: Checker,
 }
@@ -148,24 +178,68 @@
     }
 
     /// A world of any size.
-    pub fn sized(seed: u64, plans: Vec<Plan>, mut faults: Vec<Fault>, size: Size) -> Self {
-        faults.sort_by_key(|f| f.at);
+    pub fn sized(seed: u64, plans: Vec<Plan>, faults: Vec<Fault>, size: Size) -> Self {
         let limits = (0..size.teams)
             .map(|t| (format!("team-{t}"), size.limit))
             .collect();
+        let sizes = SizeLimits {
+            value_bytes: VALUE_KB * 1024,
+            txn_ops: TXN_OPS,
+        };
+        let services = Services {
+            fleet: Fleet::default(),
+            limits,
+            sizes,
+            model: ServiceModel::default(),
+        };
+        let mut world = Self::without_controllers(seed, plans, faults, size, services);
+        for n in 0..size.nodes {
+            world.start(n);
+        }
+        world
+    }
+
+    /// A world whose controllers are processes of their own; see
+    /// [`World::advance_to`]. The state service refuses what is beyond its limits.
+    pub fn remote(
+        seed: u64,
+        plans: Vec<Plan>,
+        faults: Vec<Fault>,
+        size: Size,
+        deployment: Deployment,
+    ) -> Self {
+        let services = Services {
+            fleet: deployment.fleet,
+            limits: deployment.team_limits,
+            sizes: SizeLimits {
+                value_bytes: deployment.value_bytes,
+                txn_ops: deployment.txn_ops,
+            },
+            model: ServiceModel {
+                page_items: LIST_ITEMS_MOST,
+                enforces_limits: true,
+            },
+        };
+        let mut world = Self::without_controllers(seed, plans, faults, size, services);
+        world.remote = Some(Remote::default());
+        world.check.observe();
+        world
+    }
+
+    fn without_controllers(
+        seed: u64,
+        plans: Vec<Plan>,
+        mut faults: Vec<Fault>,
+        size: Size,
+        services: Services,
+    ) -> Self {
+        faults.sort_by_key(|f| f.at);
         let mut world = Self {
             now: 0,
             rng: StdRng::seed_from_u64(seed),
             hosts: Vec::new(),
-            state: State::new(
-                size.rps,
-                size.write_rps,
-                SizeLimits {
-                    value_bytes: VALUE_KB * 1024,
-                    txn_ops: TXN_OPS,
-                },
-            ),
-            cloud: Cloud::new(size.capacity),
+            state: State::new(size.rps, size.write_rps, services.sizes, services.model),
+            cloud: Cloud::new(size.capacity, services.fleet),
             size,
             workers: BTreeMap::new(),
             truths: BTreeMap::new(),
@@ -203,9 +277,10 @@
             reports: 0,
             messages: None,
             digest: Digest::default(),
-            check: Checker::new(limits, size.cancel_ms),
+            remote: None,
+            check: Checker::new(services.limits, size.cancel_ms),
         };
-        for n in 0..size.nodes {
+        for _ in 0..size.nodes {
             world.hosts.push(Host {
                 node: None,
                 is_old: size.begins_old,
@@ -218,7 +293,6 @@
                 next_request: 0,
                 cuts: Cuts::default(),
             });
-            world.start(n);
         }
         world
     }
--- a/crates/testkit/src/world/fleet.rs
+++ b/crates/testkit/src/world/fleet.rs
@@ -1,18 +1,27 @@
 //! Machines: they boot, report, run tasks and end.
 
 use super::network::{Dest, Message, Origin};
-use super::{World, GANG_WAIT_MS};
+use super::remote::MachineChange;
+use super::World;
 use crate::worker::{Around, Worker};
+use crate::Ms;
 use forkshift_wire::users::JobKind;
 use forkshift_wire::workers::{ExitCause, Redirect, ReportReply, TaskStage};
 use forkshift_wire::{JobId, MachineId, TaskRef};
 use rand::Rng;
 use std::collections::BTreeMap;
 
+/// Least time between two reports of a worker.
+const REPORT_GAP_MS: Ms = 500;
+
 impl World {
     pub(super) fn end_worker(&mut self, id: &MachineId) {
-        if let Some(mut w) = self.workers.remove(id) {
-            w.wipe(&mut self.check);
+        let Some(mut w) = self.workers.remove(id) else {
+            return;
+        };
+        w.wipe(&mut self.check);
+        if let Some(remote) = &mut self.remote {
+            remote.machines.push(MachineChange::Gone(id.clone()));
         }
     }
 
@@ -21,10 +30,18 @@
             self.end_worker(&id);
         }
         for (id, m) in &self.cloud.machines {
-            if !m.failed && self.now >= m.up_at && !self.workers.contains_key(id) {
-                let mut w = Worker::new(id.clone(), &m.machine_type, &m.zone, m.spot, self.now);
-                w.node = self.rng.random_range(0..self.size.nodes);
-                self.workers.insert(id.clone(), w);
+            if m.failed || self.now < m.up_at || self.workers.contains_key(id) {
+                continue;
+            }
+            let Some(machine_type) = self.cloud.fleet.machine_type(&m.machine_type) else {
+                continue;
+            };
+            let named = (id.clone(), (self.cloud.fleet.address)(id));
+            let mut w = Worker::new(named, machine_type, &m.zone, m.spot, self.now);
+            w.node = self.rng.random_range(0..self.size.nodes);
+            self.workers.insert(id.clone(), w);
+            if let Some(remote) = &mut self.remote {
+                remote.machines.push(MachineChange::Up(id.clone()));
             }
         }
     }
@@ -32,10 +49,12 @@
     pub(super) fn tick_workers(&mut self) {
         let now = self.now;
         let mut reports = Vec::new();
+        let is_remote = self.remote.is_some();
         for w in self.workers.values_mut() {
             if w.hung_until > now {
                 continue;
             }
+            let known = (w.session, w.token);
             let mut around = Around {
                 now,
                 truths: &self.truths,
@@ -43,15 +62,24 @@
                 lease_ms: self.size.lease_ms,
             };
             w.tick(&mut around);
+            if is_remote {
+                w.note_news(now, self.size.lease_ms, known);
+            }
             if w.open.is_some_and(|(_, _, sent)| now >= sent + 4_000) {
                 w.open = None;
                 w.node = (w.node + 1) % self.size.nodes;
                 w.next_report = now + 1_000;
             }
-            if w.open.is_none() && now >= w.next_report {
+            let rests = is_remote && w.reported.is_some_and(|at| now < at + REPORT_GAP_MS);
+            if w.open.is_none() && now >= w.next_report && !rests {
                 let report = w.report(now);
                 w.open = Some((report.seq, report.session, now));
-                w.next_report = now + self.size.report_ms;
+                w.reported = Some(now);
+                let period = self.size.report_ms;
+                w.next_report = match is_remote {
+                    true => now + self.rng.random_range(period * 3 / 4..=period * 5 / 4),
+                    false => now + period,
+                };
                 let body = serde_json::to_vec(&report).unwrap_or_default();
                 self.reports += 1;
                 reports.push(Message {
@@ -76,7 +104,7 @@
         type Member = (MachineId, TaskRef, TaskStage);
         let mut attempts: BTreeMap<(JobId, u64), Vec<Member>> = BTreeMap::new();
         for w in self.workers.values_mut() {
-            w.give_up_waiting(self.now, &mut self.check, GANG_WAIT_MS);
+            w.give_up_waiting(self.now, &mut self.check, self.size.gang_wait_ms);
         }
         for w in self.workers.values() {
             for ((task, attempt), t) in &w.tasks {
--- a/crates/testkit/src/world/network.rs
+++ b/crates/testkit/src/world/network.rs
@@ -10,10 +10,22 @@
 
 #[derive(Clone, Debug)]
 pub(super) enum Origin {
-    Node { node: usize, start: u64, call: u64 },
-    Worker { id: MachineId, report: u64 },
-    User { user: usize, op: u64 },
+    Node {
+        node: usize,
+        start: u64,
+        call: u64,
+    },
+    Worker {
+        id: MachineId,
+        report: u64,
+    },
+    User {
+        user: usize,
+        op: u64,
+    },
     Aside(u64),
+    /// A controller that is reached over real sockets, by the number of its call.
+    Remote(u64),
     Nobody,
 }
 
@@ -49,7 +61,7 @@
         let from_inside = match origin {
             Origin::Node { node, .. } => zone_of(*node) == zone,
             Origin::Worker { id, .. } => of_worker(id),
-            Origin::User { .. } | Origin::Aside(_) | Origin::Nobody => false,
+            Origin::User { .. } | Origin::Aside(_) | Origin::Remote(_) | Origin::Nobody => false,
         };
         let to_inside = match dest {
             Dest::Node(n) => zone_of(*n) == zone,
@@ -66,6 +78,11 @@
                 .map_or(0, |w| w.cut_until.max(w.hung_until))
         };
         match (origin, dest) {
+            (Origin::Remote(_), Dest::Worker(id)) => {
+                let link = self.workers.get(id);
+                let silent = link.map_or(0, |w| w.lost_until.max(w.deaf_until));
+                (worker(id).max(silent), false)
+            }
             (Origin::Node { node: n, .. }, Dest::State) => (node(*n).state, node(*n).hold),
             (Origin::Node { node: n, .. }, Dest::Cloud) => (node(*n).cloud, node(*n).hold),
             (Origin::Node { node: n, .. }, Dest::Worker(id)) => {
@@ -103,8 +120,15 @@
     }
 
     pub(super) fn send(&mut self, message: Message) {
-        let delay = self.delay();
         let (until, hold) = self.cut(&message.origin, &message.dest);
+        if self.remote.is_some() {
+            // Real sockets take the time that they take.
+            if until <= self.now {
+                self.arrive(message);
+            }
+            return;
+        }
+        let delay = self.delay();
         let mut time = self.now + delay;
         if until > self.now {
             if !hold {
@@ -144,6 +168,10 @@
         if until > self.now || lost || deaf {
             return;
         }
+        if self.remote.is_some() {
+            self.answered(to, status, body);
+            return;
+        }
         let mut time = self.now + self.delay() + self.dawdle(&to, from);
         time += self.held_up(&to, from);
         let slow = matches!(from, Dest::State) && self.now < self.slow_state;
@@ -213,9 +241,13 @@
                     check: &mut self.check,
                     lease_ms: self.size.lease_ms,
                 };
-                let (status, body) = w.commands(&mut around, &m.body);
+                let (status, body) = match m.path.as_str() {
+                    "/status" => (200, w.status(&mut around)),
+                    _ => w.commands(&mut around, &m.body),
+                };
                 self.reply(&m.dest, m.origin, status, body);
             }
+            Dest::Node(n) if self.remote.is_some() => self.hand_out(n, m),
             Dest::Node(n) => {
                 let host = &mut self.hosts[n];
                 if host.node.is_none() {
@@ -238,6 +270,7 @@
     pub(super) fn answered(&mut self, to: Origin, status: u16, body: Vec<u8>) {
         match to {
             Origin::Nobody => {}
+            Origin::Remote(call) => self.answer_remote(call, status, body),
             Origin::Node { node, start, call } => {
                 let host = &mut self.hosts[node];
                 if host.start == start && host.open.remove(&call) {
--- /dev/null
+++ b/crates/testkit/src/world/remote.rs
@@ -0,0 +1,166 @@
+//! A world whose controllers are processes of their own.
+//!
+//! The world then plays users, workers, cloud and state service alone, in real
+//! time. What is for a controller is handed out to whoever carries it there over
+//! a socket, and what controllers ask is handed in.
+
+use super::network::{Dest, Message, Origin};
+use super::{World, STEP};
+use crate::Ms;
+use forkshift_wire::MachineId;
+use rand::Rng;
+
+/// Who asks a controller, and is to be told its answer.
+#[derive(Debug)]
+pub struct Asker(Origin);
+
+impl Asker {
+    /// The machine whose report this is, if it is one.
+    pub fn machine(&self) -> Option<&MachineId> {
+        match &self.0 {
+            Origin::Worker { id, .. } => Some(id),
+            _ => None,
+        }
+    }
+}
+
+/// A request for a controller.
+#[derive(Debug)]
+pub struct Outgoing {
+    /// Who asks.
+    pub asker: Asker,
+    /// Index of the controller.
+    pub node: usize,
+    /// HTTP method.
+    pub method: String,
+    /// Path.
+    pub path: String,
+    /// JSON.
+    pub body: Vec<u8>,
+}
+
+/// An answer to a controller's call.
+#[derive(Debug)]
+pub struct Answer {
+    /// The number that the call was handed in with.
+    pub call: u64,
+    /// HTTP status.
+    pub status: u16,
+    /// JSON.
+    pub body: Vec<u8>,
+}
+
+/// A service or worker that controllers call.
+#[derive(Clone, Debug)]
+pub enum Service {
+    /// The state service.
+    State,
+    /// The cloud.
+    Cloud,
+    /// A machine's worker.
+    Worker(MachineId),
+}
+
+/// A machine that came or went.
+#[derive(Debug)]
+pub enum MachineChange {
+    /// Its worker is up.
+    Up(MachineId),
+    /// It is gone.
+    Gone(MachineId),
+}
+
+/// What waits to be carried out of the world.
+#[derive(Default)]
+pub(super) struct Remote {
+    requests: Vec<Outgoing>,
+    answers: Vec<Answer>,
+    pub(super) machines: Vec<MachineChange>,
+    /// Controllers that the load balancer finds healthy.
+    healthy: Vec<usize>,
+}
+
+impl World {
+    /// Plays up to a time, in steps of up to `longest`.
+    pub fn advance_to(&mut self, time: Ms, longest: Ms) {
+        while self.now + STEP <= time {
+            let next = (self.now + longest.max(STEP)).min(time);
+            self.now = next - next % STEP;
+            self.step();
+        }
+    }
+
+    /// Hands in a controller's call. The answer, if there is one, bears its number.
+    pub fn call(&mut self, call: u64, to: Service, method: &str, path: &str, body: Vec<u8>) {
+        let dest = match to {
+            Service::State => Dest::State,
+            Service::Cloud => Dest::Cloud,
+            Service::Worker(id) => Dest::Worker(id),
+        };
+        self.send(Message {
+            origin: Origin::Remote(call),
+            dest,
+            method: method.to_owned(),
+            path: path.to_owned(),
+            body,
+        });
+    }
+
+    /// Tells who asked a controller its answer; status 0 stands for none.
+    pub fn deliver(&mut self, asker: Asker, status: u16, body: Vec<u8>) {
+        self.answered(asker.0, status, body);
+    }
+
+    /// Takes the requests that are to be carried to controllers.
+    pub fn take_requests(&mut self) -> Vec<Outgoing> {
+        let remote = self.remote.as_mut();
+        remote.map_or_else(Vec::new, |r| std::mem::take(&mut r.requests))
+    }
+
+    /// Takes the answers to controllers' calls.
+    pub fn take_answers(&mut self) -> Vec<Answer> {
+        let remote = self.remote.as_mut();
+        remote.map_or_else(Vec::new, |r| std::mem::take(&mut r.answers))
+    }
+
+    /// Takes the machines that came or went.
+    pub fn take_machine_changes(&mut self) -> Vec<MachineChange> {
+        let remote = self.remote.as_mut();
+        remote.map_or_else(Vec::new, |r| std::mem::take(&mut r.machines))
+    }
+
+    /// Says which controllers the load balancer finds healthy now.
+    pub fn set_healthy(&mut self, healthy: Vec<usize>) {
+        if let Some(remote) = &mut self.remote {
+            remote.healthy = healthy;
+        }
+    }
+
+    /// The controller that a user's connection is led to.
+    pub(super) fn node_for_a_user(&mut self) -> usize {
+        let healthy = self.remote.as_ref().map_or(&[][..], |r| &r.healthy);
+        match healthy.len() {
+            0 => self.rng.random_range(0..self.size.nodes),
+            n => healthy[self.rng.random_range(0..n)],
+        }
+    }
+
+    pub(super) fn hand_out(&mut self, node: usize, message: Message) {
+        let Some(remote) = &mut self.remote else {
+            return;
+        };
+        remote.requests.push(Outgoing {
+            asker: Asker(message.origin),
+            node,
+            method: message.method,
+            path: message.path,
+            body: message.body,
+        });
+    }
+
+    pub(super) fn answer_remote(&mut self, call: u64, status: u16, body: Vec<u8>) {
+        if let Some(remote) = &mut self.remote {
+            remote.answers.push(Answer { call, status, body });
+        }
+    }
+}
--- a/crates/testkit/src/world/size.rs
+++ b/crates/testkit/src/world/size.rs
@@ -28,8 +28,12 @@
     pub report_ms: Ms,
     /// Lease of a worker.
     pub lease_ms: Ms,
+    /// For so long a gang waits for its tasks.
+    pub gang_wait_ms: Ms,
     /// Time for a cancelled job's tasks to be gone.
     pub cancel_ms: Ms,
+    /// Between a user's questions about a job that is not over.
+    pub poll_ms: Ms,
     /// Limits of the state service that are announced for later.
     pub next_limits: Option<NextLimits>,
     /// All controllers begin as the old release.
@@ -49,7 +53,9 @@
             limit: (96.0, 24.0),
             report_ms: 1_000,
             lease_ms: 10_000,
+            gang_wait_ms: GANG_WAIT_MS,
             cancel_ms: 35_000,
+            poll_ms: POLL_MS,
             next_limits: None,
             begins_old: false,
         }
@@ -112,6 +118,11 @@
     }
 }
 
+/// For so long a gang waits for its tasks, usually.
+const GANG_WAIT_MS: Ms = 20_000;
+/// Between a user's questions, usually: more often than users ask.
+const POLL_MS: Ms = 1_500;
+
 /// Limits of the state service that are announced.
 #[derive(Clone, Copy, Debug)]
 pub struct NextLimits {
--- a/crates/testkit/src/world/users.rs
+++ b/crates/testkit/src/world/users.rs
@@ -15,6 +15,9 @@
 /// Pause of a user who waits for jobs to be accepted before the next.
 const RETRY_SUBMISSION: Ms = 200;
 
+/// Pause before a request is repeated.
+const RETRY_MS: Ms = 1_500;
+
 /// The id of a numbered job that `Plan::plain` builds.
 pub fn job_id(n: u32) -> JobId {
     JobId::new(&format!("j-{n}"))
@@ -312,7 +315,7 @@
             let (op, at_node) = (user.op, user.plan.at_node.clone());
             let node = match at_node.and_then(|who| self.index_of(&who)) {
                 Some(n) => n,
-                None => self.rng.random_range(0..self.size.nodes),
+                None => self.node_for_a_user(),
             };
             let message = Message {
                 origin: Origin::User { user: i, op },
@@ -347,12 +350,13 @@
         let good = matches!(status, 200 | 201);
         let last = stage.is_some_and(JobStage::is_final);
         (user.aim, user.next) = match user.aim {
-            Aim::Submit if good => (Aim::Poll, now + 2_000),
+            Aim::Submit if good => (Aim::Poll, now + self.size.poll_ms.max(2_000)),
             Aim::Submit if matches!(status, 400 | 422) => (Aim::Over, now),
             Aim::Cancel if good => (Aim::Poll, now + 3_000),
             // A final state is asked for again, to see that it stays.
             Aim::Poll if good && last => (Aim::Poll, now + 20_000),
-            aim => (aim, now + 1_500),
+            Aim::Poll if good => (Aim::Poll, now + self.size.poll_ms),
+            aim => (aim, now + RETRY_MS),
         };
         if good && last {
             user.plan.cancel_at = None;
--- a/crates/testkit/src/world/waiting.rs
+++ b/crates/testkit/src/world/waiting.rs
@@ -2,12 +2,19 @@
 
 use super::users::Aim;
 use super::World;
-use crate::worker::{fitting, Worker};
+use crate::worker::{fitting, Room, Worker};
 use forkshift_wire::users::{JobKind, JobSpec};
 use forkshift_wire::workers::TaskStage;
-use forkshift_wire::{JobId, TaskRef};
+use forkshift_wire::JobId;
+use std::cell::OnceCell;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// A machine that may take tasks, and what is free on it.
+struct FreeRoom<'a> {
+    worker: &'a Worker,
+    free: Room,
+}
+
 impl World {
     /// Tells the checker which accepted jobs have nothing on any machine, and
     /// whether there is room for them.
@@ -23,11 +30,12 @@
                 *team = (team.0 + s.cpus, team.1 + s.gpus);
             }
         }
+        let rooms: OnceCell<Vec<FreeRoom>> = OnceCell::new();
         let mut found = Vec::new();
         for user in &self.users {
             let s = &user.plan.spec;
             let called_off = user.plan.cancel_at.is_some_and(|t| t <= self.now);
-            let over = self.check.told(&s.id).is_some() || self.all_done(s);
+            let over = self.check.told(&s.id).is_some() || self.check.is_whole(&s.id);
             // Retries of a job with a mistake are slowed down on purpose.
             let broken = user.plan.mistake.is_some();
             let blocked = self.check.is_blocked(&s.id);
@@ -37,7 +45,7 @@
             }
             let has = !somewhere.contains(&s.id)
                 && self.under_limit(s, used.get(s.team.as_str()).copied().unwrap_or_default())
-                && self.has_room(s);
+                && has_room(rooms.get_or_init(|| self.free_rooms()), s);
             found.push((s.id.clone(), has));
         }
         for (id, has_room) in found {
@@ -63,13 +71,6 @@
         format!("{spec:?}, held by {holder:?}, cancelled at {cancelled:?}; its team has {team:?}")
     }
 
-    fn all_done(&self, s: &JobSpec) -> bool {
-        (0..s.tasks).all(|index| {
-            let job = s.id.clone();
-            self.check.is_completed(&TaskRef { job, index })
-        })
-    }
-
     /// Tasks that have to find room at once.
     fn needed(s: &JobSpec) -> u32 {
         match s.kind {
@@ -80,32 +81,43 @@
 
     fn under_limit(&self, s: &JobSpec, (cpus, gpus): (f64, f64)) -> bool {
         let n = f64::from(Self::needed(s));
-        let (cpus_max, gpus_max) = self.size.limit;
+        let (cpus_max, gpus_max) = self.check.limit_of(&s.team);
         let under = |used: f64, most: f64| most == 0.0 || used <= most + 1e-6;
         under(cpus + n * s.cpus, cpus_max) && under(gpus + n * s.gpus, gpus_max)
     }
 
-    fn has_room(&self, s: &JobSpec) -> bool {
-        let fits = |w: &&Worker| {
-            s.types.as_ref().is_none_or(|t| t.contains(&w.machine_type))
-                && s.zone.as_ref().is_none_or(|z| *z == w.zone)
-                && (s.spot || !w.spot)
-                && w.taken_at.is_none()
-        };
-        let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
-        for w in self.workers.values().filter(fits) {
-            let room = zones.entry(&w.zone).or_default();
-            *room = room.saturating_add(fitting(w.free(&self.truths), s));
-        }
-        let needed = Self::needed(s);
-        let most = match s.spread {
-            true => s.tasks.div_ceil(2),
-            false => needed,
+    /// What is free on each machine that the cloud does not take back.
+    fn free_rooms(&self) -> Vec<FreeRoom<'_>> {
+        let workers = self.workers.values().filter(|w| w.taken_at.is_none());
+        let free = |worker| FreeRoom {
+            worker,
+            free: worker.free(&self.truths),
         };
-        let rooms = zones.values().map(|n| (*n).min(most));
-        match s.one_zone {
-            true => rooms.max().unwrap_or(0) >= needed,
-            false => rooms.sum::<u32>() >= needed,
-        }
+        workers.map(free).collect()
+    }
+}
+
+/// Whether what a job needs at once has room.
+fn has_room(rooms: &[FreeRoom], s: &JobSpec) -> bool {
+    let fits = |room: &&FreeRoom| {
+        let w = room.worker;
+        s.types.as_ref().is_none_or(|t| t.contains(&w.machine_type))
+            && s.zone.as_ref().is_none_or(|z| *z == w.zone)
+            && (s.spot || !w.spot)
+    };
+    let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
+    for room in rooms.iter().filter(fits) {
+        let in_zone = zones.entry(&room.worker.zone).or_default();
+        *in_zone = in_zone.saturating_add(fitting(room.free, s));
+    }
+    let needed = World::needed(s);
+    let most = match s.spread {
+        true => s.tasks.div_ceil(2),
+        false => needed,
+    };
+    let rooms = zones.values().map(|n| (*n).min(most));
+    match s.one_zone {
+        true => rooms.max().unwrap_or(0) >= needed,
+        false => rooms.sum::<u32>() >= needed,
     }
 }
