--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -3,11 +3,11 @@
 //! Connections are kept and used again. A call is made once: whether it is
 //! repeated is for the caller to say, who knows what a repetition means.
 
-use crate::stream::Stream;
+use crate::stream::{Stream, Traffic};
 use async_io::Timer;
 use futures_lite::{future, AsyncReadExt};
 use http_types::{Body, Method, Url};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -45,6 +45,7 @@
 pub struct Client {
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
     limits: ClientLimits,
+    traffic: Cell<Traffic>,
 }
 
 /// What bounds the client.
@@ -69,6 +70,7 @@
         Self {
             idle: RefCell::default(),
             limits,
+            traffic: Cell::default(),
         }
     }
 
@@ -92,6 +94,20 @@
         future::or(work, late).await
     }
 
+    /// Takes the count of bytes that calls which got their answer have moved, with
+    /// their heads, since this was last called.
+    pub fn take_traffic(&self) -> Traffic {
+        self.traffic.take()
+    }
+
+    fn note_traffic(&self, stream: &Stream) {
+        let (so_far, more) = (self.traffic.get(), stream.take_traffic());
+        self.traffic.set(Traffic {
+            sent: so_far.sent + more.sent,
+            received: so_far.received + more.received,
+        });
+    }
+
     /// Closes connections that were not used for a while.
     pub fn sweep(&self) {
         let keep = self.limits.keep;
@@ -143,6 +159,7 @@
             .take(self.limits.largest + 1)
             .read_to_end(&mut body)
             .await?;
+        self.note_traffic(stream);
         if body.len() as u64 > self.limits.largest {
             // Whoever asked must ask for less: the same again would be as long.
             log::error!("{} {}: the answer is too long", call.addr, call.path);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,6 +10,7 @@
 pub use client::{Call, Client, ClientLimits, Outcome, TOO_LONG};
 pub use peers::{listen, PeerLink};
 pub use server::{serve, Request, Response, ServerLimits};
+pub use stream::Traffic;
 
 use async_executor::LocalExecutor;
 use std::rc::Rc;
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -10,6 +10,21 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
+/// Bytes that went over connections.
+#[derive(Clone, Copy, Default, PartialEq, Eq, Debug)]
+pub struct Traffic {
+    /// Sent by this end.
+    pub sent: u64,
+    /// Received by it.
+    pub received: u64,
+}
+
+fn count(bytes: &AtomicU64, moved: &Poll<io::Result<usize>>) {
+    if let Poll::Ready(Ok(n)) = moved {
+        bytes.fetch_add(*n as u64, Ordering::Relaxed);
+    }
+}
+
 /// A cheap handle to one connection.
 #[derive(Clone)]
 pub(crate) struct Stream(Arc<Inner>);
@@ -19,6 +34,9 @@
     opened: Instant,
     /// Milliseconds from `opened` to the last byte that moved.
     moved_ms: AtomicU64,
+    /// Bytes sent and received since they were last taken.
+    sent: AtomicU64,
+    received: AtomicU64,
 }
 
 impl Stream {
@@ -29,6 +47,8 @@
             tcp: inner,
             opened: Instant::now(),
             moved_ms: AtomicU64::new(0),
+            sent: AtomicU64::new(0),
+            received: AtomicU64::new(0),
         }))
     }
 
@@ -62,6 +82,14 @@
         moved
     }
 
+    /// Takes the count of bytes sent and received since this was last called.
+    pub(crate) fn take_traffic(&self) -> Traffic {
+        Traffic {
+            sent: self.0.sent.swap(0, Ordering::Relaxed),
+            received: self.0.received.swap(0, Ordering::Relaxed),
+        }
+    }
+
     /// Ends the connection, for all handles.
     pub(crate) fn close(&self) {
         let _ = self.0.tcp.get_ref().shutdown(Shutdown::Both);
@@ -82,6 +110,7 @@
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut &self.0.tcp).poll_read(cx, buf);
+        count(&self.0.received, &polled);
         self.touch(polled)
     }
 }
@@ -93,6 +122,7 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut &self.0.tcp).poll_write(cx, buf);
+        count(&self.0.sent, &polled);
         self.touch(polled)
     }
 
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -1,11 +1,11 @@
 //! The settings file that the platform hands to every controller.
 
 use crate::ids::NodeName;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// The whole file.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Settings {
     /// This controller.
     #[serde(rename = "host_name")]
@@ -31,7 +31,7 @@
 }
 
 /// Another controller.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Peer {
     /// Its name.
     #[serde(rename = "host_name")]
@@ -45,7 +45,7 @@
 }
 
 /// Where the regional services are.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Services {
     /// The cloud.
     pub cloud: SocketAddr,
@@ -54,7 +54,7 @@
 }
 
 /// What all controllers share.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Cluster {
     /// Number of controllers.
     #[serde(rename = "initial_size")]
@@ -82,7 +82,7 @@
 }
 
 /// A team's guarantee and limit.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Team {
     /// Its name.
     pub name: String,
@@ -101,7 +101,7 @@
 }
 
 /// What users expect of a class.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Objective {
     /// `wait`, `finished` or `guarantee`; others are ignored.
     pub kind: String,
@@ -117,7 +117,7 @@
 }
 
 /// Times of the workers.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Workers {
     /// Between two reports.
     pub report_s: f64,
@@ -132,7 +132,7 @@
 }
 
 /// Limits of the state service.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct StateLimits {
     /// Requests a second, of all controllers together.
     pub rps: f64,
@@ -148,7 +148,7 @@
 }
 
 /// Announced limits of the state service; a limit that is left out stays.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct NextStateLimits {
     /// Requests a second, of all controllers together.
     #[serde(default)]
@@ -165,7 +165,7 @@
 }
 
 /// Limits of the cloud.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct CloudLimits {
     /// Requests a second.
     pub rps: f64,
@@ -175,7 +175,7 @@
 }
 
 /// Limits of this process.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Limits {
     /// Share of a core.
     #[serde(rename = "cpu")]
