Core: a handover is asked for again only in sight of its last answer

Cause: a controller that had handed a share over went on seeing it as its own until its watch caught up, and asked for a new epoch under old versions as soon as the last request had failed. Over real loopback sockets that was 75 failed and 250 refused transactions (429) within one pause of the watch, after one kill of a controller: all changes of all controllers for two seconds.

Change: the answer's revision is noted, and the share is not handed on before the view shows it; refusals and lost answers wait for their second.

The test fails without it.

--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -55,7 +55,8 @@
     /// Up to here the view has missed something.
     missed: u64,
     watch_at: Ms,
-    moving: BTreeMap<ShareId, Ms>,
+    /// Shares that are being handed over.
+    moving: BTreeMap<ShareId, holdings::Handover>,
     seen: u64,
     status_at: Ms,
     pub(crate) failure_detector_at: Ms,
--- a/crates/core/src/node/answers.rs
+++ b/crates/core/src/node/answers.rs
@@ -19,7 +19,7 @@
             Pending::ViewPeek => self.on_view_peek(status, body),
             Pending::SharePut(shares) => {
                 self.leader.on_share_put(&shares);
-                self.moving.retain(|k, _| !shares.contains(k));
+                self.on_handed_over(&shares, status, body);
             }
             Pending::ShareList { share, epoch } => {
                 if let Some(s) = self.shares.get_mut(&share).filter(|s| s.epoch == epoch) {
--- a/crates/core/src/node/holdings.rs
+++ b/crates/core/src/node/holdings.rs
@@ -1,7 +1,21 @@
 //! The shares that are held here: they follow the records that the view shows.
 
 use super::Node;
+use crate::context::revision_of;
+use crate::records::ShareId;
 use crate::share::{hand_over, Share};
+use crate::Ms;
+
+/// A handover whose request has no answer is tried again after this, in milliseconds.
+const RETRY_MS: Ms = 1_000;
+
+/// A handover that was asked for.
+pub(super) struct Handover {
+    /// It is not asked for again before this.
+    retry_at: Ms,
+    /// Nor before the view shows this revision, at which the service answered.
+    answered_at: u64,
+}
 
 impl Node {
     /// Takes up shares that became ours, lets go of those that are not.
@@ -49,11 +63,14 @@
             }
         }
         for (k, to) in handing {
-            let at = self.moving.get(&k).copied().unwrap_or(0);
-            if self.ctx.now < at {
+            if self.is_moving(k) {
                 continue;
             }
-            self.moving.insert(k, self.ctx.now + 1_000);
+            let handover = Handover {
+                retry_at: self.ctx.now + RETRY_MS,
+                answered_at: 0,
+            };
+            self.moving.insert(k, handover);
             // From here on we answer for the share no more, whatever becomes
             // of the request.
             if let Some(share) = self.shares.remove(&k) {
@@ -62,4 +79,30 @@
             hand_over(&mut self.ctx, &self.view, &[(k, to)]);
         }
     }
+
+    /// Whether a handover of a share is under way, or its outcome is not seen yet.
+    fn is_moving(&self, k: ShareId) -> bool {
+        self.moving.get(&k).is_some_and(|handover| {
+            self.ctx.now < handover.retry_at || self.view.revision < handover.answered_at
+        })
+    }
+
+    /// A handover was answered. Until the view shows what the answer rests on, its
+    /// versions are old: the same request would fail again and again, as fast as
+    /// the service answers, and use up the changes of all controllers.
+    pub(super) fn on_handed_over(&mut self, shares: &[ShareId], status: u16, body: &[u8]) {
+        if !matches!(status, 200 | 409) {
+            return;
+        }
+        self.missed(status, body);
+        for k in shares {
+            if let Some(handover) = self.moving.get_mut(k) {
+                handover.retry_at = self.ctx.now;
+                handover.answered_at = revision_of(body);
+            }
+        }
+    }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/core/src/node/holdings/tests.rs
@@ -0,0 +1,37 @@
+use crate::fixture::Fixture;
+use crate::io::Effect;
+use crate::pending::Pending;
+use serde_json::json;
+
+fn handovers(effects: &[Effect]) -> usize {
+    let is_handover = |e: &&Effect| {
+        matches!(e, Effect::Call { path, body: Some(body), .. }
+        if path == "/txn" && String::from_utf8_lossy(body).contains("c/epoch"))
+    };
+    effects.iter().filter(is_handover).count()
+}
+
+/// A controller that has handed a share over sees it as its own until the watch
+/// shows otherwise, and takes a new epoch for it. On loopback that request failed
+/// 75 times and was refused 250 times within one pause of the watch, with all the
+/// changes that the service takes.
+#[test]
+fn a_handover_waits_until_its_answer_is_seen() {
+    let mut f = Fixture::new();
+    let share = f.share;
+    // What was known under the epoch is gone, as after a reload.
+    f.node.used.insert(share, crate::fixture::EPOCH);
+    f.node.shares.remove(&share);
+    assert_eq!(handovers(&f.step(10)), 1, "it is asked for once");
+    let revision = f.node.view.revision;
+    let failed = json!({"failed": ["c/epoch"], "ledger_rev": revision + 2});
+    let is_handover = |p: &Pending| matches!(p, Pending::SharePut(_));
+    let mut again = handovers(&f.answer(is_handover, 409, &failed));
+    for _ in 0..50 {
+        again += handovers(&f.step(10));
+    }
+    assert_eq!(again, 0, "not before the view shows the answer's revision");
+    f.node.view.revision = revision + 2;
+    let tries: usize = (0..5).map(|_| handovers(&f.step(10))).sum();
+    assert_eq!(tries, 1, "again, once, in sight of it");
+}
--- a/crates/testkit/src/worker/tests.rs
+++ b/crates/testkit/src/worker/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::check::Rule;
+use crate::fleet::Fleet;
 use forkshift_wire::users::{JobStage, Priority};
 
 fn spec() -> JobSpec {
@@ -53,7 +54,13 @@
         let mut bench = Self {
             truths: BTreeMap::from([(spec.id.clone(), truth)]),
             check,
-            worker: Worker::new(MachineId::new("m"), "c8", "a", false, 0),
+            worker: Worker::new(
+                (MachineId::new("m"), "m".to_owned()),
+                &machine_type("c8"),
+                "a",
+                false,
+                0,
+            ),
         };
         assert_eq!(bench.command_start(0), 200);
         bench.step(10);
@@ -178,3 +185,9 @@
         assert_eq!(there, usize::from(status == 200), "at {goes_on}");
     }
 }
+
+/// A type of the usual fleet.
+fn machine_type(name: &str) -> MachineType {
+    let fleet = Fleet::default();
+    fleet.machine_type(name).expect("a type").clone()
+}
