--- /dev/null
+++ b/crates/emulator/src/emulation.rs
@@ -0,0 +1,293 @@
+//! One run: controllers, hollow workers, load, and what is measured.
+
+use crate::addresses::{self, Addresses};
+use crate::bridge::Bridge;
+use crate::controllers::{self, Controllers};
+use crate::load::{self, ms};
+use crate::preflight::{Allowance, Unfit};
+use crate::process::ProcessFigures;
+use crate::progress::Progress;
+use crate::report::{process_use, Report};
+use crate::settings::controller_name;
+use crate::site::{Kill, Site};
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use forkshift_net::Executor;
+use forkshift_testkit::{
+    BootModel, Deployment, FaultKind, Fleet, MachineFault, Size, Which, World,
+};
+use forkshift_wire::cloud::MachineType;
+use std::fs;
+use std::io;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How often a run looks at the clock, its children and its progress.
+const LOOK: Duration = Duration::from_millis(250);
+/// Users ask for their jobs this often, as the protocol has it, in milliseconds.
+const POLL_MS: u64 = 5_000;
+/// Broken rules that a report names.
+const BROKEN_MOST: usize = 20;
+
+/// Why a run can't be made.
+#[derive(Debug, thiserror::Error)]
+pub enum Failure {
+    /// The machine is too small.
+    #[error("{0}")]
+    Unfit(#[from] Unfit),
+    /// The controllers can't be started.
+    #[error("{0}")]
+    Controllers(#[from] controllers::Failure),
+    /// A socket can't be had, or the folder for logs can't be made.
+    #[error("{0}")]
+    Io(#[from] io::Error),
+}
+
+/// What all controllers and this process had used at a moment.
+struct Used {
+    controllers: Vec<ProcessFigures>,
+    own: ProcessFigures,
+}
+
+/// A run that is going on.
+struct Run<'a> {
+    site: &'a Site,
+    bridge: Rc<Bridge>,
+    controllers: Controllers,
+    kills: Vec<Kill>,
+    /// Controllers to be started again, with when, in seconds.
+    restarts: Vec<(f64, usize)>,
+    ended: u64,
+    warm: Option<(f64, Used)>,
+    progress: Progress,
+}
+
+/// Makes a run of a site. It ends early once `stop` is set.
+pub fn run(site: &Site, stop: &Arc<AtomicBool>) -> Result<Report, Failure> {
+    Allowance::read()?.check(site)?;
+    let folder = Folder::new()?;
+    let addresses = Addresses::new(site.controllers.base_port);
+    let mut controllers = Controllers::prepare(site, addresses, &folder.0)?;
+    let ex: Executor = Rc::new(LocalExecutor::new());
+    let bridge = Bridge::start(&ex, world(site), addresses, controllers.len())?;
+    for index in 0..controllers.len() {
+        controllers.start(index)?;
+    }
+    let mut kills = site.kills.clone();
+    kills.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
+    let run = Run {
+        site,
+        bridge,
+        controllers,
+        kills,
+        restarts: Vec::new(),
+        ended: 0,
+        warm: None,
+        progress: Progress::new(site.duration_s as u64),
+    };
+    async_io::block_on(ex.run(run.play(stop)))
+}
+
+impl Run<'_> {
+    async fn play(mut self, stop: &Arc<AtomicBool>) -> Result<Report, Failure> {
+        let site = self.site;
+        loop {
+            Timer::after(LOOK).await;
+            let now_s = self.bridge.elapsed().as_secs_f64();
+            if now_s >= site.warmup_s && self.warm.is_none() {
+                self.warm = Some((now_s, self.used()));
+                self.bridge.with_metrics(|m| m.restart());
+            }
+            self.kill_due(now_s);
+            self.restart_due(now_s)?;
+            self.show(now_s);
+            let interrupted = stop.load(Ordering::Relaxed);
+            if interrupted || now_s >= site.duration_s {
+                self.progress.finish();
+                return Ok(self.report(now_s, interrupted));
+            }
+        }
+    }
+
+    fn used(&self) -> Used {
+        Used {
+            controllers: self.controllers.figures(),
+            own: ProcessFigures::own().unwrap_or_default(),
+        }
+    }
+
+    fn kill_due(&mut self, now_s: f64) {
+        while self.kills.first().is_some_and(|k| k.at_s <= now_s) {
+            let kill = self.kills.remove(0);
+            if let Some(index) = kill.controller {
+                self.controllers.kill(index);
+                let back_s = now_s + self.site.controllers.restart_s;
+                self.restarts.push((back_s, index));
+                let name = controller_name(index);
+                self.progress
+                    .event(&format!("{now_s:>4.0} s: {name} is killed"));
+            }
+            if let Some(workers) = kill.workers {
+                let which = Which::Some(workers);
+                let fault = FaultKind::Machines(which, MachineFault::Die);
+                self.bridge.with_world(|w| w.fault_now(fault));
+                let line = format!("{now_s:>4.0} s: {workers} workers are killed");
+                self.progress.event(&line);
+            }
+        }
+    }
+
+    fn restart_due(&mut self, now_s: f64) -> Result<(), Failure> {
+        for index in self.controllers.take_ended() {
+            self.ended += 1;
+            let name = controller_name(index);
+            self.progress
+                .event(&format!("{now_s:>4.0} s: {name} has ended by itself"));
+            let back_s = now_s + self.site.controllers.restart_s;
+            self.restarts.push((back_s, index));
+        }
+        let due = |(at, _): &(f64, usize)| *at <= now_s;
+        let (due, later) = self.restarts.drain(..).partition(due);
+        self.restarts = later;
+        let due: Vec<(f64, usize)> = due;
+        for (_, index) in due {
+            self.controllers.start(index)?;
+            let name = controller_name(index);
+            self.progress
+                .event(&format!("{now_s:>4.0} s: {name} is started again"));
+        }
+        Ok(())
+    }
+
+    fn show(&mut self, now_s: f64) {
+        let starts = self.bridge.with_metrics(|m| m.task_starts());
+        let (machines, running, broken) = self.bridge.with_world(|w| {
+            let broken = w.check.broken.len();
+            (w.machines(), w.check.tasks_on_machines(), broken)
+        });
+        let message = format!(
+            "{} of {} controllers healthy, {machines} of {} workers up, {running} tasks running, \
+             {starts} started, {broken} rules broken",
+            self.bridge.healthy().len(),
+            self.controllers.len(),
+            self.site.machines(),
+        );
+        self.progress.show(now_s as u64, &message);
+    }
+
+    fn report(&self, now_s: f64, interrupted: bool) -> Report {
+        let now = self.used();
+        let (from_s, from) = match &self.warm {
+            Some((at, used)) => (*at, used),
+            None => (0.0, &now),
+        };
+        let measured_s = (now_s - from_s).max(1e-3);
+        let mut report = Report {
+            site: self.site.name.clone(),
+            seed: self.site.seed,
+            interrupted,
+            duration_s: now_s,
+            measured_s,
+            workers_asked: u64::from(self.site.machines()),
+            controllers: self.controllers.len() as u64,
+            controllers_ended: self.ended,
+            teams: self.site.teams.iter().map(|t| t.count as u64).sum(),
+            hollow_use: process_use("hollow process", from.own, now.own, measured_s),
+            ..Report::default()
+        };
+        self.bridge.with_world(|w| {
+            let broken = w.check.broken.iter().take(BROKEN_MOST);
+            report.rules_broken = broken.map(|b| format!("{b:?}")).collect();
+            report.workers = w.machines() as u64;
+            report.tasks_running = w.check.tasks_on_machines() as u64;
+        });
+        let ends = from.controllers.iter().zip(&now.controllers).enumerate();
+        let used =
+            ends.map(|(i, (from, to))| process_use(&controller_name(i), *from, *to, measured_s));
+        report.fill_controllers(used.collect());
+        self.bridge.with_metrics(|m| report.fill(m));
+        report
+    }
+}
+
+/// The world of a site, without its controllers.
+fn world(site: &Site) -> World {
+    let times = &site.workers;
+    let size = Size {
+        nodes: site.controllers.count,
+        rps: site.state.rps,
+        write_rps: site.state.write_rps,
+        cloud_rps: site.cloud.rps,
+        report_ms: ms(times.report_s),
+        lease_ms: ms(times.lease_s),
+        gang_wait_ms: ms(times.gang_wait_s),
+        cancel_ms: ms(times.cancel_s),
+        poll_ms: POLL_MS,
+        ..Size::default()
+    };
+    let team_limits = site.teams.iter().flat_map(|team| {
+        let limit = (team.cpus_max, team.gpus_max);
+        team.names().into_iter().map(move |name| (name, limit))
+    });
+    let deployment = Deployment {
+        fleet: fleet(site),
+        team_limits: team_limits.collect(),
+        value_bytes: (site.state.value_kb * 1024.0) as usize,
+        txn_ops: site.state.txn_ops,
+    };
+    World::remote(site.seed, load::plans(site), Vec::new(), size, deployment)
+}
+
+fn fleet(site: &Site) -> Fleet {
+    let types = site.machine_types.iter().map(|t| {
+        let of_type = site.capacity.iter().filter(|c| c.machine_type == t.name);
+        MachineType {
+            name: t.name.clone(),
+            cpus: t.cpus,
+            gpus: t.gpus,
+            memory_gb: t.memory_gb,
+            cache_gb: t.cache_gb,
+            fetch_gb_per_s: t.fetch_gb_per_s,
+            price: t.price,
+            spot_price: t.spot_price,
+            boot_s: t.boot_s,
+            zones: of_type.map(|c| c.zone.clone()).collect(),
+        }
+    });
+    let capacity = site.capacity.iter().flat_map(|c| {
+        let kind = |spot| (c.machine_type.clone(), c.zone.clone(), spot);
+        [(kind(false), c.count), (kind(true), c.spot)]
+    });
+    Fleet {
+        types: types.collect(),
+        capacity: capacity.collect(),
+        boots: BootModel::Usual {
+            fails: site.cloud.boot_fail,
+        },
+        address: addresses::worker,
+    }
+}
+
+/// A folder for settings and logs, removed at the end.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> io::Result<Self> {
+        let name = format!("forkshift-emulator-{}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        fs::create_dir_all(&path)?;
+        Ok(Self(path))
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        // Logs of a run that went well are of no use; a folder that stays is no harm.
+        if std::env::var_os("FORKSHIFT_KEEP_LOGS").is_none() {
+            let _ = fs::remove_dir_all(&self.0);
+        }
+    }
+}
