--- a/crates/emulator/src/bridge.rs
+++ b/crates/emulator/src/bridge.rs
@@ -24,7 +24,7 @@
 use std::time::{Duration, Instant};
 
 /// How often the world is moved on.
-const TICK: Duration = Duration::from_millis(20);
+const TICK: Duration = Duration::from_millis(40);
 /// Steps of the world are at most this long, in milliseconds.
 const LONGEST_STEP_MS: u64 = 100;
 /// A worker waits this long for the answer to a report.
--- a/crates/emulator/src/emulation.rs
+++ b/crates/emulator/src/emulation.rs
@@ -203,6 +203,12 @@
             report.rules_broken = broken.map(|b| format!("{b:?}")).collect();
             report.workers = w.machines() as u64;
             report.tasks_running = w.check.tasks_on_machines() as u64;
+            let jobs = w.job_counts();
+            report.jobs_accepted = jobs.accepted;
+            report.jobs_done = jobs.done;
+            report.jobs_cancelled = jobs.cancelled;
+            report.jobs_running = jobs.running;
+            report.jobs_waiting = jobs.waiting;
         });
         let ends = from.controllers.iter().zip(&now.controllers).enumerate();
         let used =
--- a/crates/emulator/src/load.rs
+++ b/crates/emulator/src/load.rs
@@ -37,7 +37,7 @@
     if class.per_s <= 0.0 {
         return times;
     }
-    let mut at_s = FIRST_S + spread_s;
+    let mut at_s = (FIRST_S + spread_s).max(class.from_s);
     while at_s < duration_s {
         times.push(at_s);
         let unit: f64 = rng.random_range(f64::EPSILON..1.0);
--- a/crates/emulator/src/load/tests.rs
+++ b/crates/emulator/src/load/tests.rs
@@ -1,1 +1,32 @@
-//! Tests.
+use super::plans;
+use crate::site::Site;
+use std::collections::BTreeSet;
+
+#[test]
+fn the_load_is_what_the_site_says() {
+    let text = include_str!("../../../../examples/emulation.toml");
+    let site = Site::parse(text).expect("good");
+    let drawn = plans(&site);
+    let again = plans(&site);
+    let shape = |p: &forkshift_testkit::Plan| (p.at, p.spec.clone(), p.run_ms, p.cancel_at);
+    assert!(
+        drawn.iter().map(shape).eq(again.iter().map(shape)),
+        "repeats"
+    );
+    let ids: BTreeSet<_> = drawn.iter().map(|p| p.spec.id.as_str()).collect();
+    assert_eq!(ids.len(), drawn.len(), "ids are used once");
+    for (i, class) in site.classes.iter().enumerate() {
+        let of_class: Vec<_> = drawn
+            .iter()
+            .filter(|p| p.spec.class == class.name)
+            .collect();
+        let expected = f64::from(class.initial) + class.per_s * (site.duration_s - 3.0);
+        let found = of_class.len() as f64;
+        let spread = 4.0 * expected.sqrt() + 1.0;
+        assert!((found - expected).abs() < spread, "classes[{i}]: {found}");
+        for plan in of_class {
+            assert!(class.tasks.contains(&plan.spec.tasks));
+            assert!(plan.at < (site.duration_s * 1000.0) as u64);
+        }
+    }
+}
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -8,8 +8,10 @@
 mod bridge;
 mod controllers;
 mod emulation;
+mod fit;
 mod load;
 mod metrics;
+mod plot;
 mod preflight;
 mod process;
 mod progress;
@@ -17,6 +19,7 @@
 mod report;
 mod settings;
 mod site;
+mod sweep;
 
 use clap::{Args, Parser, Subcommand};
 use report::Report;
@@ -27,6 +30,7 @@
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use sweep::Dimension;
 
 /// Exit status where a rule was broken.
 const BROKEN: u8 = 1;
@@ -56,6 +60,28 @@
         #[arg(long, value_name = "FILE")]
         report: Option<PathBuf>,
     },
+    /// Run a site at several sizes, and tell how each figure grows.
+    Sweep {
+        /// The site file (TOML).
+        site: PathBuf,
+        #[command(flatten)]
+        load: LoadArguments,
+        /// What is varied.
+        #[arg(long, value_enum, default_value_t = Dimension::Workers)]
+        over: Dimension,
+        /// The sizes.
+        #[arg(long, value_delimiter = ',', required = true)]
+        sizes: Vec<f64>,
+        /// Workers in all, where something else is varied.
+        #[arg(long)]
+        workers: Option<u32>,
+        /// The folder for reports, fits and plots.
+        #[arg(long, default_value = "docs/capacity")]
+        folder: PathBuf,
+        /// Begins the names of the files.
+        #[arg(long, default_value = "sweep")]
+        label: String,
+    },
 }
 
 #[derive(Args, Clone, Copy)]
@@ -63,6 +89,12 @@
     /// Task starts a second of what arrives.
     #[arg(long)]
     starts_per_second: Option<f64>,
+    /// Controllers.
+    #[arg(long)]
+    controllers: Option<usize>,
+    /// Teams of each entry; what they have together stays.
+    #[arg(long)]
+    teams: Option<usize>,
     /// Length of a run, in seconds.
     #[arg(long)]
     duration_s: Option<f64>,
@@ -76,6 +108,8 @@
         Overrides {
             workers,
             starts_per_s: self.starts_per_second,
+            controllers: self.controllers,
+            teams: self.teams,
             duration_s: self.duration_s,
             seed: self.seed,
         }
@@ -90,6 +124,8 @@
     Site(String, BadSite),
     #[error("{0}")]
     Run(#[from] emulation::Failure),
+    #[error("{0}")]
+    Sweep(#[from] sweep::Failure),
     #[error("Ctrl-C can't be caught: {0}")]
     Signal(#[from] ctrlc::Error),
 }
@@ -103,6 +139,25 @@
             workers,
             report,
         } => run(&site, &load.overrides(workers), report.as_deref()),
+        Command::Sweep {
+            site,
+            load,
+            over,
+            sizes,
+            workers,
+            folder,
+            label,
+        } => read_site(&site).and_then(|(_, site)| {
+            let plan = sweep::Plan {
+                site: &site,
+                dimension: over,
+                sizes: &sizes,
+                base: load.overrides(workers),
+                folder: &folder,
+                label: &label,
+            };
+            Ok(plan.carry_out(&stop_flag()?)?)
+        }),
     };
     match done {
         Ok(broken) => ExitCode::from(if broken { BROKEN } else { 0 }),
--- a/crates/emulator/src/preflight.rs
+++ b/crates/emulator/src/preflight.rs
@@ -3,9 +3,10 @@
 use crate::site::Site;
 use std::fs;
 
-/// Files that a hollow worker takes: its listener, its connection to a
-/// controller, and one that a controller keeps open to it.
-const FILES_A_WORKER: u64 = 3;
+/// Files that a hollow worker takes: its listener and its connection to a controller.
+const FILES_A_WORKER: u64 = 2;
+/// A controller keeps one of so many of its sockets open to workers between calls.
+const SOCKETS_A_KEPT_ONE: u64 = 10;
 /// Files beside the workers': services, users, logs.
 const FILES_BESIDE: u64 = 500;
 /// Memory that a hollow worker takes with its tasks, generously, in KiB.
@@ -72,13 +73,15 @@
     /// Whether a site's run fits.
     pub fn check(&self, site: &Site) -> Result<(), Unfit> {
         let workers = site.machines() + site.capacity.iter().map(|c| c.spot).sum::<u32>();
-        let needed = u64::from(workers) * FILES_A_WORKER + FILES_BESIDE;
+        let sockets = (site.controllers.count * site.controllers.sockets) as u64;
+        let beside = FILES_BESIDE + sockets / SOCKETS_A_KEPT_ONE;
+        let needed = u64::from(workers) * FILES_A_WORKER + beside;
         if needed > self.files {
             return Err(Unfit::Files {
                 workers,
                 needed,
                 allowed: self.files,
-                most: self.files.saturating_sub(FILES_BESIDE) / FILES_A_WORKER,
+                most: self.files.saturating_sub(beside) / FILES_A_WORKER,
             });
         }
         let controllers = site.controllers.count as u64;
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -80,6 +80,16 @@
     pub teams: u64,
     /// Tasks on machines at the end.
     pub tasks_running: u64,
+    /// Jobs that were accepted.
+    pub jobs_accepted: u64,
+    /// Those of them that are done.
+    pub jobs_done: u64,
+    /// Those that were cancelled.
+    pub jobs_cancelled: u64,
+    /// Those with tasks on machines at the end.
+    pub jobs_running: u64,
+    /// Those with none at the end.
+    pub jobs_waiting: u64,
     /// First starts of tasks.
     pub task_starts: u64,
     /// The same a second.
@@ -221,6 +231,15 @@
         let workers = format!("{} of {}", self.workers, self.workers_asked);
         row(&mut out, "workers up", workers);
         row(&mut out, "tasks running", self.tasks_running);
+        let jobs = format!(
+            "{} accepted: {} done, {} cancelled, {} running, {} waiting",
+            self.jobs_accepted,
+            self.jobs_done,
+            self.jobs_cancelled,
+            self.jobs_running,
+            self.jobs_waiting
+        );
+        row(&mut out, "jobs", jobs);
         let starts = format!("{}, {:.1} a second", self.task_starts, self.starts_per_s);
         row(&mut out, "task starts", starts);
         for (priority, of_priority) in &self.start_times {
--- a/crates/emulator/src/site.rs
+++ b/crates/emulator/src/site.rs
@@ -156,6 +156,16 @@
 }
 
 impl TeamSpec {
+    /// Guarantees and limits of each.
+    fn amounts(&mut self) -> [&mut f64; 4] {
+        [
+            &mut self.cpus,
+            &mut self.cpus_max,
+            &mut self.gpus,
+            &mut self.gpus_max,
+        ]
+    }
+
     /// The names of all of them.
     pub fn names(&self) -> Vec<String> {
         match self.count {
@@ -287,6 +297,9 @@
     /// Jobs that come a second after that.
     #[serde(default)]
     pub per_s: f64,
+    /// Those begin to come at this second.
+    #[serde(default)]
+    pub from_s: f64,
     /// Part of the jobs that are cancelled.
     #[serde(default)]
     pub cancelled: f64,
@@ -337,6 +350,10 @@
     pub workers: Option<u32>,
     /// Task starts a second of what arrives: arrivals of arrays and gangs follow.
     pub starts_per_s: Option<f64>,
+    /// Controllers.
+    pub controllers: Option<usize>,
+    /// Teams of each entry; what they have together stays.
+    pub teams: Option<usize>,
     /// Length of the run, in seconds.
     pub duration_s: Option<f64>,
     /// Seed.
@@ -364,6 +381,11 @@
     /// The site with what the command line sets.
     pub fn with(mut self, overrides: &Overrides) -> Result<Self, BadSite> {
         self.seed = overrides.seed.unwrap_or(self.seed);
+        let count = overrides.controllers;
+        self.controllers.count = count.unwrap_or(self.controllers.count);
+        if let Some(count) = overrides.teams {
+            self.divide_teams(count);
+        }
         if let Some(duration_s) = overrides.duration_s {
             self.warmup_s *= duration_s / self.duration_s;
             self.duration_s = duration_s;
@@ -381,6 +403,17 @@
         Ok(self)
     }
 
+    /// Divides what the teams of each entry have among another number of them.
+    fn divide_teams(&mut self, count: usize) {
+        for team in &mut self.teams {
+            let factor = team.count as f64 / count.max(1) as f64;
+            team.count = count;
+            for amount in team.amounts() {
+                *amount *= factor;
+            }
+        }
+    }
+
     fn scale_to(&mut self, workers: u32) {
         let factor = f64::from(workers) / f64::from(self.machines().max(1));
         let scaled = |n: u32| (f64::from(n) * factor).ceil() as u32;
@@ -389,12 +422,7 @@
             capacity.spot = scaled(capacity.spot);
         }
         for team in &mut self.teams {
-            for amount in [
-                &mut team.cpus,
-                &mut team.cpus_max,
-                &mut team.gpus,
-                &mut team.gpus_max,
-            ] {
+            for amount in team.amounts() {
                 *amount *= factor;
             }
         }
--- a/crates/emulator/src/site/check.rs
+++ b/crates/emulator/src/site/check.rs
@@ -4,6 +4,8 @@
 
 /// Most controllers: each is a process.
 const CONTROLLERS_MOST: usize = 64;
+/// Most teams of an entry.
+const TEAMS_MOST: usize = 1_000;
 /// Longest run, in seconds.
 const DURATION_MOST_S: f64 = 3_600.0;
 /// Most machines: each has an address below 127.64.0.0.
@@ -93,6 +95,9 @@
             return Err(wrong(field, "must not be empty"));
         }
     }
+    for (i, team) in site.teams.iter().enumerate() {
+        within(&format!("teams[{i}].count"), team.count, TEAMS_MOST)?;
+    }
     check_capacity(site)?;
     for (i, class) in site.classes.iter().enumerate() {
         check_class(&format!("classes[{i}]"), class)?;
--- /dev/null
+++ b/crates/emulator/src/sweep/tests.rs
@@ -0,0 +1,34 @@
+use super::{growth, Dimension};
+use crate::report::{ProcessUse, Report};
+
+fn report(workers: u64, cores: f64) -> Report {
+    let mut report = Report {
+        workers,
+        starts_per_s: 10.0,
+        ..Report::default()
+    };
+    let used = |share: f64| ProcessUse {
+        cpu_cores: cores * share,
+        ..ProcessUse::default()
+    };
+    report.fill_controllers(vec![used(0.75), used(0.25)]);
+    report
+}
+
+#[test]
+fn figures_are_followed_over_the_sizes_that_came_to_be() {
+    let reports = [report(100, 0.1), report(200, 0.4), report(400, 1.6)];
+    let all = growth(Dimension::Workers, &reports);
+    let of = |name: &str| {
+        let found = all.iter().find(|g| g.figure == name).expect("a figure");
+        (found.points.clone(), found.fit.expect("three sizes"))
+    };
+    let (points, fit) = of("controllers_cores");
+    assert_eq!(
+        points.iter().map(|p| p.0).collect::<Vec<_>>(),
+        [100.0, 200.0, 400.0]
+    );
+    assert!((fit.exponent.expect("above 0") - 2.0).abs() < 1e-6);
+    let (points, _) = of("busiest_controller_cores");
+    assert!((points[1].1 - 0.3).abs() < 1e-9, "the busiest alone");
+}
--- a/crates/testkit/src/cloud.rs
+++ b/crates/testkit/src/cloud.rs
@@ -7,7 +7,7 @@
 use rand::rngs::StdRng;
 use rand::Rng;
 use serde_json::{json, Value};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A rented machine.
 #[derive(Clone, Debug)]
@@ -37,6 +37,8 @@
     pub(crate) slow: Option<(Ms, SlowBoots)>,
     /// What was asked for: when, type, zone, and how many were had.
     pub(crate) rented: Vec<(Ms, String, String, u32)>,
+    /// Machines that are not up yet, by when they will be.
+    booting: BTreeSet<(Ms, MachineId)>,
     /// Every machine that was rented: when, and when it is or would be up.
     pub(crate) boots: Vec<Boot>,
     /// Machines that came to an end since this was last looked at.
@@ -92,6 +94,7 @@
             slow: None,
             rented: Vec::new(),
             boots: Vec::new(),
+            booting: BTreeSet::new(),
             ended: Vec::new(),
             n_ended: 0,
         }
@@ -145,6 +148,15 @@
         }
     }
 
+    /// Takes the machines that are up by now and were not before, by their names.
+    pub(crate) fn take_up(&mut self, now: Ms) -> BTreeSet<MachineId> {
+        let mut up = BTreeSet::new();
+        while self.booting.first().is_some_and(|(at, _)| *at <= now) {
+            up.extend(self.booting.pop_first().map(|(_, id)| id));
+        }
+        up
+    }
+
     /// A machine is no more.
     pub(crate) fn end(&mut self, id: &MachineId) {
         if self.machines.remove(id).is_some() {
@@ -187,6 +199,7 @@
                 up_at: now.saturating_add(boot),
                 failed: false,
             };
+            self.booting.insert((machine.up_at, id.clone()));
             self.boots.push(Boot {
                 rented: now,
                 up_at: machine.up_at,
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -21,8 +21,8 @@
 pub use faults::{Fault, FaultKind, MachineFault, Which, Who};
 pub use fleet::{BootModel, Fleet, Kind};
 pub use world::{
-    job_id, settings, Answer, Asker, Deployment, MachineChange, Mistake, NextLimits, Outgoing,
-    Plan, Service, Size, World,
+    job_id, settings, Answer, Asker, Deployment, JobCounts, MachineChange, Mistake, NextLimits,
+    Outgoing, Plan, Service, Size, World,
 };
 
 /// Milliseconds of virtual time.
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -31,6 +31,8 @@
     pub(crate) stage: TaskStage,
     cause: Option<ExitCause>,
     saved: bool,
+    /// Whether it is of a gang.
+    pub(crate) is_gang: bool,
     /// When its present stage ends by itself.
     pub(crate) until: Ms,
     /// Since when it has had its image.
@@ -69,6 +71,10 @@
     seq: u64,
     pub(crate) token: u64,
     pub(crate) tasks: BTreeMap<(TaskRef, u64), OnMachine>,
+    /// No task's stage ends by itself before this.
+    next_due: Ms,
+    /// Whether a task of a gang has been started here.
+    pub(crate) has_gang_tasks: bool,
     images: Vec<String>,
     /// The node that it reports to.
     pub(crate) node: usize,
@@ -116,6 +122,8 @@
             seq: 0,
             token: 0,
             tasks: BTreeMap::new(),
+            next_due: 0,
+            has_gang_tasks: false,
             images: Vec::new(),
             node: 0,
             next_report: now,
@@ -310,9 +318,12 @@
             stage: TaskStage::Fetching,
             cause: None,
             saved: false,
+            is_gang: s.kind == JobKind::Gang,
             until: a.now + fetch,
             since: a.now + fetch,
         };
+        self.next_due = self.next_due.min(task.until);
+        self.has_gang_tasks |= task.is_gang;
         self.tasks.insert(key, task);
     }
 
@@ -333,6 +344,7 @@
             stage: TaskStage::Exited,
             cause: Some(cause),
             saved: false,
+            is_gang: false,
             until: 0,
             since: 0,
         };
@@ -350,6 +362,7 @@
             TaskStage::Running if saves => {
                 task.stage = TaskStage::Saving;
                 task.until = a.now + (spec.save_s * 1000.0) as Ms;
+                self.next_due = self.next_due.min(task.until);
             }
             TaskStage::Saving if grace_s > 0.0 => {}
             _ => self.exit(a, key, ExitCause::Stopped),
@@ -383,7 +396,7 @@
 
     /// Tasks whose gang has not become complete in time give up.
     pub(crate) fn give_up_waiting(&mut self, now: Ms, check: &mut Checker, wait: Ms) {
-        if self.hung_until > now {
+        if self.hung_until > now || !self.has_gang_tasks {
             return;
         }
         for ((task, _), t) in &mut self.tasks {
@@ -399,6 +412,9 @@
     /// Lets time pass.
     pub(crate) fn tick(&mut self, a: &mut Around) {
         self.expire(a);
+        if a.now < self.next_due {
+            return;
+        }
         let due: Vec<(TaskRef, u64)> = self
             .tasks
             .iter()
@@ -421,6 +437,9 @@
                 _ => {}
             }
         }
+        let open = self.tasks.values();
+        let open = open.filter(|t| t.stage != TaskStage::Exited);
+        self.next_due = open.map(|t| t.until).min().unwrap_or(Ms::MAX);
     }
 
     fn has_image(&mut self, a: &mut Around, key: &(TaskRef, u64)) {
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -26,7 +26,7 @@
 use forkshift_core::records;
 use forkshift_core::{Config, Effect, FormatVersion, Input, Node, Operator, RequestId, Target};
 use forkshift_wire::settings::Settings;
-use forkshift_wire::users::JobKind;
+use forkshift_wire::users::{JobKind, JobStage};
 use forkshift_wire::{JobId, MachineId, TaskRef};
 use network::{Dest, Message, Origin};
 use odd::{Aside, Ask};
@@ -127,6 +127,22 @@
     pub txn_ops: usize,
 }
 
+/// Jobs that were accepted, by what their users were told, or else by whether a
+/// task of them is on a machine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct JobCounts {
+    /// All of them.
+    pub accepted: u64,
+    /// Told to be done.
+    pub done: u64,
+    /// Told to be cancelled.
+    pub cancelled: u64,
+    /// Neither, with a task on a machine.
+    pub running: u64,
+    /// Neither, with none.
+    pub waiting: u64,
+}
+
 /// All of it.
 pub struct World {
     size: Size,
@@ -578,6 +594,22 @@
         self.check.close(self.now);
     }
 
+    /// How many jobs are accepted, and how they stand.
+    pub fn job_counts(&self) -> JobCounts {
+        let mut counts = JobCounts::default();
+        let ids = self.users.iter().map(|u| &u.plan.spec.id);
+        for id in ids.filter(|id| self.check.is_accepted(id)) {
+            counts.accepted += 1;
+            match self.check.told(id) {
+                Some(JobStage::Done) => counts.done += 1,
+                Some(JobStage::Cancelled) => counts.cancelled += 1,
+                _ if self.check.running(id) > 0 => counts.running += 1,
+                _ => counts.waiting += 1,
+            }
+        }
+        counts
+    }
+
     /// What a quiet end must show: everything accepted is done, or runs.
     pub fn unserved(&self) -> Vec<String> {
         let mut left = Vec::new();
--- a/crates/testkit/src/world/fleet.rs
+++ b/crates/testkit/src/world/fleet.rs
@@ -5,7 +5,6 @@
 use super::World;
 use crate::worker::{Around, Worker};
 use crate::Ms;
-use forkshift_wire::users::JobKind;
 use forkshift_wire::workers::{ExitCause, Redirect, ReportReply, TaskStage};
 use forkshift_wire::{JobId, MachineId, TaskRef};
 use rand::Rng;
@@ -29,14 +28,14 @@
         for id in std::mem::take(&mut self.cloud.ended) {
             self.end_worker(&id);
         }
-        for (id, m) in &self.cloud.machines {
-            if m.failed || self.now < m.up_at || self.workers.contains_key(id) {
+        for id in self.cloud.take_up(self.now) {
+            let Some(m) = self.cloud.machines.get(&id).filter(|m| !m.failed) else {
                 continue;
-            }
+            };
             let Some(machine_type) = self.cloud.fleet.machine_type(&m.machine_type) else {
                 continue;
             };
-            let named = (id.clone(), (self.cloud.fleet.address)(id));
+            let named = (id.clone(), (self.cloud.fleet.address)(&id));
             let mut w = Worker::new(named, machine_type, &m.zone, m.spot, self.now);
             w.node = self.rng.random_range(0..self.size.nodes);
             self.workers.insert(id.clone(), w);
@@ -106,13 +105,9 @@
         for w in self.workers.values_mut() {
             w.give_up_waiting(self.now, &mut self.check, self.size.gang_wait_ms);
         }
-        for w in self.workers.values() {
+        for w in self.workers.values().filter(|w| w.has_gang_tasks) {
             for ((task, attempt), t) in &w.tasks {
-                let gang = self
-                    .truths
-                    .get(&task.job)
-                    .is_some_and(|t| t.spec.kind == JobKind::Gang);
-                if gang && matches!(t.stage, TaskStage::Gathering | TaskStage::Running) {
+                if t.is_gang && matches!(t.stage, TaskStage::Gathering | TaskStage::Running) {
                     let key = (task.job.clone(), *attempt);
                     attempts
                         .entry(key)
