--- /dev/null
+++ b/crates/sched/src/host_table/tests.rs
@@ -0,0 +1,121 @@
+//! Grouping changes no choice.
+
+mod reference;
+
+use crate::quota::Quota;
+use crate::resources::Resources;
+use crate::round::{run_round, Host, PendingTasks};
+use crate::score::Weights;
+use proptest::collection::{btree_set, vec};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+const WEIGHTS: Weights = Weights {
+    fit: 1.0 / 3.0,
+    cost: 1.0 / 6.0,
+    latency: 0.5,
+};
+const TEAMS: usize = 2;
+
+/// Hosts of a few types; many are alike, some are partly filled.
+fn hosts() -> impl Strategy<Value = Vec<Host>> {
+    let host = (
+        0..3_u16,
+        0..3_u16,
+        any::<bool>(),
+        0..4_i64,
+        btree_set(0..3_u32, 0..3),
+        prop_oneof![4 => Just(0.0), 1 => Just(7.5)],
+        prop_oneof![19 => Just(false), 1 => Just(true)],
+    );
+    let host = host.prop_map(|(machine_type, zone, spot, used, images, delay, held)| {
+        let size = i64::from(machine_type) + 1;
+        let total = Resources::new(8.0, 2.0, 32.0).times(size);
+        Host {
+            free: total - Resources::new(2.0, 0.5, 8.0).times(used),
+            total,
+            machine_type,
+            zone,
+            spot,
+            price: if spot { 1.0 } else { 3.0 } * size as f64,
+            fetch_rate: f64::from(machine_type),
+            images,
+            held,
+            delay,
+        }
+    });
+    vec(host, 0..24)
+}
+
+/// Jobs of all kinds, some alike.
+fn wants() -> impl Strategy<Value = Vec<PendingTasks>> {
+    let shape = (0..4_i64, 0..3_i64, 1..5_u32, any::<bool>(), 0..4_i32);
+    let place = (
+        proptest::option::of(vec(0..3_u16, 1..3)),
+        proptest::option::of(0..3_u16),
+        any::<bool>(),
+        any::<bool>(),
+        any::<bool>(),
+        btree_set(0..24_usize, 0..3),
+    );
+    let rest = (0..3_u32, 0..TEAMS, any::<bool>(), any::<bool>(), 0..3_u32);
+    let want = (shape, place, rest).prop_map(|(shape, place, rest)| {
+        let (cpus, gpus, tasks, gang, band) = shape;
+        let (types, zone, one_zone, spread, spot, avoid) = place;
+        let (image, team, reserves, keeps_quota, estimate) = rest;
+        PendingTasks {
+            task: Resources::new(cpus as f64, gpus as f64 * 0.5, 2.0),
+            waiting: (0..tasks).collect(),
+            total: tasks,
+            gang,
+            band,
+            waited_s: 0.0,
+            reserves,
+            reclaims: false,
+            reclaims_machines: false,
+            is_guest_work: false,
+            borrows: false,
+            keeps_quota,
+            lacks_room: false,
+            estimate: f64::from(estimate) * 10.0,
+            team,
+            image,
+            image_gb: f64::from(image) * 4.0,
+            types,
+            zone,
+            one_zone,
+            spread: spread && !one_zone,
+            spot,
+            zones: BTreeMap::new(),
+            avoid,
+        }
+    });
+    vec(want, 0..16)
+}
+
+fn quotas() -> Vec<Quota> {
+    let quota = Quota {
+        limit: Resources::new(60.0, 16.0, 0.0),
+        ..Quota::default()
+    };
+    vec![quota; TEAMS]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Every task goes where it would go if every host were looked at for it, and
+    /// hosts, jobs and quotas are left the same.
+    #[test]
+    fn a_round_chooses_as_if_every_host_were_looked_at(hosts in hosts(), wants in wants()) {
+        let (mut grouped, mut scanned) = (hosts.clone(), hosts);
+        let (mut wants_a, mut wants_b) = (wants.clone(), wants);
+        let (mut quotas_a, mut quotas_b) = (quotas(), quotas());
+        let placed = run_round(&mut wants_a, &mut grouped, &mut quotas_a, &WEIGHTS);
+        let expected = reference::run_round(&mut wants_b, &mut scanned, &mut quotas_b, &WEIGHTS);
+        prop_assert_eq!(placed, expected);
+        prop_assert_eq!(format!("{grouped:?}"), format!("{scanned:?}"));
+        prop_assert_eq!(format!("{wants_a:?}"), format!("{wants_b:?}"));
+        prop_assert_eq!(format!("{quotas_a:?}"), format!("{quotas_b:?}"));
+    }
+}
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -6,12 +6,14 @@
 //! fit minus cost minus latency, and every choice is booked locally before
 //! the next one is made.
 
+mod host_table;
 pub mod provision;
 pub mod quota;
 pub mod resources;
 pub mod round;
 pub mod score;
 
+pub use host_table::Requirement;
 pub use provision::{plan, Offer, Rental, Shape};
 pub use quota::{Quota, Shortfall};
 pub use resources::Resources;
--- a/crates/sched/src/resources.rs
+++ b/crates/sched/src/resources.rs
@@ -3,7 +3,7 @@
 use std::ops::{Add, AddAssign, Sub, SubAssign};
 
 /// An amount of each resource, in thousandths.
-#[derive(Clone, Copy, Default, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, Default, PartialEq, Eq, Hash, Debug)]
 pub struct Resources {
     /// CPUs.
     pub cpus: i64,
--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -1,9 +1,10 @@
 //! A round: waiting tasks are placed greedily, longest first; among jobs that
 //! have waited long, the oldest first.
 
+use crate::host_table::HostTable;
 use crate::quota::{Quota, Shortfall};
 use crate::resources::Resources;
-use crate::score::{choose, Candidate, Weights};
+use crate::score::Weights;
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -100,7 +101,7 @@
     }
 
     /// The order of a round: by claim, then the longest estimate first.
-    fn by_round(&self, other: &Self) -> Ordering {
+    pub(crate) fn by_round(&self, other: &Self) -> Ordering {
         let claim = self.by_claim(other);
         claim.then(other.estimate.total_cmp(&self.estimate))
     }
@@ -153,8 +154,12 @@
     quotas: &mut [Quota],
     weights: &Weights,
 ) -> Vec<Placement> {
+    if wants.iter().all(|w| w.waiting.is_empty()) {
+        return Vec::new();
+    }
     let mut order: Vec<usize> = (0..wants.len()).collect();
     order.sort_by(|&a, &b| wants[a].by_round(&wants[b]));
+    let mut table = HostTable::new(hosts);
     let mut placed = Vec::new();
     let mut held: BTreeMap<usize, Shortfall> = BTreeMap::new();
     let mut kept: Vec<(usize, Resources)> = Vec::new();
@@ -166,9 +171,9 @@
             continue;
         }
         if want.gang {
-            placed.extend(place_gang(i, want, hosts, quotas, weights));
+            placed.extend(place_gang(i, want, &mut table, quotas, weights));
         }
-        while !want.gang && place_next(i, want, hosts, quotas, weights, &mut placed) {}
+        while !want.gang && place_next(i, want, &mut table, quotas, weights, &mut placed) {}
         if want.reserves && !want.waiting.is_empty() {
             let team = &mut quotas[want.team];
             let need = want.at_once();
@@ -178,7 +183,7 @@
                 continue;
             }
             want.lacks_room = true;
-            hold_host(want, hosts);
+            hold_host(want, &mut table);
             if want.keeps_quota {
                 team.used += need;
                 kept.push((want.team, need));
@@ -193,18 +198,17 @@
 
 /// Keeps the machine that comes closest to having room for a task that has
 /// waited for long from being filled up by what is behind it.
-fn hold_host(want: &PendingTasks, hosts: &mut [Host]) {
+fn hold_host(want: &PendingTasks, table: &mut HostTable) {
     let fits = |h: &Host| want.task.fits(&h.total) && want.allowed(h.machine_type, h.zone, h.spot);
     let free = |h: &Host| 1.0 - (h.total - h.free).largest_share(&h.total);
+    let hosts = table.hosts().iter().enumerate();
     let best = hosts
-        .iter_mut()
-        .enumerate()
         // What it may not use itself is not kept free for it: a gang that
         // failed on the only machine once kept all others off it.
         .filter(|(i, h)| fits(h) && !want.avoid.contains(i))
         .max_by(|(_, a), (_, b)| free(a).total_cmp(&free(b)));
-    if let Some((_, host)) = best {
-        host.held = true;
+    if let Some((host, _)) = best {
+        table.hold(host);
     }
 }
 
@@ -212,7 +216,7 @@
 fn place_next(
     index: usize,
     want: &mut PendingTasks,
-    hosts: &mut [Host],
+    table: &mut HostTable,
     quotas: &mut [Quota],
     weights: &Weights,
     placed: &mut Vec<Placement>,
@@ -220,105 +224,77 @@
     let Some(&task) = want.waiting.first() else {
         return false;
     };
-    let Some(host) = place_one(want, hosts, quotas, weights, None) else {
+    let Some(booking) = place_one(want, table, quotas, weights, None) else {
         return false;
     };
     want.waiting.remove(0);
     placed.push(Placement {
         job: index,
         task,
-        host,
+        host: booking.host,
     });
     true
 }
 
+/// A task's booking on a host.
+struct Booking {
+    host: usize,
+    /// Whether the host had the image, or was about to.
+    had_image: bool,
+}
+
 /// Chooses a host for one task and books it.
 fn place_one(
     want: &mut PendingTasks,
-    hosts: &mut [Host],
+    table: &mut HostTable,
     quotas: &mut [Quota],
     weights: &Weights,
     zone: Option<u16>,
-) -> Option<usize> {
+) -> Option<Booking> {
     if !quotas[want.team].allows(&want.task) {
         return None;
     }
-    let mut index = Vec::new();
-    let mut candidates = Vec::new();
-    for (i, host) in hosts.iter().enumerate() {
-        let fits = !host.held
-            && want.task.fits(&host.free)
-            && zone.is_none_or(|z| z == host.zone)
-            && want.allowed(host.machine_type, host.zone, host.spot)
-            && !want.avoid.contains(&i);
-        if !fits {
-            continue;
-        }
-        let fetch = if host.images.contains(&want.image) || host.fetch_rate <= 0.0 {
-            0.0
-        } else {
-            want.image_gb / host.fetch_rate
-        };
-        index.push(i);
-        candidates.push(Candidate {
-            free: host.free,
-            cost: host.price * want.estimate,
-            latency: host.delay + fetch,
-        });
-    }
-    let chosen = index[choose(&want.task, &candidates, weights)?];
-    let host = &mut hosts[chosen];
-    host.free -= want.task;
-    host.images.insert(want.image);
+    let host = table.choose(want, zone, weights)?;
+    let had_image = table.book(host, want);
     quotas[want.team].used += want.task;
-    *want.zones.entry(host.zone).or_default() += 1;
-    Some(chosen)
+    *want.zones.entry(table.hosts()[host].zone).or_default() += 1;
+    Some(Booking { host, had_image })
 }
 
 /// Places all waiting tasks of a gang, or undoes them together.
 fn place_gang(
     index: usize,
     want: &mut PendingTasks,
-    hosts: &mut [Host],
+    table: &mut HostTable,
     quotas: &mut [Quota],
     weights: &Weights,
 ) -> Vec<Placement> {
     let zones: Vec<Option<u16>> = if want.one_zone {
-        let all: BTreeSet<u16> = hosts.iter().map(|h| h.zone).collect();
-        all.into_iter().map(Some).collect()
+        table.zones().iter().copied().map(Some).collect()
     } else {
         vec![None]
     };
     for zone in zones {
         let before = (want.zones.clone(), quotas[want.team].used);
-        let mut booked: Vec<(usize, bool)> = Vec::new();
-        let mut placed = Vec::new();
-        for task in want.waiting.clone() {
-            let known: BTreeSet<usize> = hosts
-                .iter()
-                .enumerate()
-                .filter(|(_, h)| h.images.contains(&want.image))
-                .map(|(i, _)| i)
-                .collect();
-            let Some(host) = place_one(want, hosts, quotas, weights, zone) else {
+        let mut bookings = Vec::new();
+        for _ in 0..want.waiting.len() {
+            let Some(booking) = place_one(want, table, quotas, weights, zone) else {
                 break;
             };
-            booked.push((host, known.contains(&host)));
-            placed.push(Placement {
+            bookings.push(booking);
+        }
+        if bookings.len() == want.waiting.len() {
+            let tasks = std::mem::take(&mut want.waiting);
+            let pairs = tasks.into_iter().zip(bookings);
+            let placement = |(task, booking): (u32, Booking)| Placement {
                 job: index,
                 task,
-                host,
-            });
-        }
-        if placed.len() == want.waiting.len() {
-            want.waiting.clear();
-            return placed;
+                host: booking.host,
+            };
+            return pairs.map(placement).collect();
         }
-        for (host, had_image) in booked.into_iter().rev() {
-            hosts[host].free += want.task;
-            if !had_image {
-                hosts[host].images.remove(&want.image);
-            }
+        for booking in bookings.into_iter().rev() {
+            table.undo(booking.host, want, booking.had_image);
         }
         (want.zones, quotas[want.team].used) = before;
     }
