--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -43,6 +43,7 @@
         mut wants: Vec<PendingTasks>,
         mut quotas: Vec<Quota>,
     ) {
+        let _span = tracing::debug_span!("unmet_demand").entered();
         wants.sort_by(PendingTasks::by_claim);
         self.leave_out_faulty(ctx, usable, &mut hosts);
         let now = self.shapes_of(ctx, view, &wants, &mut quotas.clone());
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -139,6 +139,7 @@
             self.active = false;
             return;
         }
+        let _span = tracing::debug_span!("lead").entered();
         let anew = !self.active;
         if anew {
             log::info!("leader from now on");
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -108,6 +108,7 @@
     /// clock, `wall` the time of day, which may be off by some and is used
     /// only to tell how long ago a job was submitted.
     pub fn step(&mut self, now: Ms, wall: Ms, inputs: Vec<Input>) -> Vec<Effect> {
+        let _span = tracing::debug_span!("step").entered();
         self.ctx.note_pause(now);
         self.ctx.now = self.ctx.now.max(now);
         self.ctx.wall = wall;
@@ -142,6 +143,7 @@
             }
         }
         self.tick();
+        let _pump = tracing::debug_span!("pump").entered();
         self.ctx.pump();
         while !self.ctx.refused.is_empty() {
             for pending in std::mem::take(&mut self.ctx.refused) {
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -78,6 +78,7 @@
         if ctx.now < self.preempted_at + ctx.cfg.report_ms * PAUSE_REPORTS {
             return;
         }
+        let _span = tracing::debug_span!("preempt").entered();
         let urgent_ms = (self.boot_ms() as f64 * URGENT_BOOTS).ceil() as Ms;
         let waits = |w: &PendingTasks| !w.waiting.is_empty() && !w.gang;
         let may = |(id, want): &(&JobId, &PendingTasks)| {
--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -34,6 +34,7 @@
         if ctx.now < self.next_round {
             return;
         }
+        let _span = tracing::debug_span!("round").entered();
         self.last_round = ctx.now;
         self.next_round = ctx.now + crate::ms(ctx.cfg.ops.round_s);
         let usable: Vec<MachineId> = self
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -2,6 +2,7 @@
 
 mod operator;
 mod run;
+mod spans;
 
 use clap::{Parser, Subcommand};
 use forkshift_core::{Config, Operator};
@@ -27,6 +28,9 @@
         /// The operators' own settings (protobuf text format).
         #[arg(long, value_name = "FILE")]
         operator: Option<PathBuf>,
+        /// Time the parts of each step, and log a summary every ten seconds.
+        #[arg(long)]
+        spans: bool,
     },
     /// Read settings, say what is wrong with them, and exit.
     Check {
@@ -57,7 +61,11 @@
         Command::Check { config, operator } => {
             load(&config, operator.as_deref()).map(|_| println!("settings are good"))
         }
-        Command::Serve { config, operator } => serve(&config, operator.as_deref()),
+        Command::Serve {
+            config,
+            operator,
+            spans,
+        } => serve(&config, operator.as_deref(), spans),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -89,11 +97,12 @@
     Ok((settings, ops))
 }
 
-fn serve(config: &Path, operator: Option<&Path>) -> Result<(), Failure> {
+fn serve(config: &Path, operator: Option<&Path>, spans: bool) -> Result<(), Failure> {
     let (settings, ops) = load(config, operator)?;
     start_log();
     let config = Config::new(&settings, ops);
-    run::run(&settings, config)?;
+    let spans = spans.then(spans::SpanTimes::install);
+    run::run(&settings, config, spans)?;
     Ok(())
 }
 
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -1,5 +1,6 @@
 //! Wiring: the owner of all state, fed by the server and by finished calls.
 
+use crate::spans::SpanTimes;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Timer;
@@ -38,10 +39,13 @@
 /// The part that may be kept open to workers and services while idle.
 const IDLE_PART: f64 = 0.1;
 
+/// How often the times of spans are logged.
+const SPANS_EVERY: Duration = Duration::from_secs(10);
+
 type Waiting = Rc<RefCell<HashMap<RequestId, Sender<Reply>>>>;
 
 /// Runs a controller until the process ends.
-pub fn run(settings: &Settings, config: Config) -> io::Result<()> {
+pub fn run(settings: &Settings, config: Config, spans: Option<SpanTimes>) -> io::Result<()> {
     let listener = TcpListener::bind(settings.listen)?;
     let peer_listener = TcpListener::bind(settings.peer_listen)?;
     let ex: Executor = Rc::new(LocalExecutor::new());
@@ -87,10 +91,23 @@
         waiting,
         started: Instant::now(),
     };
+    if let Some(spans) = spans {
+        ex.spawn(log_spans(spans)).detach();
+    }
     async_io::block_on(ex.run(owner.work(receiver)));
     Ok(())
 }
 
+/// Logs how long the parts of steps took.
+async fn log_spans(spans: SpanTimes) {
+    loop {
+        Timer::after(SPANS_EVERY).await;
+        if let Some(line) = spans.take_line() {
+            log::info!("spans: {line}");
+        }
+    }
+}
+
 /// Hands requests to the owner and waits for its answers.
 fn handler(
     sender: Sender<Input>,
--- a/crates/emulator/src/controllers.rs
+++ b/crates/emulator/src/controllers.rs
@@ -41,6 +41,7 @@
 pub struct Controllers {
     program: PathBuf,
     operator: Option<PathBuf>,
+    arguments: Vec<String>,
     all: Vec<Controller>,
 }
 
@@ -70,6 +71,7 @@
         Ok(Self {
             program,
             operator: site.controllers.operator.clone(),
+            arguments: site.controllers.arguments.clone(),
             all,
         })
     }
@@ -98,6 +100,7 @@
         if let Some(operator) = &self.operator {
             command.arg("--operator").arg(operator);
         }
+        command.args(&self.arguments);
         command.arg("--config").arg(&controller.settings);
         command.stdin(Stdio::null()).stdout(Stdio::null());
         let child = command.stderr(log).spawn().map_err(Failure::Spawn)?;
--- a/crates/emulator/src/site.rs
+++ b/crates/emulator/src/site.rs
@@ -60,6 +60,9 @@
     pub program: PathBuf,
     /// The operators' own settings for it.
     pub operator: Option<PathBuf>,
+    /// Further arguments of `serve`.
+    #[serde(default)]
+    pub arguments: Vec<String>,
     /// One that was killed is started again after this many seconds.
     #[serde(default = "default_restart_s")]
     pub restart_s: f64,
