Rounds: holders of an image are counted by class, and scores need no sorted list

Cause (perf, spans): what a choice still cost was a scan of a class for a host with the image where none has it, and a sorted list of candidates. Change: counts by class say when there is nothing to look for; of equal scores the lowest number is taken.

--- a/crates/sched/src/host_table.rs
+++ b/crates/sched/src/host_table.rs
@@ -8,7 +8,7 @@
 
 use crate::resources::Resources;
 use crate::round::{Host, PendingTasks};
-use crate::score::{choose, Candidate, Weights};
+use crate::score::{choose_numbered, Candidate, Weights};
 use rustc_hash::{FxHashMap, FxHashSet};
 
 /// Most zones whose bits fit into a mask; with more, nothing is remembered.
@@ -82,7 +82,7 @@
     /// The class of each host; none while it is held.
     class_of: Vec<Option<usize>>,
     /// Which hosts have an image, for images that were asked about.
-    with_image: FxHashMap<u32, Vec<bool>>,
+    image_holders: FxHashMap<u32, ImageHolders>,
     zones: Vec<u16>,
     /// What is known to fit nowhere any more.
     hopeless: FxHashSet<Requirement>,
@@ -100,7 +100,7 @@
             classes: Vec::new(),
             by_key: FxHashMap::default(),
             class_of: vec![None; count],
-            with_image: FxHashMap::default(),
+            image_holders: FxHashMap::default(),
             zones,
             hopeless: FxHashSet::default(),
         };
@@ -135,27 +135,26 @@
         if known {
             return None;
         }
-        let mut found = self.candidates(want, zone);
+        let found = self.candidates(want, zone);
         if found.is_empty() {
             // A gang's tasks are booked to be undone, perhaps.
             let lasts = zone.is_none() && !want.gang && want.avoid.is_empty();
             self.hopeless.extend(requirement.filter(|_| lasts));
             return None;
         }
-        found.sort_unstable_by_key(|(host, _)| *host);
-        let candidates: Vec<Candidate> = found.iter().map(|(_, c)| *c).collect();
-        choose(&want.task, &candidates, weights).map(|best| found[best].0)
+        choose_numbered(&want.task, found.into_iter(), weights)
     }
 
     /// The first host of each class that may take a task, with the image and
     /// without it.
     fn candidates(&mut self, want: &PendingTasks, zone: Option<u16>) -> Vec<(usize, Candidate)> {
         self.note_image_holders(want.image);
-        let with_image = &self.with_image[&want.image];
+        let holders = &self.image_holders[&want.image];
         let mut found = Vec::new();
-        for class in self.classes.iter().filter(|c| !c.members.is_empty()) {
+        for (number, class) in self.classes.iter().enumerate() {
             let key = &class.key;
-            let fits = want.task.fits(&key.free)
+            let fits = !class.members.is_empty()
+                && want.task.fits(&key.free)
                 && zone.is_none_or(|z| z == key.zone)
                 && want.allowed(key.machine_type, key.zone, key.spot);
             if !fits {
@@ -163,8 +162,12 @@
             }
             let open = |host: &&usize| !want.avoid.contains(*host);
             let open = class.members.iter().filter(open).copied();
-            let first = open.clone().find(|host| with_image[*host]);
-            let first_without = open.clone().find(|host| !with_image[*host]);
+            let with_image = holders.in_class(number);
+            let first = || open.clone().find(|host| holders.by_host[*host]);
+            let first = (with_image > 0).then(first).flatten();
+            let first_without = || open.clone().find(|host| !holders.by_host[*host]);
+            let all_with_image = with_image == class.members.len();
+            let first_without = (!all_with_image).then(first_without).flatten();
             let fetch = fetch_s(want, f64::from_bits(key.fetch_rate_bits));
             let candidate = |fetch| Candidate {
                 free: key.free,
@@ -211,6 +214,10 @@
             if let Ok(place) = members.binary_search(&host) {
                 members.remove(place);
             }
+            let holders = self.image_holders.values_mut();
+            for holders in holders.filter(|h| h.by_host[host]) {
+                holders.by_class[class] -= 1;
+            }
         }
         if self.hosts[host].held {
             return;
@@ -226,18 +233,68 @@
             members.insert(place, host);
         }
         self.class_of[host] = Some(class);
+        let holders = self.image_holders.values_mut();
+        for holders in holders.filter(|h| h.by_host[host]) {
+            holders.add_to_class(class);
+        }
     }
 
     fn note_image_holders(&mut self, image: u32) {
-        let hosts = &self.hosts;
-        let holders = || hosts.iter().map(|h| h.images.contains(&image)).collect();
-        self.with_image.entry(image).or_insert_with(holders);
+        if self.image_holders.contains_key(&image) {
+            return;
+        }
+        let by_host: Vec<bool> = self
+            .hosts
+            .iter()
+            .map(|h| h.images.contains(&image))
+            .collect();
+        let mut holders = ImageHolders {
+            by_host,
+            by_class: Vec::new(),
+        };
+        for (host, class) in self.class_of.iter().enumerate() {
+            if let Some(class) = class.filter(|_| holders.by_host[host]) {
+                holders.add_to_class(class);
+            }
+        }
+        self.image_holders.insert(image, holders);
     }
 
+    /// Notes that an image has come to a host, or is gone from it.
     fn mark_image(&mut self, image: u32, host: usize, there: bool) {
-        if let Some(holders) = self.with_image.get_mut(&image) {
-            holders[host] = there;
+        let class = self.class_of[host];
+        let Some(holders) = self.image_holders.get_mut(&image) else {
+            return;
+        };
+        if holders.by_host[host] == there {
+            return;
+        }
+        holders.by_host[host] = there;
+        match class {
+            Some(class) if there => holders.add_to_class(class),
+            Some(class) => holders.by_class[class] -= 1,
+            None => {}
+        }
+    }
+}
+
+/// The hosts that have an image.
+struct ImageHolders {
+    by_host: Vec<bool>,
+    /// How many of each class; those of classes behind its end: none.
+    by_class: Vec<usize>,
+}
+
+impl ImageHolders {
+    fn in_class(&self, class: usize) -> usize {
+        self.by_class.get(class).copied().unwrap_or(0)
+    }
+
+    fn add_to_class(&mut self, class: usize) {
+        if self.by_class.len() <= class {
+            self.by_class.resize(class + 1, 0);
         }
+        self.by_class[class] += 1;
     }
 }
 
--- a/crates/sched/src/score.rs
+++ b/crates/sched/src/score.rs
@@ -58,16 +58,28 @@
 
 /// Index of the candidate with the highest score; of equals, the first.
 pub fn choose(task: &Resources, candidates: &[Candidate], w: &Weights) -> Option<usize> {
-    let most = |f: fn(&Candidate) -> f64| candidates.iter().map(f).fold(0.0, f64::max);
+    choose_numbered(task, candidates.iter().copied().enumerate(), w)
+}
+
+/// The number of the candidate with the highest score; of equals, the lowest.
+pub fn choose_numbered(
+    task: &Resources,
+    candidates: impl Iterator<Item = (usize, Candidate)> + Clone,
+    w: &Weights,
+) -> Option<usize> {
+    let most = |f: fn(Candidate) -> f64| {
+        let all = candidates.clone().map(|(_, c)| f(c));
+        all.fold(0.0, f64::max)
+    };
     let (cost, latency) = (most(|c| c.cost), most(|c| c.latency));
     // A maximum of zero zeroes its term.
     let part = |x: f64, max: f64| if max > 0.0 { x / max } else { 0.0 };
     let mut best: Option<(usize, f64)> = None;
-    for (i, c) in candidates.iter().enumerate() {
+    for (i, c) in candidates {
         let score = w.fit * fit(task, &c.free)
             - w.cost * part(c.cost, cost)
             - w.latency * part(c.latency, latency);
-        if best.is_none_or(|(_, b)| score > b) {
+        if best.is_none_or(|(first, b)| score > b || (score == b && i < first)) {
             best = Some((i, score));
         }
     }
