--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -51,7 +51,7 @@
         // reclaimed at once. Their tasks fill spare places as soon as these are
         // free; when they counted as taken, machine after machine was rented.
         let (mut guests, mut wants): (Vec<PendingTasks>, Vec<PendingTasks>) =
-            wants.into_iter().partition(|w| w.is_guest_work);
+            wants.into_iter().partition(|w| w.standing.is_guest());
         let reclaimable = usable.iter().map(|id| self.reclaimable_on(ctx, id));
         let reclaimable: Vec<Resources> = reclaimable.collect();
         for (host, more) in hosts.iter_mut().zip(&reclaimable) {
@@ -184,7 +184,7 @@
             if held.get(&want.team).is_some_and(|s| s.concerns(&want.task)) {
                 continue;
             }
-            if want.reserves && !want.waiting.is_empty() {
+            if want.reservation.reserves() && !want.waiting.is_empty() {
                 let short = held.entry(want.team).or_default();
                 *short = short.or(&quotas[want.team].shortfall(&want.task));
             }
@@ -208,8 +208,8 @@
                     zones: (allowed.len() < zone_names.len()).then_some(allowed),
                     spot: want.spot,
                     spare: false,
-                    reclaims: want.reclaims_machines,
-                    borrows: want.borrows,
+                    reclaims: want.reclaim.reclaims_machines(),
+                    borrows: want.standing.borrows(),
                 },
             );
         }
--- a/crates/core/src/reclaim.rs
+++ b/crates/core/src/reclaim.rs
@@ -16,7 +16,7 @@
 use crate::rounds::is_usable;
 use crate::share::Share;
 use crate::Ms;
-use forkshift_sched::{Host, PendingTasks, Quota, Resources};
+use forkshift_sched::{Host, PendingTasks, Quota, Resources, Standing};
 use forkshift_wire::users::Priority;
 use forkshift_wire::{MachineId, TaskRef};
 use std::cmp::Reverse;
@@ -71,7 +71,7 @@
         usable: &[MachineId],
         quotas: &[Quota],
     ) {
-        let waits = |w: &&PendingTasks| w.reclaims && !w.waiting.is_empty();
+        let waits = |w: &&PendingTasks| w.reclaim.reclaims() && !w.waiting.is_empty();
         if !self.has_guests() || !wants.iter().any(|w| waits(&w)) {
             return;
         }
@@ -178,23 +178,14 @@
         ctx.cfg.has_guests && of_guest && job.priority() == Priority::Low
     }
 
-    /// Whether a job of a guest team is content with what others leave unused,
-    /// so that no ordinary machine is rented for it: it has begun, or came
-    /// lately, and there is time until it should be complete.
-    pub(crate) fn is_patient(&self, ctx: &Context, job: &Job) -> bool {
-        if !self.is_guest_work(ctx, job) {
-            return false;
+    /// Whether a job runs on what others leave unused, and whether it is content
+    /// with that, where machines boot for so long.
+    pub(crate) fn standing(&self, ctx: &Context, job: &Job, boot_ms: Ms) -> Standing {
+        match self.is_guest_work(ctx, job) {
+            true if is_patient(ctx, job, boot_ms) => Standing::PatientGuest,
+            true => Standing::Guest,
+            false => Standing::Ordinary,
         }
-        let spec = &job.spec;
-        let objective = ctx.cfg.finishes.get(&spec.class);
-        let by_objective = objective.map(|s| s * PATIENT_OBJECTIVE_PART);
-        let by_deadline = spec.deadline_s.map(|s| s * PATIENT_DEADLINE_PART);
-        let ends = by_objective.into_iter().chain(by_deadline);
-        let patience = ends.fold(f64::INFINITY, f64::min);
-        let age = job.age(ctx.now) as f64 / 1000.0;
-        let has_begun = !job.bound.is_empty() || job.done.len() > 0;
-        let boots = self.boot_ms() as f64 / 1000.0 * BEGIN_BOOTS;
-        age < patience && (has_begun || age < boots)
     }
 
     /// What could be reclaimed on a machine.
@@ -216,11 +207,11 @@
 
     /// Whether a machine is ordinary and runs nothing but work that is content
     /// with unused machines.
-    fn is_kept_by_guests(&self, ctx: &Context, machine: &Machine) -> bool {
+    fn is_kept_by_guests(&self, ctx: &Context, machine: &Machine, boot_ms: Ms) -> bool {
         let of_patient_guest = |task: &TaskRef| {
             let found = self.binding(task);
             found.is_some_and(|(job, binding)| {
-                self.is_reclaimable(ctx, job, binding) && self.is_patient(ctx, job)
+                self.is_reclaimable(ctx, job, binding) && is_patient(ctx, job, boot_ms)
             })
         };
         !machine.spot && !machine.tasks.is_empty() && machine.tasks.iter().all(of_patient_guest)
@@ -234,13 +225,14 @@
         if !self.has_guests() {
             return;
         }
+        let boot_ms = self.boot_ms();
         let unneeded = usable
             .iter()
             .zip(hosts)
             .filter(|(_, host)| host.free == host.total);
         let drained: Vec<MachineId> = unneeded
             .filter_map(|(id, _)| self.machines.get(id))
-            .filter(|machine| self.is_kept_by_guests(ctx, machine))
+            .filter(|machine| self.is_kept_by_guests(ctx, machine, boot_ms))
             .map(|machine| machine.id.clone())
             .take(DRAINED_MOST)
             .collect();
@@ -377,5 +369,21 @@
     want.task.fits(&free).then_some((lost, room.victims.len()))
 }
 
+/// Whether a guest's job is content with what others leave unused, so that no
+/// ordinary machine is rented for it: it has begun, or came lately, and there is
+/// time until it should be complete.
+fn is_patient(ctx: &Context, job: &Job, boot_ms: Ms) -> bool {
+    let spec = &job.spec;
+    let objective = ctx.cfg.finishes.get(&spec.class);
+    let by_objective = objective.map(|s| s * PATIENT_OBJECTIVE_PART);
+    let by_deadline = spec.deadline_s.map(|s| s * PATIENT_DEADLINE_PART);
+    let ends = by_objective.into_iter().chain(by_deadline);
+    let patience = ends.fold(f64::INFINITY, f64::min);
+    let age = job.age(ctx.now) as f64 / 1000.0;
+    let has_begun = !job.bound.is_empty() || job.done.len() > 0;
+    let boots = boot_ms as f64 / 1000.0 * BEGIN_BOOTS;
+    age < patience && (has_begun || age < boots)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -6,7 +6,7 @@
 use crate::share::Share;
 use crate::view::View;
 use crate::Ms;
-use forkshift_sched::{run_round, Host, PendingTasks, Resources};
+use forkshift_sched::{run_round, Host, PendingTasks, Reclaim, Reservation, Resources, Standing};
 use forkshift_wire::users::{JobKind, Priority};
 use forkshift_wire::{JobId, MachineId, TaskRef};
 use std::collections::{BTreeMap, BTreeSet};
@@ -186,22 +186,29 @@
         // hold does not. A whole team once waited for one job in vain.
         let at_once = if gang { waiting.len() as i64 } else { 1 };
         let need = facts.lasting[team] + job.task.times(at_once);
-        pending.reserves = aged && self.quotas[team].could_allow(&need, 1);
+        let reserves = aged && self.quotas[team].could_allow(&need, 1);
+        pending.reservation = match reserves {
+            true if job.may_keep_quota(ctx.now, facts.boot_ms) => Reservation::RoomAndQuota,
+            true => Reservation::Room,
+            false => Reservation::None,
+        };
         let guaranteed = self.quotas[team].guarantees(&job.task.times(waiting.len() as i64));
         pending.band = match behind {
             true => PROBE_BAND,
             false => band(job, guaranteed, aged),
         };
         let is_late = job.age(ctx.now) > crate::ms(ctx.cfg.ops.round_s * RECLAIM_ROUNDS);
-        pending.reclaims =
+        let reclaims =
             ctx.cfg.has_guests && !probed && (guaranteed || job.priority() >= Priority::High);
-        pending.reclaims_machines = pending.reclaims && is_late;
-        pending.is_guest_work = self.is_guest_work(ctx, job);
-        pending.borrows = self.is_patient(ctx, job);
+        pending.reclaim = match reclaims {
+            true if is_late => Reclaim::TasksAndMachines,
+            true => Reclaim::Tasks,
+            false => Reclaim::Nothing,
+        };
+        pending.standing = self.standing(ctx, job, facts.boot_ms);
         if aged {
             pending.waited_s = job.waiting_for(ctx.now) as f64 / 1000.0;
         }
-        pending.keeps_quota = pending.reserves && job.may_keep_quota(ctx.now, facts.boot_ms);
         pending.waiting = waiting;
         pending.avoid = hosts_to_avoid(ctx, job, facts);
         Some(pending)
@@ -302,12 +309,9 @@
         task: job.task,
         band: 0,
         waited_s: 0.0,
-        reserves: false,
-        reclaims: false,
-        reclaims_machines: false,
-        is_guest_work: false,
-        borrows: false,
-        keeps_quota: false,
+        reservation: Reservation::None,
+        reclaim: Reclaim::Nothing,
+        standing: Standing::Ordinary,
         lacks_room: false,
         waiting: Vec::new(),
         total: spec.tasks,
--- a/crates/sched/src/host_table/tests.rs
+++ b/crates/sched/src/host_table/tests.rs
@@ -2,6 +2,7 @@
 
 mod reference;
 
+use crate::claim::{Reclaim, Reservation, Standing};
 use crate::quota::Quota;
 use crate::resources::Resources;
 use crate::round::{run_round, Host, PendingTasks};
@@ -58,11 +59,16 @@
         any::<bool>(),
         btree_set(0..24_usize, 0..3),
     );
-    let rest = (0..3_u32, 0..TEAMS, any::<bool>(), any::<bool>(), 0..3_u32);
+    let reservation = prop_oneof![
+        Just(Reservation::None),
+        Just(Reservation::Room),
+        Just(Reservation::RoomAndQuota),
+    ];
+    let rest = (0..3_u32, 0..TEAMS, reservation, 0..3_u32);
     let want = (shape, place, rest).prop_map(|(shape, place, rest)| {
         let (cpus, gpus, tasks, gang, band) = shape;
         let (types, zone, one_zone, spread, spot, avoid) = place;
-        let (image, team, reserves, keeps_quota, estimate) = rest;
+        let (image, team, reservation, estimate) = rest;
         PendingTasks {
             task: Resources::new(cpus as f64, gpus as f64 * 0.5, 2.0),
             waiting: (0..tasks).collect(),
@@ -70,12 +76,9 @@
             gang,
             band,
             waited_s: 0.0,
-            reserves,
-            reclaims: false,
-            reclaims_machines: false,
-            is_guest_work: false,
-            borrows: false,
-            keeps_quota,
+            reservation,
+            reclaim: Reclaim::default(),
+            standing: Standing::default(),
             lacks_room: false,
             estimate: f64::from(estimate) * 10.0,
             team,
--- a/crates/sched/src/host_table/tests/reference.rs
+++ b/crates/sched/src/host_table/tests/reference.rs
@@ -1,5 +1,6 @@
 //! A round that looks at every host for every task: what grouping must agree with.
 
+use crate::claim::Reservation;
 use crate::quota::{Quota, Shortfall};
 use crate::resources::Resources;
 use crate::round::{Host, PendingTasks, Placement};
@@ -30,7 +31,7 @@
             placed.extend(place_gang(i, want, hosts, quotas, weights));
         }
         while !want.gang && place_next(i, want, hosts, quotas, weights, &mut placed) {}
-        if want.reserves && !want.waiting.is_empty() {
+        if want.reservation.reserves() && !want.waiting.is_empty() {
             let team = &mut quotas[want.team];
             let need = want.at_once();
             if !team.allows(&need) {
@@ -40,7 +41,7 @@
             }
             want.lacks_room = true;
             hold_host(want, hosts);
-            if want.keeps_quota {
+            if want.reservation == Reservation::RoomAndQuota {
                 team.used += need;
                 kept.push((want.team, need));
             }
--- a/crates/sched/src/lib.rs
+++ b/crates/sched/src/lib.rs
@@ -6,6 +6,7 @@
 //! fit minus cost minus latency, and every choice is booked locally before
 //! the next one is made.
 
+mod claim;
 mod host_table;
 pub mod provision;
 pub mod quota;
@@ -13,6 +14,7 @@
 pub mod round;
 pub mod score;
 
+pub use claim::{Reclaim, Reservation, Standing};
 pub use host_table::Requirement;
 pub use provision::{plan, Offer, Rental, Shape};
 pub use quota::{Quota, Shortfall};
--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -1,6 +1,7 @@
 //! A round: waiting tasks are placed greedily, longest first; among jobs that
 //! have waited long, the oldest first.
 
+use crate::claim::{Reclaim, Reservation, Standing};
 use crate::host_table::HostTable;
 use crate::quota::{Quota, Shortfall};
 use crate::resources::Resources;
@@ -50,21 +51,12 @@
     /// Seconds since the submission of a job that has waited long; 0 for all
     /// others, among which the longest estimate goes first.
     pub waited_s: f64,
-    /// It has waited for so long that nothing behind it may take what it
-    /// waits for: its team's quota, or a machine that could hold it.
-    pub reserves: bool,
-    /// May have borrowed resources given back to it: it lies within its
-    /// team's guarantee, or is urgent.
-    pub reclaims: bool,
-    /// It has waited, so whole machines of other shares may be given back too.
-    pub reclaims_machines: bool,
-    /// Low-priority work of a team without a guarantee.
-    pub is_guest_work: bool,
-    /// It uses what is there, and nothing is taken from others for it.
-    pub borrows: bool,
-    /// It reserves, and its team's quota is kept for it also while no machine
-    /// has room: those that it needs may be on their way.
-    pub keeps_quota: bool,
+    /// What it keeps from those behind it.
+    pub reservation: Reservation,
+    /// What borrowed resources may be given back to it.
+    pub reclaim: Reclaim,
+    /// Whether it runs on what others leave unused.
+    pub standing: Standing,
     /// Set by a round: it reserves, and machines are all that it lacks.
     pub lacks_room: bool,
     /// Predicted run time.
@@ -174,7 +166,7 @@
             placed.extend(place_gang(i, want, &mut table, quotas, weights));
         }
         while !want.gang && place_next(i, want, &mut table, quotas, weights, &mut placed) {}
-        if want.reserves && !want.waiting.is_empty() {
+        if want.reservation.reserves() && !want.waiting.is_empty() {
             let team = &mut quotas[want.team];
             let need = want.at_once();
             if !team.allows(&need) {
@@ -184,7 +176,7 @@
             }
             want.lacks_room = true;
             hold_host(want, &mut table);
-            if want.keeps_quota {
+            if want.reservation == Reservation::RoomAndQuota {
                 team.used += need;
                 kept.push((want.team, need));
             }
--- a/crates/sched/src/round/tests.rs
+++ b/crates/sched/src/round/tests.rs
@@ -25,12 +25,9 @@
         gang: false,
         band: 0,
         waited_s: 0.0,
-        reserves: false,
-        reclaims: false,
-        reclaims_machines: false,
-        is_guest_work: false,
-        borrows: false,
-        keeps_quota: false,
+        reservation: Reservation::None,
+        reclaim: Reclaim::Nothing,
+        standing: Standing::Ordinary,
         lacks_room: false,
         estimate: 10.0,
         team: 0,
@@ -161,7 +158,11 @@
     for (name, aged, limit, free, small) in cases {
         let mut wants = [want(1, 8.0), want(2, 2.0)];
         wants[0].band = 1;
-        wants[0].reserves = aged;
+        wants[0].reservation = if aged {
+            Reservation::Room
+        } else {
+            Reservation::None
+        };
         let mut hosts = [host(8.0, 0)];
         hosts[0].free.gpus = (free * 1000.0) as i64;
         let mut quotas = quota(limit);
@@ -186,8 +187,11 @@
         let mut wants = [want(3, 4.0), want(1, 4.0)];
         wants[0].gang = true;
         wants[0].band = 8;
-        wants[0].reserves = true;
-        wants[0].keeps_quota = keeps;
+        wants[0].reservation = if keeps {
+            Reservation::RoomAndQuota
+        } else {
+            Reservation::Room
+        };
         wants[0].types = Some(vec![0]);
         let mut other = host(4.0, 0);
         other.machine_type = 1;
@@ -250,7 +254,7 @@
     for (name, gpus, small) in cases {
         let mut wants = [want(1, 8.0), want(1, gpus)];
         wants[0].band = 1;
-        wants[0].reserves = true;
+        wants[0].reservation = Reservation::Room;
         wants[1].task.cpus = 1_000;
         let mut hosts = [host(8.0, 0)];
         hosts[0].total.cpus = 8_000;
@@ -269,7 +273,7 @@
     for (avoids, behind) in [(false, 0), (true, 1)] {
         let mut wants = [want(1, 8.0), want(1, 2.0)];
         wants[0].band = 1;
-        wants[0].reserves = true;
+        wants[0].reservation = Reservation::Room;
         let mut hosts = [host(8.0, 0)];
         hosts[0].free.gpus -= 1_000;
         if avoids {
