--- a/crates/core/src/fixture.rs
+++ b/crates/core/src/fixture.rs
@@ -315,3 +315,12 @@
         dependencies: Vec::new(),
     }
 }
+
+/// Tasks of a job that are to be stopped.
+pub(crate) fn stopped(f: &mut Fixture, id: &JobId) -> Vec<u32> {
+    let bound = f.share().jobs[id].bound.iter();
+    bound
+        .filter(|(_, b)| b.stop.is_some())
+        .map(|(index, _)| *index)
+        .collect()
+}
--- a/crates/core/src/preempt/tests.rs
+++ b/crates/core/src/preempt/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of `preempt`.
 
-use crate::fixture::{spec, team_of, Fixture, WALL};
+use crate::fixture::{spec, stopped, team_of, Fixture, WALL};
 use crate::job::Sent;
 use crate::node::Node;
 use forkshift_wire::users::{JobKind, JobSpec, Priority};
@@ -41,12 +41,6 @@
     (f, job)
 }
 
-fn stopped(f: &mut Fixture, id: &JobId) -> Vec<u32> {
-    let bound = f.share().jobs[id].bound.iter();
-    let stopped = bound.filter(|(_, b)| b.stop.is_some());
-    stopped.map(|(index, _)| *index).collect()
-}
-
 /// What is stopped for one waiting replica: as little as makes room, of those that
 /// ran for the shortest, and only low or normal work.
 #[test]
--- a/crates/core/src/reclaim/tests.rs
+++ b/crates/core/src/reclaim/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of `reclaim`.
 
 use super::*;
-use crate::fixture::{spec, Fixture, WALL};
+use crate::fixture::{spec, stopped, Fixture, WALL};
 use crate::io::Effect;
 use crate::node::Node;
 use crate::records::{machine_key, MachineRecord, ShareId};
@@ -55,14 +55,6 @@
     (f, guest)
 }
 
-fn stopped(f: &mut Fixture, id: &JobId) -> Vec<u32> {
-    let bound = f.share().jobs[id].bound.iter();
-    bound
-        .filter(|(_, b)| b.stop.is_some())
-        .map(|(index, _)| *index)
-        .collect()
-}
-
 /// Idle work of a team without a guarantee once kept jobs of all other teams
 /// waiting, as nothing but production work could take its place.
 #[test]
