--- a/crates/emulator/src/emulation.rs
+++ b/crates/emulator/src/emulation.rs
@@ -131,15 +131,24 @@
                     .event(&format!("{now_s:>4.0} s: {name} is killed"));
             }
             if let Some(workers) = kill.workers {
-                let which = Which::Some(workers);
-                let fault = FaultKind::Machines(which, MachineFault::Die);
-                self.bridge.with_world(|w| w.fault_now(fault));
-                let line = format!("{now_s:>4.0} s: {workers} workers are killed");
-                self.progress.event(&line);
+                self.kill_workers(now_s, Which::Some(workers), &format!("{workers} workers"));
+            }
+            if let Some(zone) = &kill.zone {
+                let machines = self.bridge.with_world(|w| w.machines_in(zone));
+                let what = format!("all {} workers of zone {zone}", machines.len());
+                self.kill_workers(now_s, Which::Named(machines), &what);
             }
         }
     }
 
+    /// Workers stop with their machines.
+    fn kill_workers(&self, now_s: f64, which: Which, what: &str) {
+        let fault = FaultKind::Machines(which, MachineFault::Die);
+        self.bridge.with_world(|w| w.fault_now(fault));
+        let line = format!("{now_s:>4.0} s: {what} are killed");
+        self.progress.event(&line);
+    }
+
     fn restart_due(&mut self, now_s: f64) -> Result<(), Failure> {
         for index in self.controllers.take_ended() {
             self.ended += 1;
--- a/crates/emulator/src/site.rs
+++ b/crates/emulator/src/site.rs
@@ -334,7 +334,7 @@
     }
 }
 
-/// Controllers or workers that are killed at a time.
+/// A controller or workers that are killed at a time: one of the three is named.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Kill {
@@ -344,6 +344,8 @@
     pub controller: Option<usize>,
     /// A number of workers, drawn at random, with their machines.
     pub workers: Option<usize>,
+    /// All workers of a zone, with their machines.
+    pub zone: Option<String>,
 }
 
 /// What the command line sets in place of the site file.
--- a/crates/emulator/src/site/check.rs
+++ b/crates/emulator/src/site/check.rs
@@ -143,8 +143,17 @@
 fn check_kills(site: &Site) -> Result<(), BadSite> {
     for (i, kill) in site.kills.iter().enumerate() {
         let path = format!("kills[{i}]");
-        if kill.controller.is_some() == kill.workers.is_some() {
-            return Err(wrong(path, "must name either `controller` or `workers`"));
+        let named = [
+            kill.controller.is_some(),
+            kill.workers.is_some(),
+            kill.zone.is_some(),
+        ];
+        if named.into_iter().filter(|is_named| *is_named).count() != 1 {
+            let problem = "must name one of `controller`, `workers` and `zone`";
+            return Err(wrong(path, problem));
+        }
+        if kill.zone.as_ref().is_some_and(|z| !site.zones.contains(z)) {
+            return Err(wrong(format!("{path}.zone"), "names no zone"));
         }
         if kill.controller.is_some_and(|n| n >= site.controllers.count) {
             let field = format!("{path}.controller");
--- a/crates/emulator/src/site/tests.rs
+++ b/crates/emulator/src/site/tests.rs
@@ -36,6 +36,8 @@
         ),
         ("controller = 1", "controller = 3", "`kills[0].controller`"),
         ("workers = 2", "", "`kills[1]`"),
+        ("workers = 2", "zone = \"x\"", "`kills[1].zone`"),
+        ("workers = 2", "workers = 2\nzone = \"a\"", "`kills[1]`"),
         (
             "kind = \"gang\"",
             "kind = \"gong\"",
--- a/crates/testkit/src/world/inject.rs
+++ b/crates/testkit/src/world/inject.rs
@@ -57,6 +57,12 @@
         self.state.value(&key)?.get("epoch")?.as_u64()
     }
 
+    /// The machines of a zone that are up.
+    pub fn machines_in(&self, zone: &str) -> Vec<MachineId> {
+        let all = self.workers.values().filter(|w| w.zone == zone);
+        all.map(|w| w.id.clone()).collect()
+    }
+
     /// The machines that are meant and are up.
     pub fn machines_of(&self, which: &Which) -> Vec<MachineId> {
         let held = |w: &Worker, who: usize| {
