--- a/crates/core/src/node/holdings/tests.rs
+++ b/crates/core/src/node/holdings/tests.rs
@@ -13,8 +13,8 @@
 
 /// A controller that has handed a share over sees it as its own until the watch
 /// shows otherwise, and takes a new epoch for it. On loopback that request failed
-/// 75 times and was refused 250 times within one pause of the watch, with all the
-/// changes that the service takes.
+/// 75 times and was refused 250 times after one kill, and used up the changes that
+/// all controllers may make.
 #[test]
 fn a_handover_waits_until_its_answer_is_seen() {
     let mut f = Fixture::new();
