--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -66,7 +66,7 @@
     pub duration_s: f64,
     /// Length of the part that was measured, in seconds.
     pub measured_s: f64,
-    /// Rules that were broken: which, when, and how.
+    /// Rules that were broken, the first twenty: which, when, and how.
     pub rules_broken: Vec<String>,
     /// Workers that were up at the end.
     pub workers: u64,
