--- a/crates/emulator/src/site/tests.rs
+++ b/crates/emulator/src/site/tests.rs
@@ -19,8 +19,8 @@
 #[test]
 fn wrong_fields_are_named() {
     let cases = [
-        ("duration_s = 60.0", "duration_s = 0.0", "`duration_s`"),
-        ("duration_s = 60.0", "duration_s = 1e9", "`duration_s`"),
+        ("duration_s = 48.0", "duration_s = 0.0", "`duration_s`"),
+        ("duration_s = 48.0", "duration_s = 1e9", "`duration_s`"),
         ("warmup_s = 10.0", "warmup_s = 80.0", "`warmup_s`"),
         ("warmup_s = 10.0", "warmup = 10.0", "unknown field `warmup`"),
         ("lease_s = 10.0", "", "missing field `lease_s`"),
@@ -61,7 +61,7 @@
         starts_per_s: Some(50.0),
         teams: Some(2),
         seed: Some(9),
-        duration_s: Some(120.0),
+        duration_s: Some(96.0),
         controllers: Some(5),
     };
     let site = site.with(&overrides).expect("good");
