Testkit: in real time the checker looks every half second, wherever steps end

Cause, found by reading: what must not last (tasks of cancelled jobs, questions without an answer, jobs that wait though there is room) was looked at where a step ended at a multiple of 500 or 2,000 ms. Steps of the emulator end anywhere, so it looked a few times more seldom. Starts, places, quotas and answers were checked at each event all along.

Change: it looks when a step has come to another multiple. Test: a cancelled task is seen within half a second and a step, for steps of 20 to 990 ms.

--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -41,6 +41,10 @@
 
 /// Time passes in steps of this.
 const STEP: Ms = 10;
+/// The checker looks at what must not last this often.
+const CHECK_EVERY: Ms = 500;
+/// Jobs that wait though there is room are looked for this often.
+const LOOK_FOR_WAITING_EVERY: Ms = 2_000;
 /// A controller that nothing wakes looks at the clock this often.
 const IDLE: Ms = 50;
 /// Time of day when the world begins.
@@ -147,6 +151,8 @@
 pub struct World {
     size: Size,
     now: Ms,
+    /// The time of the step before.
+    before: Ms,
     rng: StdRng,
     hosts: Vec<Host>,
     state: State<Origin>,
@@ -252,6 +258,7 @@
         faults.sort_by_key(|f| f.at);
         let mut world = Self {
             now: 0,
+            before: 0,
             rng: StdRng::seed_from_u64(seed),
             hosts: Vec::new(),
             state: State::new(size.rps, size.write_rps, services.sizes, services.model),
@@ -340,11 +347,23 @@
     /// Plays until a time.
     pub fn run_until(&mut self, end: Ms) {
         while self.now < end {
-            self.now += STEP;
-            self.step();
+            self.step_to(self.now + STEP);
         }
     }
 
+    /// Lets one step pass, until a time.
+    fn step_to(&mut self, time: Ms) {
+        self.before = self.now;
+        self.now = time;
+        self.step();
+    }
+
+    /// Whether the present step has come to another multiple of a period. Steps in
+    /// real time pass over most multiples without ending at them.
+    fn comes_to_multiple_of(&self, period: Ms) -> bool {
+        self.now / period > self.before / period
+    }
+
     fn step(&mut self) {
         self.release_kept();
         while self.faults.first().is_some_and(|f| f.at <= self.now) {
@@ -383,7 +402,7 @@
         for n in 0..self.hosts.len() {
             self.step_node(n);
         }
-        if self.now.is_multiple_of(500) {
+        if self.comes_to_multiple_of(CHECK_EVERY) {
             let calm = match self.faults.is_empty() && self.now >= self.troubled_until {
                 true => Calm::Since(self.troubled_until),
                 false => Calm::Not,
@@ -394,7 +413,7 @@
             let expired = expired.map(|w| w.id.clone()).collect();
             self.check.tick(self.now, &expired);
         }
-        if self.now.is_multiple_of(2_000) {
+        if self.comes_to_multiple_of(LOOK_FOR_WAITING_EVERY) {
             self.look_for_waiting();
         }
     }
--- a/crates/testkit/src/world/odd.rs
+++ b/crates/testkit/src/world/odd.rs
@@ -33,6 +33,8 @@
     sent: Ms,
 }
 
+/// Odd requests come this often while they last.
+const ODD_EVERY: Ms = 200;
 /// How long a user waits for an answer.
 const PATIENCE: Ms = 5_000;
 const LOOK_PATIENCE: Ms = 2_000;
@@ -195,7 +197,7 @@
                 self.look_closely(&id, after);
             }
         }
-        if self.troubles.odd_requests > self.now && self.now.is_multiple_of(200) {
+        if self.troubles.odd_requests > self.now && self.comes_to_multiple_of(ODD_EVERY) {
             self.ask_oddly();
         }
     }
--- a/crates/testkit/src/world/remote.rs
+++ b/crates/testkit/src/world/remote.rs
@@ -85,8 +85,7 @@
     pub fn advance_to(&mut self, time: Ms, longest: Ms) {
         while self.now + STEP <= time {
             let next = (self.now + longest.max(STEP)).min(time);
-            self.now = next - next % STEP;
-            self.step();
+            self.step_to(next - next % STEP);
         }
     }
 
--- a/crates/testkit/tests/hollow_workers.rs
+++ b/crates/testkit/tests/hollow_workers.rs
@@ -2,9 +2,9 @@
 //! tables: when they report, to whom, and which answers and commands count.
 
 use forkshift_testkit::{
-    Asker, BootModel, Deployment, Fleet, MachineChange, Outgoing, Plan, Service, Size, World,
+    Asker, BootModel, Deployment, Fleet, MachineChange, Outgoing, Plan, Rule, Service, Size, World,
 };
-use forkshift_wire::users::JobKind;
+use forkshift_wire::users::{JobKind, JobStage};
 use forkshift_wire::workers::{Report, TaskStage};
 use forkshift_wire::MachineId;
 use serde_json::{json, Value};
@@ -243,3 +243,36 @@
     let stages: Vec<TaskStage> = last.report.tasks.iter().map(|t| t.stage).collect();
     assert_eq!(stages, [TaskStage::Fetching]);
 }
+
+/// Steps of a world in real time end anywhere, and the checker looks all the same: at
+/// first it did so only where a step happened to end at a multiple of half a second.
+#[test]
+fn the_checker_looks_however_long_the_steps_are() {
+    for step in [20, 70, 130, 990] {
+        let mut scene = Scene::new();
+        let start = json!({"baton": 1, "watch": 1, "orders": [
+            {"verb": "start", "shift": "j-0/0", "try": 1}]});
+        assert_eq!(scene.command("/commands", &start).0, 200);
+        scene.world.advance_to(scene.world.now() + 3_000, step);
+        assert_eq!(scene.world.check.tasks_on_machines(), 1, "step {step}");
+        let (id, now) = (forkshift_testkit::job_id(0), scene.world.now());
+        scene.world.check.asked_cancel(&id);
+        let told = Some(JobStage::Cancelled);
+        scene.world.check.answered(now, &id, false, 200, told);
+        // The lease is lost before that, if nobody answers its reports.
+        let mut broken_at = None;
+        while broken_at.is_none() && scene.world.now() < now + 40_000 {
+            scene.world.advance_to(scene.world.now() + step, step);
+            for request in scene.world.take_requests() {
+                let body = json!({"baton": 1, "orders": []}).to_string().into_bytes();
+                scene.world.deliver(request.asker, 200, body);
+            }
+            let broken = scene.world.check.broken.first();
+            broken_at = broken.map(|(rule, at, _)| (*rule, *at));
+        }
+        let (rule, at) = broken_at.expect("the task is still there");
+        assert_eq!(rule, Rule::RanCancelled, "step {step}");
+        let late = at - now - Size::default().cancel_ms;
+        assert!(late <= 500 + step, "step {step}: seen {late} ms late");
+    }
+}
