--- a/crates/testkit/src/world/waiting.rs
+++ b/crates/testkit/src/world/waiting.rs
@@ -7,7 +7,7 @@
 use forkshift_wire::workers::TaskStage;
 use forkshift_wire::JobId;
 use std::cell::OnceCell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// A machine that may take tasks, and what is free on it.
 struct FreeRoom<'a> {
@@ -31,6 +31,8 @@
             }
         }
         let rooms: OnceCell<Vec<FreeRoom>> = OnceCell::new();
+        // Thousands may wait for the same while a fleet is large.
+        let mut known: HashMap<String, bool> = HashMap::new();
         let mut found = Vec::new();
         for user in &self.users {
             let s = &user.plan.spec;
@@ -45,7 +47,10 @@
             }
             let has = !somewhere.contains(&s.id)
                 && self.under_limit(s, used.get(s.team.as_str()).copied().unwrap_or_default())
-                && has_room(rooms.get_or_init(|| self.free_rooms()), s);
+                && *known.entry(room_needed(s)).or_insert_with(|| {
+                    let rooms = rooms.get_or_init(|| self.free_rooms());
+                    has_room(rooms, s)
+                });
             found.push((s.id.clone(), has));
         }
         for (id, has_room) in found {
@@ -97,6 +102,13 @@
     }
 }
 
+/// All of a job that decides whether there is room for it.
+fn room_needed(s: &JobSpec) -> String {
+    let resources = (s.cpus, s.gpus, s.memory_gb);
+    let place = (&s.types, &s.zone, s.spot, s.spread, s.one_zone);
+    format!("{:?}", (World::needed(s), s.tasks, resources, place))
+}
+
 /// Whether what a job needs at once has room.
 fn has_room(rooms: &[FreeRoom], s: &JobSpec) -> bool {
     let fits = |room: &&FreeRoom| {
