--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -9,6 +9,7 @@
 use crate::context::Context;
 use crate::job::{Job, Sent};
 use crate::machine::Machine;
+use crate::reclaim::Victim;
 use crate::share::Share;
 use crate::Ms;
 use forkshift_sched::{PendingTasks, Quota, Requirement, Resources};
@@ -22,14 +23,6 @@
 /// The part of a boot that an urgent service waits first.
 const URGENT_BOOTS: f64 = 0.25;
 
-/// A task that may be stopped.
-struct Victim {
-    task: TaskRef,
-    resources: Resources,
-    /// Run time that is lost with it.
-    lost: Ms,
-}
-
 /// A machine on which there is something to be stopped.
 struct Room<'a> {
     machine: &'a Machine,
--- a/crates/core/src/reclaim.rs
+++ b/crates/core/src/reclaim.rs
@@ -34,12 +34,14 @@
 /// One of which no task has started waits for no more than this many boots.
 const BEGIN_BOOTS: f64 = 2.0;
 
-/// A task that may be stopped so that its resources are given back.
-struct Victim {
-    task: TaskRef,
-    resources: Resources,
+/// A task that may be stopped to make room for another.
+pub(crate) struct Victim {
+    /// Which.
+    pub(crate) task: TaskRef,
+    /// What it uses.
+    pub(crate) resources: Resources,
     /// Run time that is lost with it.
-    lost: Ms,
+    pub(crate) lost: Ms,
 }
 
 /// What a machine has free, and what could be freed there.
--- a/crates/emulator/src/bridge.rs
+++ b/crates/emulator/src/bridge.rs
@@ -193,14 +193,10 @@
                 let addr: Option<SocketAddr> = addresses::worker(&id).parse().ok();
                 let service = Service::Worker(id.clone());
                 let server = addr.map(|addr| self.serve(addr, service, WORKER_CONNECTIONS));
-                let server = match server {
-                    Some(Err(e)) => {
-                        log::error!("{id} can't be reached: {e}");
-                        None
-                    }
-                    Some(Ok(task)) => Some(task),
-                    None => None,
-                };
+                let server = server.transpose().unwrap_or_else(|e| {
+                    log::error!("{id} can't be reached: {e}");
+                    None
+                });
                 let worker = HollowWorker {
                     client: Rc::new(client(1, 1)),
                     node: 0,
--- a/crates/emulator/src/emulation.rs
+++ b/crates/emulator/src/emulation.rs
@@ -158,10 +158,9 @@
             let back_s = now_s + self.site.controllers.restart_s;
             self.restarts.push((back_s, index));
         }
-        let due = |(at, _): &(f64, usize)| *at <= now_s;
-        let (due, later) = self.restarts.drain(..).partition(due);
+        let is_due = |(at, _): &(f64, usize)| *at <= now_s;
+        let (due, later): (Vec<_>, Vec<_>) = self.restarts.drain(..).partition(is_due);
         self.restarts = later;
-        let due: Vec<(f64, usize)> = due;
         for (_, index) in due {
             self.controllers.start(index)?;
             let name = controller_name(index);
--- a/crates/sched/src/host_table.rs
+++ b/crates/sched/src/host_table.rs
@@ -8,7 +8,7 @@
 
 use crate::resources::Resources;
 use crate::round::{Host, PendingTasks};
-use crate::score::{choose_numbered, Candidate, Weights};
+use crate::score::{choose, Candidate, Weights};
 use rustc_hash::{FxHashMap, FxHashSet};
 
 /// Most zones whose bits fit into a mask; with more, nothing is remembered.
@@ -143,7 +143,7 @@
             self.hopeless.extend(requirement.filter(|_| lasts));
             return None;
         }
-        choose_numbered(&want.task, found.into_iter(), weights)
+        choose(&want.task, found.into_iter(), weights)
     }
 
     /// The first host of each class that may take a task, with the image and
--- a/crates/sched/src/host_table/tests/reference.rs
+++ b/crates/sched/src/host_table/tests/reference.rs
@@ -128,7 +128,7 @@
             latency: host.delay + fetch,
         });
     }
-    let chosen = index[choose(&want.task, &candidates, weights)?];
+    let chosen = index[choose(&want.task, candidates.into_iter().enumerate(), weights)?];
     let host = &mut hosts[chosen];
     host.free -= want.task;
     host.images.insert(want.image);
--- a/crates/sched/src/score.rs
+++ b/crates/sched/src/score.rs
@@ -56,13 +56,8 @@
     }
 }
 
-/// Index of the candidate with the highest score; of equals, the first.
-pub fn choose(task: &Resources, candidates: &[Candidate], w: &Weights) -> Option<usize> {
-    choose_numbered(task, candidates.iter().copied().enumerate(), w)
-}
-
 /// The number of the candidate with the highest score; of equals, the lowest.
-pub fn choose_numbered(
+pub fn choose(
     task: &Resources,
     candidates: impl Iterator<Item = (usize, Candidate)> + Clone,
     w: &Weights,
--- a/crates/sched/src/score/tests.rs
+++ b/crates/sched/src/score/tests.rs
@@ -43,7 +43,11 @@
         ),
     ];
     for (name, candidates, expected) in cases {
-        assert_eq!(choose(&task, &candidates, &w), expected, "{name}");
+        assert_eq!(
+            choose(&task, candidates.iter().copied().enumerate(), &w),
+            expected,
+            "{name}"
+        );
     }
 }
 
--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -187,11 +187,14 @@
         }
         let bare = path.split('?').next().unwrap_or_default();
         let parts: Vec<&str> = bare.trim_start_matches('/').split('/').collect();
-        let txn: Option<Txn> = match parts.as_slice() {
-            ["txn"] => serde_json::from_slice(body).ok(),
+        let txn: Option<serde_json::Result<Txn>> = match parts.as_slice() {
+            ["txn"] => Some(serde_json::from_slice(body)),
             _ => None,
         };
-        let writes = txn.map_or(0, |t| t.writes.len()) as f64;
+        let writes = match &txn {
+            Some(Ok(txn)) => txn.writes.len() as f64,
+            _ => 0.0,
+        };
         let within = self.requests_limit.allows(now, 1.0) && self.writes_limit.allows(now, writes);
         self.over_limit.0 += u64::from(!within);
         self.over_limit.1 += 1;
@@ -205,9 +208,10 @@
                 self.too_large += 1;
                 (400, json!({"error": "too large"}))
             }
-            ("POST", ["txn"]) => match serde_json::from_slice(body) {
-                Ok(txn) => self.txn(txn),
-                Err(e) => (400, json!({"error": e.to_string()})),
+            ("POST", ["txn"]) => match txn {
+                Some(Ok(txn)) => self.txn(txn),
+                Some(Err(e)) => (400, json!({"error": e.to_string()})),
+                None => (400, json!({"error": "malformed"})),
             },
             ("POST", ["grants"]) => {
                 let body: Value = serde_json::from_slice(body).unwrap_or_default();
