Bounds are ratios to memory, sockets and message size; what overflows is refused or logged

Need: the operators run 4,000 machines. Remembered jobs (4,000), forwarded requests (256), messages to a peer (128), shapes in a demand (24), machines named in a heartbeat (100) and an answer of 4 MiB were numbers of their own. Found on the way: a forwarded request too many was dropped without a word, the rest of a demand beyond 24 shapes was never told of, a cancelled array on more than 100 machines left a holder's successor without any statement, and zones were numbered together with images and cut to 16 bits: after 65,536 images a new zone or machine type would have been taken for another one.

Change: `core/src/bounds.rs` holds all of them as parts of the memory, the sockets or a message. A forwarded request too many gets 503 at once and is dealt with by whoever passed it on; a message to the leader is cut to the most urgent part; what goes beyond is counted and logged every ten seconds. `core/src/names.rs` numbers places and images apart, and forgets images that nothing has any more.

--- a/crates/core/src/attestation.rs
+++ b/crates/core/src/attestation.rs
@@ -17,6 +17,7 @@
 
 use crate::context::Context;
 use crate::node::Node;
+use crate::overflow::Overflow;
 use crate::records::ShareId;
 use crate::share::{Phase, Share};
 use crate::view::View;
@@ -25,9 +26,8 @@
 use forkshift_wire::{MachineId, NodeName};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A share with more machines than this that may hold a cancelled task makes
-/// no statement about any: heartbeats stay small.
-const UNSETTLED_MOST: usize = 100;
+/// Bytes of a machine's name in a heartbeat, beside the name itself.
+const NAME_LENGTH_BYTES: usize = 4;
 
 /// A controller that was heard.
 #[derive(Clone, Copy, Debug)]
@@ -141,14 +141,32 @@
     }
 
     fn settled(&self) -> Option<Settled> {
-        let unsettled = self.unsettled();
-        (self.phase == Phase::Active && unsettled.len() <= UNSETTLED_MOST).then(|| Settled {
+        (self.phase == Phase::Active).then(|| Settled {
             share: self.id.0,
-            unsettled: unsettled.iter().map(ToString::to_string).collect(),
+            unsettled: self.unsettled().iter().map(ToString::to_string).collect(),
         })
     }
 }
 
+/// Keeps the statements that have room in a heartbeat, the shortest first. A share
+/// whose statement has none makes no statement about any of its machines. Returns
+/// how many were left out.
+fn keep_what_fits(settled: &mut Vec<Settled>, mut room: usize) -> usize {
+    let bytes = |s: &Settled| -> usize {
+        let names = s.unsettled.iter();
+        names.map(|name| name.len() + NAME_LENGTH_BYTES).sum()
+    };
+    let all = settled.len();
+    settled.sort_by_key(|s| (bytes(s), s.share));
+    settled.retain(|s| {
+        let fits = bytes(s) <= room;
+        room = room.saturating_sub(bytes(s));
+        fits
+    });
+    settled.sort_by_key(|s| s.share);
+    all - settled.len()
+}
+
 impl View {
     /// The epochs that were seen; none while the view is not complete.
     fn epochs(&self) -> Option<Vec<(u32, u64)>> {
@@ -179,7 +197,11 @@
         let shares = self.shares.values().filter(|_| entitled);
         let refused_for = self.ctx.store.out_since();
         let refused_for = refused_for.map(|t| self.ctx.now.saturating_sub(t));
-        let settled: Vec<Settled> = shares.filter_map(Share::settled).collect();
+        let mut settled: Vec<Settled> = shares.filter_map(Share::settled).collect();
+        if keep_what_fits(&mut settled, cfg.bounds.list_bytes) > 0 {
+            let now = self.ctx.now;
+            self.ctx.overflows.note(now, Overflow::UnsettledMachines);
+        }
         for node in cfg.nodes.iter().filter(|n| **n != cfg.node) {
             let peer = self.ctx.peers.get(node);
             let echo = peer.and_then(|p| p.sent.map(|sent| Echo { inc: p.inc, sent }));
--- a/crates/core/src/attestation/tests.rs
+++ b/crates/core/src/attestation/tests.rs
@@ -329,3 +329,58 @@
     }
     assert!(cfg.bridge_ms() + cfg.lease_ms * 2 < cfg.cancel_ms);
 }
+
+fn unsettled(share: u32, machines: usize) -> Settled {
+    let names = (0..machines).map(|n| format!("host-{n:06}"));
+    Settled {
+        share,
+        unsettled: names.collect(),
+    }
+}
+
+/// A share with more than a hundred machines that might hold a cancelled task once
+/// made no statement: one array cancelled on a large fleet was enough, and a holder
+/// that took the share over then could not vouch for any of its machines.
+#[test]
+fn statements_are_left_out_only_where_a_heartbeat_has_no_room() {
+    let name = "host-000000".len() + NAME_LENGTH_BYTES;
+    let cases: [(usize, &[usize], &[u32]); 6] = [
+        (100, &[100], &[0]),
+        (100, &[101], &[]),
+        (4_000, &[4_000], &[0]),
+        (100, &[60, 40], &[0, 1]),
+        (100, &[60, 41], &[1]),
+        (100, &[101, 0, 30], &[1, 2]),
+    ];
+    for (room, machines, kept) in cases {
+        let shares = machines.iter().enumerate();
+        let mut settled: Vec<Settled> = shares.map(|(k, n)| unsettled(k as u32, *n)).collect();
+        let left_out = keep_what_fits(&mut settled, room * name);
+        let shares: Vec<u32> = settled.iter().map(|s| s.share).collect();
+        assert_eq!(shares, kept, "{machines:?} with room for {room}");
+        assert_eq!(left_out, machines.len() - kept.len());
+    }
+}
+
+/// The longest list of names still leaves room for the rest of a heartbeat.
+#[test]
+fn a_heartbeat_that_names_as_many_machines_as_it_may_can_be_sent() {
+    let room = Settings::parse(SETTINGS).map(|s| crate::Bounds::new(&s).list_bytes);
+    let machines = room.expect("the example is good") / ("host-000000".len() + NAME_LENGTH_BYTES);
+    assert!(machines >= 4_000, "{machines} machines");
+    let body = Body::Heartbeat(Heartbeat {
+        sent: u64::MAX,
+        echo: Some(Echo { inc: 1, sent: 2 }),
+        epochs: Some((0..64).map(|k| (k, u64::MAX)).collect()),
+        refused_for: Some(1),
+        settled: vec![unsettled(0, machines)],
+    });
+    let envelope = forkshift_wire::peer::Envelope {
+        version: body.version(),
+        from: "berth-0".to_owned(),
+        inc: 1,
+        epoch: 1,
+        body,
+    };
+    assert!(envelope.encode().is_ok());
+}
--- /dev/null
+++ b/crates/core/src/bounds/tests.rs
@@ -0,0 +1,84 @@
+use super::*;
+use forkshift_wire::MachineId;
+
+const SETTINGS: &str = include_str!("../../../../examples/settings.toml");
+
+/// Settings of a controller with such limits and so many peers.
+fn settings(memory_mb: f64, sockets: usize, peers: usize) -> Settings {
+    let mut settings = Settings::parse(SETTINGS).expect("the example is good");
+    settings.cluster.limits.memory_mb = memory_mb;
+    settings.cluster.limits.sockets = sockets;
+    for n in 0..peers {
+        settings.peers.push(forkshift_wire::settings::Peer {
+            node: forkshift_wire::NodeName::new(&format!("peer-{n}")),
+            zone: String::new(),
+            addr: settings.listen,
+        });
+    }
+    settings
+}
+
+/// Every bound is a ratio to a setting: with twice as much it is twice as large.
+#[test]
+fn bounds_grow_with_the_settings() {
+    let small = Bounds::new(&settings(100.0, 1_000, 4));
+    let large = Bounds::new(&settings(200.0, 2_000, 4));
+    let cases = [
+        (small.connections, large.connections, 600),
+        (small.kept_connections, large.kept_connections, 300),
+        (small.idle_connections, large.idle_connections, 100),
+        (small.worker_calls, large.worker_calls, 150),
+        (small.forwarded_requests, large.forwarded_requests, 600),
+        (small.remembered_jobs, large.remembered_jobs, 10_240),
+        (small.image_names, large.image_names, 20_480),
+        (small.peer_queue_bytes, large.peer_queue_bytes, 1_310_720),
+        (
+            small.answer_bytes as usize,
+            large.answer_bytes as usize,
+            10_485_760,
+        ),
+    ];
+    for (n, (small, large, expected)) in cases.into_iter().enumerate() {
+        assert_eq!(small, expected, "case {n}");
+        assert_eq!(large, expected * 2, "case {n}");
+    }
+}
+
+#[test]
+fn the_smallest_controller_still_has_room_for_one_of_each() {
+    let bounds = Bounds::new(&settings(0.001, 32, 64));
+    assert!(bounds.remembered_jobs >= 1 && bounds.image_names >= 1);
+    assert!(bounds.worker_calls >= 1 && bounds.forwarded_requests >= 1);
+    assert_eq!(bounds.peer_queue_bytes, MESSAGE_MOST, "any one message");
+    assert_eq!(bounds.answer_bytes, ANSWER_LEAST, "any page");
+}
+
+/// The names of all machines of a share must have room in a message, whoever
+/// holds the whole fleet.
+#[test]
+fn a_message_names_four_thousand_machines() {
+    let bounds = Bounds::new(&settings(40.0, 600, 4));
+    let names = (0..4_000).map(|n| MachineId::new(&format!("host-{n:06}")));
+    let names: Vec<String> = names.map(|id| id.to_string()).collect();
+    let in_json = serde_json::to_vec(&names).unwrap().len();
+    let in_heartbeat: usize = names.iter().map(|name| name.len() + 4).sum();
+    assert!(in_json <= bounds.list_bytes, "{in_json} bytes");
+    assert!(in_heartbeat <= bounds.list_bytes, "{in_heartbeat} bytes");
+    assert!(bounds.list_bytes < MESSAGE_MOST);
+}
+
+#[test]
+fn a_part_of_the_machines_is_never_less_than_asked_for() {
+    let cases = [
+        (0, 3),
+        (3, 3),
+        (191, 3),
+        (192, 3),
+        (255, 3),
+        (256, 4),
+        (4_000, 62),
+    ];
+    for (machines, expected) in cases {
+        assert_eq!(part_of_machines(machines, 64, 3), expected, "{machines}");
+    }
+}
--- a/crates/core/src/commands.rs
+++ b/crates/core/src/commands.rs
@@ -25,7 +25,7 @@
         };
         let any = m.push || !m.tasks.is_empty() || !m.exited.is_empty() || !m.orphans.is_empty();
         // What finds no free call is tried again soon: it is busy (`is_busy`).
-        let full = ctx.worker_calls >= ctx.cfg.calls_most;
+        let full = ctx.worker_calls >= ctx.cfg.bounds.worker_calls;
         if m.calling || m.addr.is_none() || ctx.now < m.retry_at || !any || full {
             return;
         }
--- a/crates/core/src/commands/tests.rs
+++ b/crates/core/src/commands/tests.rs
@@ -111,3 +111,23 @@
         assert_eq!(n, forgets, "calling: {calling}, unanswered: {unanswered}");
     }
 }
+
+/// The commands of one call, and of the next one once it was answered.
+#[test]
+fn commands_beyond_one_call_go_out_with_the_next() {
+    let most = COMMANDS_MOST as u32;
+    for (tasks, first, second) in [(most, most, 0), (most + 1, most, 1)] {
+        let mut f = Fixture::new();
+        let id = f.job("j-1", JobKind::Service, tasks);
+        for index in 0..tasks {
+            f.bind(&id, index, Sent::No);
+        }
+        assert_eq!(sent(&f.step(1)).len() as u32, first, "{tasks} tasks");
+        let token = f.token();
+        let started: Vec<_> = (0..first).map(|i| (&id, i, TaskStage::Running)).collect();
+        let report = to_value(f.message(1, token, &started)).expect("a report");
+        let mut effects = f.answer(is_call, 200, &report);
+        effects.extend(f.step(1));
+        assert_eq!(sent(&effects).len() as u32, second, "{tasks} tasks");
+    }
+}
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -1,5 +1,6 @@
 //! What a controller is told before it starts.
 
+use crate::bounds::Bounds;
 use crate::format::FormatVersion;
 use crate::records::ShareId;
 use crate::Ms;
@@ -143,16 +144,12 @@
     pub cloud_rps: f64,
     /// Lag of the cloud's machine list.
     pub list_lag_ms: Ms,
-    /// Calls to workers that may be under way at a time.
-    pub calls_most: usize,
+    /// What may be held and sent.
+    pub bounds: Bounds,
     /// The operators' own settings.
     pub ops: Operator,
 }
 
-/// The part of the sockets that calls to workers may take at a time: whoever
-/// takes over tells its token to a whole fleet at once.
-const CALLS_PART: f64 = 0.15;
-
 /// The part of the time for a cancellation that is kept for drift and late timers.
 const LATE_PART: f64 = 0.01;
 
@@ -192,7 +189,7 @@
             format: FormatVersion::CURRENT,
             cloud_rps: c.cloud.rps,
             list_lag_ms: ms(c.cloud.list_lag_s),
-            calls_most: (c.limits.sockets as f64 * CALLS_PART).max(1.0) as usize,
+            bounds: Bounds::new(settings),
             ops,
         }
     }
--- a/crates/core/src/context.rs
+++ b/crates/core/src/context.rs
@@ -6,6 +6,8 @@
 use crate::failure_detector::FailureDetector;
 use crate::format::FormatVersion;
 use crate::io::{CallId, Effect, Reply, RequestId, Target, REMOTE};
+use crate::names::{ImageNames, PlaceNames};
+use crate::overflow::OverflowLog;
 use crate::pending::Pending;
 use crate::records::{DemandRecord, ShareId};
 use crate::store::{StateCall, Store, Urgency};
@@ -73,8 +75,11 @@
     /// Machines, jobs and tasks looked at: the work of a step, counted.
     pub(crate) visits: u64,
     next_call: CallId,
-    interned: HashMap<String, u32>,
-    names: Vec<String>,
+    /// Numbers of machine types and zones.
+    pub(crate) places: PlaceNames,
+    /// Numbers of images.
+    pub(crate) images: ImageNames,
+    pub(crate) overflows: OverflowLog,
 }
 
 /// A request that another controller has passed on.
@@ -95,6 +100,7 @@
     /// The context of a controller that starts.
     pub(crate) fn new(cfg: Rc<Config>, inc: u64, seed: u64) -> Self {
         let n = cfg.nodes.len() as f64;
+        let image_names = cfg.bounds.image_names;
         Self {
             now: 0,
             wall: 0,
@@ -119,8 +125,9 @@
             worker_calls: 0,
             visits: 0,
             next_call: 0,
-            interned: HashMap::new(),
-            names: Vec::new(),
+            places: PlaceNames::default(),
+            images: ImageNames::new(image_names),
+            overflows: OverflowLog::default(),
         }
     }
 
@@ -135,22 +142,6 @@
         self.wall.saturating_sub(wall) + self.cfg.clock_off_ms * 2
     }
 
-    /// A number that stands for a name within this process.
-    pub(crate) fn intern(&mut self, name: &str) -> u32 {
-        if let Some(n) = self.interned.get(name) {
-            return *n;
-        }
-        let n = self.interned.len() as u32;
-        self.interned.insert(name.to_owned(), n);
-        self.names.push(name.to_owned());
-        n
-    }
-
-    /// The name that a number stands for.
-    pub(crate) fn name_of(&self, n: u32) -> Option<String> {
-        self.names.get(n as usize).cloned()
-    }
-
     /// Tells another controller something that it will learn anyway.
     pub(crate) fn tell(&mut self, node: &NodeName, epoch: u64, body: Body) {
         let envelope = Envelope {
@@ -165,7 +156,7 @@
                 node: node.clone(),
                 message,
             }),
-            Err(e) => log::debug!("not told to {node}: {e}"),
+            Err(e) => log::error!("not told to {node}: {e}"),
         }
     }
 
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -3,6 +3,7 @@
 
 use crate::context::Context;
 use crate::machine::Machine;
+use crate::overflow::Overflow;
 use crate::pending::Pending;
 use crate::records::{demand_key, share_key, total_of, DemandRecord, ShapeRecord};
 use crate::rounds::{host, names};
@@ -18,9 +19,6 @@
 use serde_json::to_value;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Most shapes in the unmet demand of a share.
-const SHAPES_MOST: usize = 24;
-
 /// A running task that should end within this many boots leaves a spare place.
 const SOON_BOOTS: f64 = 0.8;
 
@@ -80,7 +78,6 @@
         }
         run_round(&mut guests, &mut hosts, &mut quotas, &weights);
         shapes.extend(self.shapes_of(ctx, view, &guests, &mut quotas));
-        shapes.truncate(SHAPES_MOST);
         self.note_idle(ctx, usable, &hosts);
         // A missing spare place fits on no machine that is here, or it
         // would have been booked there; only what waits speaks against it.
@@ -176,7 +173,7 @@
         let zone_names: BTreeMap<u16, String> = view
             .zones()
             .into_iter()
-            .map(|z| (ctx.intern(z) as u16, z.to_owned()))
+            .map(|z| (ctx.places.number(z), z.to_owned()))
             .collect();
         let mut held: BTreeMap<usize, Shortfall> = BTreeMap::new();
         for want in wants {
@@ -213,7 +210,6 @@
                 },
             );
         }
-        shapes.truncate(SHAPES_MOST);
         shapes
     }
 
@@ -228,8 +224,8 @@
                 hosts.push(Host {
                     free: total_of(t),
                     total: total_of(t),
-                    machine_type: ctx.intern(&intent.machine_type) as u16,
-                    zone: ctx.intern(&intent.zone) as u16,
+                    machine_type: ctx.places.number(&intent.machine_type),
+                    zone: ctx.places.number(&intent.zone),
                     spot: intent.spot,
                     price: t.price / 3600.0,
                     fetch_rate: t.fetch_gb_per_s,
@@ -339,9 +335,13 @@
             ctx.unmet_demand.push((self.id, self.epoch, rec.clone()));
             return;
         }
+        let cut = rec.clone().cut_to(ctx.cfg.bounds.list_bytes);
+        if !cut.is_like(rec) {
+            ctx.overflows.note(ctx.now, Overflow::Demand);
+        }
         let body = Body::Demand {
             share: self.id.0,
-            demand: serde_json::to_string(rec).unwrap_or_default(),
+            demand: serde_json::to_string(&cut).unwrap_or_default(),
         };
         ctx.tell(&leader.node, self.epoch, body);
     }
@@ -403,7 +403,7 @@
 
 fn type_names(ctx: &mut Context, view: &View) -> BTreeMap<u16, String> {
     let types = view.types.keys();
-    types.map(|t| (ctx.intern(t) as u16, t.clone())).collect()
+    types.map(|t| (ctx.places.number(t), t.clone())).collect()
 }
 
 fn coming(free: Resources, m: &Machine, now: Ms) -> Host {
--- a/crates/core/src/failure_detector.rs
+++ b/crates/core/src/failure_detector.rs
@@ -152,8 +152,8 @@
             |n: u32, all: u32, part: f64| all >= LEAST && f64::from(n) >= part * f64::from(all);
         let blind = self.ctx.entitled && most(silent, all, BLIND_PART);
         let kept = |zone: u16| {
-            let name = self.ctx.name_of(zone.into()).unwrap_or_default();
-            cfg.kept_in_cut(&name) >= KEPT_LEAST
+            let name = self.ctx.places.name(zone).unwrap_or_default();
+            cfg.kept_in_cut(name) >= KEPT_LEAST
         };
         let cut = zones
             .into_iter()
--- a/crates/core/src/forward.rs
+++ b/crates/core/src/forward.rs
@@ -10,6 +10,7 @@
 use crate::api::status;
 use crate::io::{Reply, RequestId};
 use crate::node::Node;
+use crate::overflow::Overflow;
 use crate::Ms;
 use forkshift_wire::peer::Body;
 use forkshift_wire::users::JobStatus;
@@ -21,8 +22,6 @@
 const WRITE_MS: Ms = 1_500;
 /// Pause after another controller was found to be refused as well.
 const OUT_MS: Ms = 1_000;
-/// Requests of other controllers that wait here for an answer, at most.
-const REMOTE_MOST: usize = 256;
 
 /// A request that was passed on.
 pub(crate) struct Forward {
@@ -115,10 +114,17 @@
         path: &str,
         body: Option<Vec<u8>>,
     ) {
-        if self.ctx.remote.len() >= REMOTE_MOST || !path.starts_with("/submissions") {
+        if !path.starts_with("/submissions") {
             return;
         }
+        let is_full = self.ctx.remote.len() >= self.ctx.cfg.bounds.forwarded_requests;
         let request = self.ctx.remote_request(from, inc, ask);
+        if is_full {
+            // Whoever passed it on deals with it, and need not wait to do so.
+            let now = self.ctx.now;
+            self.ctx.overflows.note(now, Overflow::ForwardedRequests);
+            return self.ctx.respond(request, Reply::later("too many requests"));
+        }
         self.on_request(request, method, path, body);
     }
 
@@ -176,3 +182,6 @@
         self.serve_here(request, &method, &path, body);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/known_jobs.rs
+++ b/crates/core/src/known_jobs.rs
@@ -4,25 +4,24 @@
 use forkshift_wire::JobId;
 use std::collections::{HashMap, VecDeque};
 
-/// Most jobs that are remembered.
-const KNOWN_MOST: usize = 4_000;
-
 /// Something that is known of jobs, of as many as are worth remembering.
 pub(crate) struct Known<T> {
+    /// Most jobs that are remembered.
+    most: usize,
     of: HashMap<JobId, T>,
     order: VecDeque<JobId>,
 }
 
-impl<T> Default for Known<T> {
-    fn default() -> Self {
+impl<T: Copy> Known<T> {
+    /// Remembers up to `most` jobs.
+    pub(crate) fn new(most: usize) -> Self {
         Self {
+            most,
             of: HashMap::new(),
             order: VecDeque::new(),
         }
     }
-}
 
-impl<T: Copy> Known<T> {
     /// Notes something, and forgets the oldest if there is too much. Returns
     /// whether nothing was known of the job.
     pub(crate) fn insert(&mut self, id: JobId, what: T) -> bool {
@@ -30,7 +29,7 @@
         if is_new {
             self.order.push_back(id);
         }
-        while self.order.len() > KNOWN_MOST {
+        while self.order.len() > self.most {
             if let Some(old) = self.order.pop_front() {
                 self.of.remove(&old);
             }
@@ -54,13 +53,20 @@
 }
 
 /// Final stages of jobs, as they are recorded.
-#[derive(Default)]
 pub(crate) struct Finals {
     stages: Known<JobStage>,
     news: Vec<FinalStage>,
 }
 
 impl Finals {
+    /// Remembers the final stages of up to `most` jobs.
+    pub(crate) fn new(most: usize) -> Self {
+        Self {
+            stages: Known::new(most),
+            news: Vec::new(),
+        }
+    }
+
     /// A final stage was read, or was told by another controller.
     pub(crate) fn insert(&mut self, id: JobId, stage: JobStage) {
         self.note(id, stage, false);
@@ -87,3 +93,6 @@
         std::mem::take(&mut self.news)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/core/src/names/tests.rs
@@ -0,0 +1,61 @@
+use super::{ImageNames, PlaceNames};
+use std::collections::BTreeSet;
+
+/// Numbers of zones were once counted together with those of images and cut to 16
+/// bits: after 65,536 images a new zone was taken for one of the first ones.
+#[test]
+fn many_images_leave_the_numbers_of_places_alone() {
+    let mut images = ImageNames::new(usize::MAX);
+    let mut places = PlaceNames::default();
+    let first = places.number("a");
+    for n in 0..70_000 {
+        assert_eq!(images.number(&format!("img-{n}")), n);
+    }
+    let second = places.number("b");
+    assert_ne!(first, second);
+    assert_eq!(places.name(second), Some("b"));
+    assert_eq!(places.number("a"), first);
+}
+
+#[test]
+fn places_beyond_the_last_number_are_nowhere_and_known_ones_stay() {
+    let mut places = PlaceNames::default();
+    let last = PlaceNames::NOWHERE - 1;
+    for n in 0..=last {
+        assert_eq!(places.number(&format!("z-{n}")), n);
+    }
+    assert_eq!(places.number("one too many"), PlaceNames::NOWHERE);
+    assert_eq!(places.name(PlaceNames::NOWHERE), None);
+    assert_eq!(places.number(&format!("z-{last}")), last);
+    assert_eq!(places.number("z-0"), 0);
+}
+
+#[test]
+fn images_out_of_use_are_forgotten_and_their_numbers_are_not_used_again() {
+    let mut images = ImageNames::new(3);
+    for n in 0..3 {
+        images.number(&format!("img-{n}"));
+    }
+    assert!(!images.are_many());
+    images.number("img-3");
+    assert!(images.are_many());
+    images.keep(&BTreeSet::from([1]));
+    assert!(!images.are_many());
+    assert_eq!(images.name(1), Some("img-1"));
+    assert_eq!(images.name(0), None);
+    assert_eq!(images.number("img-1"), 1);
+    assert_eq!(images.number("img-0"), 4);
+}
+
+#[test]
+fn images_that_are_all_in_use_are_looked_at_again_only_when_there_are_twice_as_many() {
+    let mut images = ImageNames::new(2);
+    let used: BTreeSet<u32> = (0..3).map(|n| images.number(&format!("img-{n}"))).collect();
+    images.keep(&used);
+    for n in 3..6 {
+        images.number(&format!("img-{n}"));
+        assert!(!images.are_many());
+    }
+    images.number("img-6");
+    assert!(images.are_many());
+}
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -21,7 +21,7 @@
 use crate::Ms;
 use forkshift_wire::state::Item;
 use forkshift_wire::JobId;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
 /// A controller.
@@ -71,6 +71,7 @@
     /// differ from that of every other start.
     pub fn new(cfg: Config, inc: u64, seed: u64) -> Self {
         let cfg = Rc::new(cfg);
+        let remembered_jobs = cfg.bounds.remembered_jobs;
         Self {
             leader: Leader::new(cfg.cloud_rps),
             ctx: Context::new(cfg, inc, seed),
@@ -79,8 +80,8 @@
             budget: Budget::default(),
             shares: BTreeMap::new(),
             used: BTreeMap::new(),
-            finals: Finals::default(),
-            homes: Known::default(),
+            finals: Finals::new(remembered_jobs),
+            homes: Known::new(remembered_jobs),
             dependencies: DependencyTracker::default(),
             admissions: BTreeMap::new(),
             forwards: BTreeMap::new(),
@@ -170,6 +171,7 @@
         self.reopen_watches();
         self.follow_view();
         self.follow_format();
+        self.forget_images();
         self.run_failure_detector();
         let machines = self.view.take_changed();
         self.leader.tick(&mut self.ctx, &self.view, &machines);
@@ -227,6 +229,21 @@
         }
     }
 
+    /// Forgets names of images that no job and no machine here has any more: users
+    /// name new ones for as long as the process lives.
+    fn forget_images(&mut self) {
+        if !self.ctx.images.are_many() {
+            return;
+        }
+        let mut used = BTreeSet::new();
+        for share in self.shares.values() {
+            used.extend(share.jobs.values().map(|job| job.image));
+            let machines = share.machines.values();
+            used.extend(machines.flat_map(|m| m.images.iter().map(|(image, _)| *image)));
+        }
+        self.ctx.images.keep(&used);
+    }
+
     fn log_status(&mut self) {
         if self.ctx.now < self.status_at {
             return;
--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -321,7 +321,7 @@
         image: job.image,
         image_gb: spec.image_gb,
         types: names(ctx, spec.types.as_deref()),
-        zone: spec.zone.as_ref().map(|z| ctx.intern(z) as u16),
+        zone: spec.zone.as_ref().map(|z| ctx.places.number(z)),
         one_zone: spec.one_zone,
         spread: spec.spread,
         spot: spec.spot,
@@ -331,7 +331,7 @@
 }
 
 pub(crate) fn names(ctx: &mut Context, types: Option<&[String]>) -> Option<Vec<u16>> {
-    types.map(|t| t.iter().map(|name| ctx.intern(name) as u16).collect())
+    types.map(|t| t.iter().map(|name| ctx.places.number(name)).collect())
 }
 
 /// Whether a job has waited for so long that it goes before all others.
--- a/crates/core/src/share/jobs.rs
+++ b/crates/core/src/share/jobs.rs
@@ -26,7 +26,7 @@
         if over || self.jobs.contains_key(&spec.id) || !self.teams.contains_key(&spec.team) {
             return;
         }
-        let image = ctx.intern(&spec.image);
+        let image = ctx.images.number(&spec.image);
         if self.counting_since.is_some() {
             self.count_arrival(&spec, ctx.now);
         }
--- a/crates/core/src/share/machines.rs
+++ b/crates/core/src/share/machines.rs
@@ -72,8 +72,8 @@
         };
         Some(Machine {
             id: id.clone(),
-            machine_type: ctx.intern(&rec.machine_type) as u16,
-            zone: ctx.intern(&rec.zone) as u16,
+            machine_type: ctx.places.number(&rec.machine_type),
+            zone: ctx.places.number(&rec.zone),
             spot: rec.spot,
             total: total_of(of_type),
             price: hourly / 3600.0,
@@ -105,7 +105,7 @@
             images: rec
                 .images
                 .iter()
-                .map(|(name, gb)| (ctx.intern(name), *gb))
+                .map(|(name, gb)| (ctx.images.number(name), *gb))
                 .collect(),
             failures: MachineFailures::default(),
             full_until: 0,
@@ -183,7 +183,7 @@
         let images = self.machines.get(id).map(|m| m.images.as_slice());
         let images = images.unwrap_or_default().iter();
         let mut names: Vec<(String, f64)> = images
-            .filter_map(|(i, gb)| Some((ctx.name_of(*i)?, *gb)))
+            .filter_map(|(i, gb)| Some((ctx.images.name(*i)?.to_owned(), *gb)))
             .collect();
         // They save fetches, and nothing rests on them.
         let most = ctx.limits.value_bytes / 2;
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -22,22 +22,12 @@
 
 /// The largest body of a request.
 const BODY_MOST: usize = 64 * 1024;
-/// The largest answer that a call may have: lists of changes have no limit,
-/// but beyond this they are read again instead.
-const ANSWER_MOST: u64 = 4 * 1024 * 1024;
 /// How long the owner waits for inputs before it looks at the clock.
 const TICK: Duration = Duration::from_millis(50);
 /// A connection on which nothing moves for this long is closed.
 const IDLE: Duration = Duration::from_secs(30);
 /// Time for the body of a request.
 const READ: Duration = Duration::from_secs(5);
-/// The part of the sockets that may be taken from outside; the rest is for
-/// our own calls.
-const INCOMING_PART: f64 = 0.6;
-/// The part beyond which connections from outside are not kept open.
-const ROOMY_PART: f64 = 0.3;
-/// The part that may be kept open to workers and services while idle.
-const IDLE_PART: f64 = 0.1;
 
 /// How often the times of spans are logged.
 const SPANS_EVERY: Duration = Duration::from_secs(10);
@@ -50,13 +40,13 @@
     let peer_listener = TcpListener::bind(settings.peer_listen)?;
     let ex: Executor = Rc::new(LocalExecutor::new());
     let mut rng = rand::rng();
+    let bounds = config.bounds;
     let node = Node::new(config, rng.random_range(1..1 << 52), rng.random());
     let (sender, receiver) = async_channel::unbounded();
     let waiting: Waiting = Rc::default();
-    let sockets = settings.cluster.limits.sockets as f64;
     let limits = ServerLimits {
-        connections: (sockets * INCOMING_PART) as usize,
-        roomy: (sockets * ROOMY_PART) as usize,
+        connections: bounds.connections,
+        roomy: bounds.kept_connections,
         body: BODY_MOST,
         idle: IDLE,
         read: READ,
@@ -70,7 +60,12 @@
         forkshift_net::listen(ex.clone(), peer_listener, connections, MESSAGE_MOST, take);
     ex.spawn(listening).detach();
     let links = settings.peers.iter();
-    let links = links.map(|p| (p.node.clone(), PeerLink::new(&ex, p.addr)));
+    let links = links.map(|p| {
+        (
+            p.node.clone(),
+            PeerLink::new(&ex, p.addr, bounds.peer_queue_bytes),
+        )
+    });
     let handler = handler(sender.clone(), waiting.clone());
     ex.spawn(forkshift_net::serve(ex.clone(), listener, limits, handler))
         .detach();
@@ -80,9 +75,9 @@
         ex: ex.clone(),
         client: Rc::new(Client::new(ClientLimits {
             per_host: 8,
-            idle: (sockets * IDLE_PART) as usize,
+            idle: bounds.idle_connections,
             keep: Duration::from_secs(20),
-            largest: ANSWER_MOST,
+            largest: bounds.answer_bytes,
         })),
         state: settings.services.state,
         cloud: settings.services.cloud,
--- a/crates/sched/src/host_table/tests.rs
+++ b/crates/sched/src/host_table/tests.rs
@@ -2,6 +2,7 @@
 
 mod reference;
 
+use super::ZONES_MOST;
 use crate::claim::{Reclaim, Reservation, Standing};
 use crate::quota::Quota;
 use crate::resources::Resources;
@@ -159,3 +160,58 @@
         prop_assert_eq!(format!("{quotas_a:?}"), format!("{quotas_b:?}"));
     }
 }
+
+/// What found no host is remembered by a bit for each zone. With one zone more than
+/// there are bits nothing is remembered, and the choices stay the same.
+#[test]
+fn more_zones_than_bits_change_no_choice() {
+    for zones in [ZONES_MOST as u16, ZONES_MOST as u16 + 1] {
+        let total = Resources::new(8.0, 0.0, 32.0);
+        let host = |zone| Host {
+            free: total,
+            total,
+            machine_type: 0,
+            zone,
+            spot: false,
+            price: 1.0,
+            fetch_rate: 1.0,
+            images: BTreeSet::new(),
+            held: false,
+            delay: 0.0,
+        };
+        let want = |zone: Option<u16>, tasks: u32| PendingTasks {
+            task: Resources::new(5.0, 0.0, 2.0),
+            waiting: (0..tasks).collect(),
+            total: tasks,
+            gang: false,
+            band: 0,
+            waited_s: 0.0,
+            reservation: Reservation::None,
+            reclaim: Reclaim::default(),
+            standing: Standing::default(),
+            lacks_room: false,
+            estimate: 1.0,
+            team: 0,
+            image: 0,
+            image_gb: 0.0,
+            types: None,
+            zone,
+            one_zone: false,
+            spread: false,
+            spot: false,
+            zones: BTreeMap::new(),
+            avoid: BTreeSet::new(),
+        };
+        // Two for the last zone, where one fits, and more for all than there are.
+        let wants = vec![want(Some(zones - 1), 2), want(None, u32::from(zones) + 3)];
+        let hosts: Vec<Host> = (0..zones).map(host).collect();
+        let (mut grouped, mut scanned) = (hosts.clone(), hosts);
+        let (mut wants_a, mut wants_b) = (wants.clone(), wants);
+        let mut quotas = vec![Quota::default()];
+        let placed = run_round(&mut wants_a, &mut grouped, &mut quotas, &WEIGHTS);
+        let mut quotas = vec![Quota::default()];
+        let expected = reference::run_round(&mut wants_b, &mut scanned, &mut quotas, &WEIGHTS);
+        assert_eq!(placed, expected, "{zones} zones");
+        assert_eq!(placed.len(), usize::from(zones), "{zones} zones");
+    }
+}
