Draining, guests' machines and offers: so many at a time as the share is large

Need: three machines drained, four emptied of guests' work and sixteen offered at a time, one move every two rounds, whatever a share holds: a share of 800 machines takes ten times as long as one of 80 to give back what it does not need.

Change: one in 64 (16 for offers) of the share's machines, at least as many as before; choices and moves one in 256 a step. `choose_drain` is split into what wastes, what fits elsewhere and what is chosen.

--- a/crates/core/src/drain.rs
+++ b/crates/core/src/drain.rs
@@ -4,6 +4,7 @@
 //! of them is never idle by itself. A replica is moved when it finds a place
 //! at once where its image is; whatever completes by itself is waited for.
 
+use crate::bounds::part_of_machines;
 use crate::context::Context;
 use crate::job::Job;
 use crate::records::total_of;
@@ -26,10 +27,13 @@
 /// A replica is moved only to where its image is, or is fetched within this
 /// many reports.
 const FETCH_REPORTS: f64 = 1.0;
-/// Machines that are drained at a time.
-const DRAINING_MOST: usize = 3;
+/// One in so many machines of a share is drained at a time, and at least three.
+const DRAINING_PART: usize = 64;
+const DRAINING_LEAST: usize = 3;
 /// One in so many machines is tried in a round: each try goes over all of them.
 const TRIES_PART: usize = 16;
+/// One in so many machines is chosen, and has a replica moved, at a time.
+const STEP_PART: usize = 256;
 /// Rounds between two moves: each takes a replica down for about a second.
 const MOVE_ROUNDS: f64 = 2.0;
 /// Pause between two machines, in boots.
@@ -64,21 +68,27 @@
             .filter(|m| m.draining && m.condemned.is_none())
             .map(|m| m.id.clone())
             .collect();
-        if draining.len() < DRAINING_MOST {
-            self.choose_drain(ctx, usable, hosts, &places);
-        }
+        let most = self.at_a_time(DRAINING_PART, DRAINING_LEAST);
+        let more = most.saturating_sub(draining.len());
+        self.choose_drains(ctx, usable, hosts, &places, more);
         let pause = crate::ms(ctx.cfg.ops.round_s * MOVE_ROUNDS);
         if ctx.now < self.moved_at + pause {
             return;
         }
+        let mut moves = self.at_a_time(STEP_PART, 1);
         for id in draining {
-            if self.move_one(ctx, &id, hosts, &places) {
+            if moves > 0 && self.move_one(ctx, &id, hosts, &places) {
                 self.moved_at = ctx.now;
-                return;
+                moves -= 1;
             }
         }
     }
 
+    /// One in so many of the share's machines.
+    fn at_a_time(&self, part: usize, least: usize) -> usize {
+        part_of_machines(self.machines.len(), part, least)
+    }
+
     pub(crate) fn stop_draining(&mut self, id: &MachineId) {
         if let Some(machine) = self.machines.get_mut(id) {
             log::info!("machine {id}: needed again");
@@ -111,62 +121,84 @@
         worths
     }
 
-    fn choose_drain(
+    /// Chooses machines to be drained, up to `most`, if it is time to.
+    fn choose_drains(
         &mut self,
         ctx: &mut Context,
         usable: &[MachineId],
         hosts: &mut [Host],
         places: &Places,
+        most: usize,
     ) {
         let boot_ms = self.boot_ms();
         let pause = (boot_ms as f64 * PAUSE_BOOTS) as Ms;
         if ctx.now < self.drained_at + pause || ctx.now < self.active_since + boot_ms {
             return;
         }
-        let mut candidates: Vec<(f64, usize)> = usable
-            .iter()
-            .enumerate()
-            .filter_map(|(i, id)| {
-                let m = self.machines.get(id)?;
-                let worth_it = !m.tasks.is_empty() && places.worth[i] <= WORTH_MOST;
-                let old = ctx.now > m.since + boot_ms * 2;
-                (worth_it && old && ctx.now >= m.full_house_until)
-                    .then_some((m.price * (1.0 - places.worth[i]), i))
-            })
-            .collect();
-        candidates.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let tries = (hosts.len() / TRIES_PART).max(DRAINING_MOST);
-        for (_, i) in candidates.into_iter().take(tries) {
-            let tasks: Vec<TaskRef> = self.machines[&usable[i]].tasks.iter().cloned().collect();
-            let free = std::mem::take(&mut hosts[i].free);
-            let from = hosts[i].price;
-            let mut booked = Vec::new();
-            let fits = tasks.iter().all(|t| {
-                let place = self.fits_elsewhere(ctx, t, hosts, from, places);
-                booked.extend(place);
-                place.is_some()
-            });
-            if !fits {
-                hosts[i].free = free;
-                for (host, task) in booked {
-                    hosts[host].free += task;
-                }
-                if let Some(m) = self.machines.get_mut(&usable[i]) {
-                    m.full_house_until = ctx.now + pause;
+        let mut left = most.min(self.at_a_time(STEP_PART, 1));
+        let tries = (hosts.len() / TRIES_PART).max(DRAINING_LEAST);
+        for host in self.wasteful(ctx, usable, places).into_iter().take(tries) {
+            if left == 0 {
+                return;
+            }
+            let id = &usable[host];
+            if !self.book_elsewhere(ctx, id, host, hosts, places) {
+                if let Some(machine) = self.machines.get_mut(id) {
+                    machine.full_house_until = ctx.now + pause;
                 }
                 continue;
             }
-            log::info!(
-                "machine {}: to be drained, {} tasks",
-                usable[i],
-                tasks.len()
-            );
             self.drained_at = ctx.now;
-            if let Some(m) = self.machines.get_mut(&usable[i]) {
-                m.draining = true;
+            left -= 1;
+            if let Some(machine) = self.machines.get_mut(id) {
+                log::info!("machine {id}: to be drained, {} tasks", machine.tasks.len());
+                machine.draining = true;
+            }
+        }
+    }
+
+    /// Machines that are worth draining, as indices of hosts, the one that wastes most
+    /// first.
+    fn wasteful(&self, ctx: &Context, usable: &[MachineId], places: &Places) -> Vec<usize> {
+        let boot_ms = self.boot_ms();
+        let waste_of = |(host, id): (usize, &MachineId)| {
+            let machine = self.machines.get(id)?;
+            let worth_it = !machine.tasks.is_empty() && places.worth[host] <= WORTH_MOST;
+            let is_old = ctx.now > machine.since + boot_ms * 2;
+            (worth_it && is_old && ctx.now >= machine.full_house_until)
+                .then_some((machine.price * (1.0 - places.worth[host]), host))
+        };
+        let mut candidates: Vec<(f64, usize)> =
+            usable.iter().enumerate().filter_map(waste_of).collect();
+        candidates.sort_by(|a, b| b.0.total_cmp(&a.0));
+        candidates.into_iter().map(|(_, host)| host).collect()
+    }
+
+    /// Books places on other machines for all tasks of one, or for none. Returns
+    /// whether all have one.
+    fn book_elsewhere(
+        &self,
+        ctx: &mut Context,
+        id: &MachineId,
+        host: usize,
+        hosts: &mut [Host],
+        places: &Places,
+    ) -> bool {
+        let free = std::mem::take(&mut hosts[host].free);
+        let price = hosts[host].price;
+        let mut booked = Vec::new();
+        let all_fit = self.machines[id].tasks.iter().all(|task| {
+            let place = self.fits_elsewhere(ctx, task, hosts, price, places);
+            booked.extend(place);
+            place.is_some()
+        });
+        if !all_fit {
+            hosts[host].free = free;
+            for (host, task) in booked {
+                hosts[host].free += task;
             }
-            return;
         }
+        all_fit
     }
 
     /// Books a place for one task of another machine, and says where and how much.
--- a/crates/core/src/reclaim.rs
+++ b/crates/core/src/reclaim.rs
@@ -10,6 +10,7 @@
 //! Teams that have a guarantee keep what they use beyond it: tried on them as
 //! well, this cost batch work that had no checkpoints more than others won.
 
+use crate::bounds::part_of_machines;
 use crate::context::Context;
 use crate::job::{Binding, Job, Sent};
 use crate::machine::Machine;
@@ -22,15 +23,18 @@
 use std::cmp::Reverse;
 use std::collections::BTreeSet;
 
-/// Most machines that a share offers to others at a time.
-const OFFERED_MOST: usize = 16;
+/// One in so many machines of a share is offered to others at a time, at least sixteen.
+const OFFERED_PART: usize = 16;
+const OFFERED_LEAST: usize = 16;
 /// A guest's job is content with unused machines for this part of the time in
 /// which its class should finish, or of its own deadline. With a quarter of the
 /// former, a huge array of short tasks came too late.
 const PATIENT_OBJECTIVE_PART: f64 = 0.1;
 const PATIENT_DEADLINE_PART: f64 = 0.5;
-/// Most machines that are drained of guests' work in a round.
-const DRAINED_MOST: usize = 4;
+/// One in so many machines of a share is drained of guests' work in a round, at least
+/// four.
+const DRAINED_PART: usize = 64;
+const DRAINED_LEAST: usize = 4;
 /// One of which no task has started waits for no more than this many boots.
 const BEGIN_BOOTS: f64 = 2.0;
 
@@ -228,6 +232,7 @@
             return;
         }
         let boot_ms = self.boot_ms();
+        let most = part_of_machines(self.machines.len(), DRAINED_PART, DRAINED_LEAST);
         let unneeded = usable
             .iter()
             .zip(hosts)
@@ -236,7 +241,7 @@
             .filter_map(|(id, _)| self.machines.get(id))
             .filter(|machine| self.is_kept_by_guests(ctx, machine, boot_ms))
             .map(|machine| machine.id.clone())
-            .take(DRAINED_MOST)
+            .take(most)
             .collect();
         for id in drained {
             log::info!("machine {id}: to be drained, only guests use it");
@@ -261,7 +266,8 @@
             .filter_map(|m| Some((self.lost_if_given_away(ctx, m)?, &m.id)))
             .collect();
         offered.sort();
-        offered.truncate(OFFERED_MOST);
+        let most = part_of_machines(self.machines.len(), OFFERED_PART, OFFERED_LEAST);
+        offered.truncate(most);
         offered.into_iter().map(|(_, id)| id.clone()).collect()
     }
 
