Rounds look at as many tasks of a job as could be recorded until the next, not at 256

Cause: the unmet demand saw 256 waiting tasks of a job, whatever could be had. As these are booked on machines that boot, an array of thousands was given machines for 256 tasks a boot: at 4,000 machines that is a limit far below the fleet.

Change: the tasks that a controller can record within a round (values of the state service by its changes a second, an even part), at least 256. Placing one by one no longer shifts the list of what waits for each task.

--- a/crates/core/src/attestation/tests.rs
+++ b/crates/core/src/attestation/tests.rs
@@ -365,7 +365,7 @@
 /// The longest list of names still leaves room for the rest of a heartbeat.
 #[test]
 fn a_heartbeat_that_names_as_many_machines_as_it_may_can_be_sent() {
-    let room = Settings::parse(SETTINGS).map(|s| crate::Bounds::new(&s).list_bytes);
+    let room = Settings::parse(SETTINGS).map(|s| crate::Bounds::new(&s, 1.0).list_bytes);
     let machines = room.expect("the example is good") / ("host-000000".len() + NAME_LENGTH_BYTES);
     assert!(machines >= 4_000, "{machines} machines");
     let body = Body::Heartbeat(Heartbeat {
--- a/crates/core/src/bounds.rs
+++ b/crates/core/src/bounds.rs
@@ -4,6 +4,7 @@
 //! follows from the memory, the sockets or the message size that there is, or from
 //! the machines that a share has. `docs/CAPACITY.md` lists what lies beyond each.
 
+use crate::layout::TASK_BYTES;
 use forkshift_wire::peer::MESSAGE_MOST;
 use forkshift_wire::settings::Settings;
 
@@ -34,6 +35,9 @@
 const IMAGE_NAMES_PART: f64 = 0.05;
 /// What the name of an image takes, generously.
 const IMAGE_NAME_BYTES: f64 = 256.0;
+/// Tasks of a job that a round places where few could be recorded, so that an array is
+/// not asked for bit by bit.
+const TASKS_A_ROUND_LEAST: usize = 256;
 /// The part of a message that lists in it may take.
 const LIST_PART: f64 = 0.75;
 
@@ -61,13 +65,17 @@
     pub peer_queue_bytes: usize,
     /// The largest answer to a call, in bytes. Longer changes are read again in pages.
     pub answer_bytes: u64,
+    /// Tasks of one job that a round looks at: as many as could be recorded until the next
+    /// one. The rest waits for it.
+    pub tasks_a_round: usize,
     /// Bytes of a list in a message to another controller.
     pub list_bytes: usize,
 }
 
 impl Bounds {
-    /// The bounds of a controller with these settings.
-    pub fn new(settings: &Settings) -> Self {
+    /// The bounds of a controller with these settings, whose rounds are so many seconds
+    /// apart.
+    pub fn new(settings: &Settings, round_s: f64) -> Self {
         let limits = &settings.cluster.limits;
         let sockets = |part: f64| (limits.sockets as f64 * part).max(1.0) as usize;
         let memory = |part: f64| limits.memory_mb * BYTES_PER_MB * part;
@@ -83,11 +91,21 @@
             // Any one message has room.
             peer_queue_bytes: ((memory(PEER_QUEUE_PART) / peers) as usize).max(MESSAGE_MOST),
             answer_bytes: (memory(ANSWER_PART) as u64).max(ANSWER_LEAST),
+            tasks_a_round: tasks_recorded_in(round_s, settings).max(TASKS_A_ROUND_LEAST),
             list_bytes: (MESSAGE_MOST as f64 * LIST_PART) as usize,
         }
     }
 }
 
+/// Tasks that one controller can record in some seconds with an even part of the changes
+/// that the state service takes.
+fn tasks_recorded_in(seconds: f64, settings: &Settings) -> usize {
+    let state = &settings.cluster.state;
+    let tasks_a_change = state.value_kb * 1024.0 / TASK_BYTES as f64;
+    let changes = state.write_rps / (settings.peers.len() + 1) as f64 * seconds;
+    (tasks_a_change * changes) as usize
+}
+
 fn at_least_one(count: f64) -> usize {
     count.max(1.0) as usize
 }
--- a/crates/core/src/bounds/tests.rs
+++ b/crates/core/src/bounds/tests.rs
@@ -21,8 +21,8 @@
 /// Every bound is a ratio to a setting: with twice as much it is twice as large.
 #[test]
 fn bounds_grow_with_the_settings() {
-    let small = Bounds::new(&settings(100.0, 1_000, 4));
-    let large = Bounds::new(&settings(200.0, 2_000, 4));
+    let small = Bounds::new(&settings(100.0, 1_000, 4), 1.0);
+    let large = Bounds::new(&settings(200.0, 2_000, 4), 1.0);
     let cases = [
         (small.connections, large.connections, 600),
         (small.kept_connections, large.kept_connections, 300),
@@ -46,7 +46,7 @@
 
 #[test]
 fn the_smallest_controller_still_has_room_for_one_of_each() {
-    let bounds = Bounds::new(&settings(0.001, 32, 64));
+    let bounds = Bounds::new(&settings(0.001, 32, 64), 1.0);
     assert!(bounds.remembered_jobs >= 1 && bounds.image_names >= 1);
     assert!(bounds.worker_calls >= 1 && bounds.forwarded_requests >= 1);
     assert_eq!(bounds.peer_queue_bytes, MESSAGE_MOST, "any one message");
@@ -57,7 +57,7 @@
 /// holds the whole fleet.
 #[test]
 fn a_message_names_four_thousand_machines() {
-    let bounds = Bounds::new(&settings(40.0, 600, 4));
+    let bounds = Bounds::new(&settings(40.0, 600, 4), 1.0);
     let names = (0..4_000).map(|n| MachineId::new(&format!("host-{n:06}")));
     let names: Vec<String> = names.map(|id| id.to_string()).collect();
     let in_json = serde_json::to_vec(&names).unwrap().len();
@@ -82,3 +82,30 @@
         assert_eq!(part_of_machines(machines, 64, 3), expected, "{machines}");
     }
 }
+
+/// A round looked at 256 tasks of a job, whatever its share held: an array of thousands
+/// was given machines for 256 tasks a boot.
+#[test]
+fn a_round_looks_at_as_many_tasks_as_can_be_recorded() {
+    let of = |write_rps: f64, value_kb: f64, round_s: f64| {
+        let mut settings = settings(40.0, 600, 4);
+        settings.cluster.state.write_rps = write_rps;
+        settings.cluster.state.value_kb = value_kb;
+        Bounds::new(&settings, round_s).tasks_a_round
+    };
+    let cases = [
+        (250.0, 8.0, 1.0, 10_240),
+        (500.0, 8.0, 1.0, 20_480),
+        (250.0, 16.0, 1.0, 20_480),
+        (250.0, 8.0, 2.0, 20_480),
+        (6.25, 8.0, 1.0, 256),
+        (1.0, 2.0, 0.1, 256),
+    ];
+    for (write_rps, value_kb, round_s, expected) in cases {
+        let found = of(write_rps, value_kb, round_s);
+        assert_eq!(
+            found, expected,
+            "{write_rps} changes of {value_kb} KiB, {round_s} s"
+        );
+    }
+}
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -189,7 +189,7 @@
             format: FormatVersion::CURRENT,
             cloud_rps: c.cloud.rps,
             list_lag_ms: ms(c.cloud.list_lag_s),
-            bounds: Bounds::new(settings),
+            bounds: Bounds::new(settings, ops.round_s),
             ops,
         }
     }
--- a/crates/core/src/layout.rs
+++ b/crates/core/src/layout.rs
@@ -12,7 +12,7 @@
 use forkshift_wire::JobId;
 
 /// Bytes that one task may take in a record.
-const TASK_BYTES: usize = 40;
+pub(crate) const TASK_BYTES: usize = 40;
 /// Bytes of a head beside the submission and the tasks.
 const HEAD_BYTES: usize = 200;
 
--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -11,9 +11,6 @@
 use forkshift_wire::{JobId, MachineId, TaskRef};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Most tasks of one job that a round places.
-const TASKS_A_ROUND: usize = 256;
-
 /// Jobs that waited this many boots go before all others, so that large ones
 /// do not starve.
 const AGED_BOOTS: f64 = 2.0;
@@ -167,7 +164,8 @@
         // One that failed again and again, with all of its tasks at once,
         // once took a fleet's room and its rentals.
         let probed = job.failures.is_probed();
-        let mut waiting = job.waiting(if gang { usize::MAX } else { TASKS_A_ROUND });
+        let most = ctx.cfg.bounds.tasks_a_round;
+        let mut waiting = job.waiting(if gang { usize::MAX } else { most });
         if probed && !gang {
             waiting.truncate(1);
         }
--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -165,7 +165,9 @@
         if want.gang {
             placed.extend(place_gang(i, want, &mut table, quotas, weights));
         }
-        while !want.gang && place_next(i, want, &mut table, quotas, weights, &mut placed) {}
+        if !want.gang {
+            place_each(i, want, &mut table, quotas, weights, &mut placed);
+        }
         if want.reservation.reserves() && !want.waiting.is_empty() {
             let team = &mut quotas[want.team];
             let need = want.at_once();
@@ -204,28 +206,28 @@
     }
 }
 
-/// Places the next task of a job, if there is one that has room.
-fn place_next(
+/// Places the tasks of a job one by one, for as long as there is room.
+fn place_each(
     index: usize,
     want: &mut PendingTasks,
     table: &mut HostTable,
     quotas: &mut [Quota],
     weights: &Weights,
     placed: &mut Vec<Placement>,
-) -> bool {
-    let Some(&task) = want.waiting.first() else {
-        return false;
-    };
-    let Some(booking) = place_one(want, table, quotas, weights, None) else {
-        return false;
-    };
-    want.waiting.remove(0);
-    placed.push(Placement {
-        job: index,
-        task,
-        host: booking.host,
-    });
-    true
+) {
+    let mut count = 0;
+    while count < want.waiting.len() {
+        let Some(booking) = place_one(want, table, quotas, weights, None) else {
+            break;
+        };
+        placed.push(Placement {
+            job: index,
+            task: want.waiting[count],
+            host: booking.host,
+        });
+        count += 1;
+    }
+    want.waiting.drain(..count);
 }
 
 /// A task's booking on a host.
