check and serve say when a controller's limits are too small for the expected fleet

Need: settings may ask for more machines than sockets and memory can hold, and nothing said so.

`check` names field, value and the number that would do, and exits with 1; `serve` logs the same and goes on. Off unless `machines` is given.

--- a/crates/core/src/bounds.rs
+++ b/crates/core/src/bounds.rs
@@ -12,7 +12,7 @@
 
 /// The part of the sockets that connections from outside may take; the rest is
 /// for calls of our own.
-const INCOMING_PART: f64 = 0.6;
+pub(crate) const INCOMING_PART: f64 = 0.6;
 /// The part beyond which connections from outside are not kept open.
 const ROOMY_PART: f64 = 0.3;
 /// The part that may be kept open to workers and services while idle.
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -27,6 +27,9 @@
     pub idle_boots: f64,
     /// A silent machine is given up after this share of a lease.
     pub silent_leases: f64,
+    /// The largest fleet that is expected, in machines. Limits too small for it are
+    /// reported.
+    pub machines: Option<u32>,
 }
 
 impl Default for Operator {
@@ -43,6 +46,7 @@
             spare: 1.0,
             idle_boots: 0.2,
             silent_leases: 0.6,
+            machines: None,
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod records;
 mod rounds;
 mod share;
+mod sizing;
 mod store;
 mod timers;
 mod view;
@@ -52,6 +53,7 @@
 pub use format::FormatVersion;
 pub use io::{CallId, Effect, Input, Reply, RequestId, Target};
 pub use node::Node;
+pub use sizing::{shortfalls, Shortfall};
 
 /// Milliseconds of a steady clock.
 pub type Ms = u64;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -5,7 +5,7 @@
 mod spans;
 
 use clap::{Parser, Subcommand};
-use forkshift_core::{Config, Operator};
+use forkshift_core::{shortfalls, Config, Operator, Shortfall};
 use forkshift_wire::settings::{BadSettings, Settings};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -53,14 +53,14 @@
     Operator(String, operator::BadOperator),
     #[error("{0}")]
     Run(#[from] std::io::Error),
+    #[error("{0}: limits are too small for the fleet{list}", list = lines(.1))]
+    TooSmall(String, Vec<Shortfall>),
 }
 
 fn main() -> ExitCode {
     let args = Args::parse();
     let done = match args.command {
-        Command::Check { config, operator } => {
-            load(&config, operator.as_deref()).map(|_| println!("settings are good"))
-        }
+        Command::Check { config, operator } => check(&config, operator.as_deref()),
         Command::Serve {
             config,
             operator,
@@ -97,9 +97,34 @@
     Ok((settings, ops))
 }
 
+/// Reads settings, and says whether they are good and large enough.
+fn check(config: &Path, operator: Option<&Path>) -> Result<(), Failure> {
+    let (settings, ops) = load(config, operator)?;
+    let too_small = ops.machines.map(|n| shortfalls(&settings, n));
+    match too_small.filter(|found| !found.is_empty()) {
+        Some(found) => Err(Failure::TooSmall(config.display().to_string(), found)),
+        None => {
+            println!("settings are good");
+            Ok(())
+        }
+    }
+}
+
+/// A line for each.
+fn lines(shortfalls: &[Shortfall]) -> String {
+    let lines = shortfalls.iter().map(|s| format!("\n  {s}"));
+    lines.collect()
+}
+
 fn serve(config: &Path, operator: Option<&Path>, spans: bool) -> Result<(), Failure> {
     let (settings, ops) = load(config, operator)?;
     start_log();
+    for shortfall in ops
+        .machines
+        .map_or(Vec::new(), |n| shortfalls(&settings, n))
+    {
+        log::warn!("{shortfall}");
+    }
     let config = Config::new(&settings, ops);
     let spans = spans.then(spans::SpanTimes::install);
     run::run(&settings, config, spans)?;
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -48,6 +48,7 @@
     for (given, field) in fields {
         *field = given.unwrap_or(*field);
     }
+    ops.machines = message.machines;
     check(&ops)?;
     Ok(ops)
 }
@@ -83,6 +84,7 @@
             (0.1..=10.0).contains(&ops.silent_leases),
             "from 0.1 to 10",
         ),
+        ("machines", ops.machines != Some(0), "above 0"),
     ];
     match rules.into_iter().find(|(_, good, _)| !good) {
         Some((field, _, range)) => Err(BadOperator::Field { field, range }),
--- a/crates/daemon/src/operator/tests.rs
+++ b/crates/daemon/src/operator/tests.rs
@@ -26,6 +26,9 @@
         ("spare: 11", Some("`spare`")),
         ("idle_boots: -0.1", Some("`idle_boots`")),
         ("silent_leases: 0", Some("`silent_leases`")),
+        ("machines: 4000", None),
+        ("machines: 0", Some("`machines`")),
+        ("machines: -1", Some("")),
         ("speed: 1", Some("speed")),
         ("round_s: {", Some("")),
     ];
