--- a/crates/testkit/src/world/size.rs
+++ b/crates/testkit/src/world/size.rs
@@ -98,6 +98,19 @@
         }
     }
 
+    /// Five controllers, and room for some 4,200 machines, spot ones apart.
+    pub fn five_by_4200() -> Self {
+        Self {
+            capacity: 700,
+            rps: 1_600.0,
+            write_rps: 570.0,
+            cloud_rps: 18.0,
+            guarantee: (12_000.0, 2_300.0),
+            limit: (46_000.0, 9_200.0),
+            ..Self::five_by_1860()
+        }
+    }
+
     /// Seven controllers, sixteen teams, and room for some 810 machines, spot
     /// ones apart.
     pub fn seven_by_810() -> Self {
--- a/crates/testkit/tests/fleet.rs
+++ b/crates/testkit/tests/fleet.rs
@@ -1,8 +1,9 @@
 //! Days of large fleets in virtual time: as many machines as half again what
 //! the largest deployments have, fixed seeds, the rule checker on.
 
-use forkshift_testkit::{Fault, FaultKind, Plan, Size, World};
+use forkshift_testkit::{Fault, FaultKind, MachineFault, Plan, Size, Which, Who, World};
 use forkshift_wire::users::{JobKind, Priority};
+use forkshift_wire::JobId;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -48,7 +49,7 @@
     machines: usize,
     faults: Vec<Fault>,
     end: u64,
-) {
+) -> World {
     let plans = plans(size.nodes as u64, &size, services, others);
     let mut world = World::sized(size.nodes as u64, plans, faults, size);
     world.run_until(end);
@@ -58,6 +59,7 @@
     assert!(peak >= machines, "{name}: {peak} machines");
     let most = (size.write_rps * end as f64 / 1000.0) as u64;
     assert!(world.writes() < most, "{name}: {} writes", world.writes());
+    world
 }
 
 fn crash(at: u64, node: usize, count: usize, back: u64) -> Fault {
@@ -90,6 +92,39 @@
     play("seven", size, (420, 80), 650, faults, 160_000);
 }
 
+/// A zone's machines stop, the holder of a team's share ends, and the leader is refused,
+/// all within half a minute, where most machines are in use.
+#[test]
+fn four_thousand_machines_lose_a_zone_a_holder_and_a_leader() {
+    let job = JobId::parse("j-000000").expect("an id");
+    let holder = FaultKind::Crash {
+        node: 0,
+        count: 1,
+        back: 3_000,
+    };
+    let refused = FaultKind::Refuse {
+        node: 0,
+        time: 20_000,
+    };
+    let faults = vec![
+        Fault {
+            at: 70_000,
+            kind: FaultKind::Machines(Which::OfZone("b"), MachineFault::Die),
+        },
+        Fault {
+            at: 78_000,
+            kind: FaultKind::At(Who::HolderOf(job), Box::new(holder)),
+        },
+        Fault {
+            at: 90_000,
+            kind: FaultKind::At(Who::Leader, Box::new(refused)),
+        },
+    ];
+    let size = Size::five_by_4200();
+    let world = play("4,000", size, (2_100, 250), 4_000, faults, 160_000);
+    assert!(world.ended() > 1_200, "{} machines ended", world.ended());
+}
+
 /// A fleet of replicas that has come to rest.
 fn at_rest(size: Size, services: u32, faults: Vec<Fault>) -> World {
     let mut plans = plans(9, &size, services, 0);
