Listening sockets let as many connections wait as the table holds, not 128

Need: the standard library's backlog of 128 is a fixed limit: 4,000 workers that come to a controller within a second overrun it whenever it stands still for 30 ms, and each then waits a second for its kernel's next attempt. The testkit kept at most 2,000 copies of reports.

Change: `forkshift_net::bind`, on socket2, with the connections that the settings allow; the emulator's stand-ins likewise; two copies a machine in the testkit.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -36,11 +36,11 @@
 
 /// Runs a controller until the process ends.
 pub fn run(settings: &Settings, config: Config, spans: Option<SpanTimes>) -> io::Result<()> {
-    let listener = TcpListener::bind(settings.listen)?;
+    let bounds = config.bounds;
+    let listener = forkshift_net::bind(settings.listen, bounds.connections)?;
     let peer_listener = TcpListener::bind(settings.peer_listen)?;
     let ex: Executor = Rc::new(LocalExecutor::new());
     let mut rng = rand::rng();
-    let bounds = config.bounds;
     let node = Node::new(config, rng.random_range(1..1 << 52), rng.random());
     let (sender, receiver) = async_channel::unbounded();
     let waiting: Waiting = Rc::default();
--- a/crates/emulator/src/bridge.rs
+++ b/crates/emulator/src/bridge.rs
@@ -19,7 +19,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -258,7 +258,7 @@
         service: Service,
         connections: usize,
     ) -> io::Result<Task<()>> {
-        let listener = TcpListener::bind(addr)
+        let listener = forkshift_net::bind(addr, connections)
             .map_err(|e| io::Error::new(e.kind(), format!("{addr}: {e}")))?;
         let limits = ServerLimits {
             connections,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! Everything runs on one thread, on a local executor.
 
+mod bind;
 mod client;
 mod peers;
 mod server;
 mod stream;
 
+pub use bind::bind;
 pub use client::{Call, Client, ClientLimits, Outcome, TOO_LONG};
 pub use peers::{listen, PeerLink};
 pub use server::{serve, Request, Response, ServerLimits};
--- a/crates/testkit/src/world/troubles.rs
+++ b/crates/testkit/src/world/troubles.rs
@@ -6,8 +6,9 @@
 use forkshift_wire::state::{Txn, Write};
 use rand::Rng;
 
-/// Most copies of reports that are kept for the next leader.
-const KEPT_MOST: usize = 2_000;
+/// Most copies of reports that are kept for the next leader, a machine, and at least.
+const KEPT_A_MACHINE: usize = 2;
+const KEPT_LEAST: usize = 2_000;
 
 /// What troubles last, and until when.
 #[derive(Default)]
@@ -66,7 +67,7 @@
         if !for_next {
             let late = self.rng.random_range(2_000..self.size.lease_ms * 4);
             self.at(self.now + late, Event::Arrive(copy));
-        } else if self.troubles.kept.len() < KEPT_MOST {
+        } else if self.troubles.kept.len() < KEPT_LEAST.max(self.workers.len() * KEPT_A_MACHINE) {
             if self.troubles.kept.is_empty() {
                 self.troubles.terms = self.state.terms();
             }
