--- /dev/null
+++ b/crates/pools/src/choice/tests.rs
@@ -0,0 +1,78 @@
+use super::*;
+use PoolState::{Booting, Fetching, Up, Warm};
+
+fn members(list: &[(PoolState, f64)]) -> Vec<Member> {
+    let member = |&(state, price)| Member { state, price };
+    list.iter().map(member).collect()
+}
+
+#[test]
+fn a_pool_is_as_large_as_what_was_handed_out_within_its_bounds() {
+    let size = Size { least: 2, most: 5 };
+    for (handed_out, expected) in [(0, 2), (2, 2), (3, 3), (5, 5), (9, 5)] {
+        assert_eq!(target(size, handed_out), expected, "{handed_out}");
+    }
+    assert_eq!(target(Size::default(), 9), 0);
+}
+
+#[test]
+fn the_farthest_from_warm_leave_first_and_then_the_dearest() {
+    let list = members(&[
+        (Warm, 1.0),
+        (Booting, 1.0),
+        (Fetching, 1.0),
+        (Warm, 2.0),
+        (Up, 1.0),
+    ]);
+    let cases: [(u32, Option<f64>, &[usize]); 6] = [
+        (5, None, &[]),
+        (4, None, &[1]),
+        (1, None, &[1, 4, 2, 3]),
+        (0, None, &[1, 4, 2, 3, 0]),
+        (5, Some(6.0), &[]),
+        (5, Some(4.5), &[1, 4]),
+    ];
+    for (target, cost, expected) in cases {
+        assert_eq!(leaving(&list, target, cost), expected, "{target} {cost:?}");
+    }
+    assert_eq!(core_members(&list, 2), vec![0, 3]);
+    assert_eq!(core_members(&list, 9).len(), 5);
+}
+
+#[test]
+fn those_with_the_image_join_first_and_none_beyond_the_cost() {
+    let candidate = |has_image, is_up, price| Candidate {
+        has_image,
+        is_up,
+        price,
+    };
+    let list = [
+        candidate(false, false, 1.0),
+        candidate(false, true, 3.0),
+        candidate(true, true, 9.0),
+        candidate(false, true, 2.0),
+    ];
+    let cases: [(u32, Option<f64>, &[usize]); 6] = [
+        (0, None, &[]),
+        (1, None, &[2]),
+        (3, None, &[2, 3, 1]),
+        (9, None, &[2, 3, 1, 0]),
+        (9, Some(3.0), &[3, 0]),
+        (9, Some(0.5), &[]),
+    ];
+    for (missing, cost, expected) in cases {
+        assert_eq!(
+            joining(&list, missing, cost),
+            expected,
+            "{missing} {cost:?}"
+        );
+    }
+    for (missing, price, cost, expected) in [
+        (4, 3.0, None, 4),
+        (4, 3.0, Some(9.0), 3),
+        (4, 3.0, Some(-1.0), 0),
+        (4, 0.0, Some(1.0), 4),
+    ] {
+        assert_eq!(affordable(missing, price, cost), expected, "{cost:?}");
+    }
+}
--- /dev/null
+++ b/crates/pools/src/declaration/tests.rs
@@ -0,0 +1,249 @@
+use super::*;
+
+fn good() -> PoolSpec {
+    PoolSpec {
+        name: "exam-help".to_owned(),
+        team: "readers".to_owned(),
+        image: "img-07".to_owned(),
+        image_gb: 34.0,
+        types: vec!["big".to_owned()],
+        zones: vec!["hall-a".to_owned()],
+        least: 2,
+        most: 6,
+        cost_per_hour_most: Some(100.0),
+        time_zone: "Africa/Lagos".to_owned(),
+        windows: vec![WindowSpec::default()],
+        ..PoolSpec::default()
+    }
+}
+
+fn parse(specs: &[PoolSpec]) -> Result<Pools, BadPool> {
+    Pools::parse(specs, &["readers"], &["hall-a".to_owned()])
+}
+
+fn window(change: impl FnOnce(&mut WindowSpec)) -> WindowSpec {
+    let mut window = WindowSpec {
+        from: "08:00".to_owned(),
+        to: "18:00".to_owned(),
+        ..WindowSpec::default()
+    };
+    change(&mut window);
+    window
+}
+
+/// A wrong declaration: what makes it wrong, the field, and a part of what is said.
+type Case = (fn(&mut PoolSpec), &'static str, &'static str);
+
+#[test]
+fn what_is_wrong_is_named_with_its_field() {
+    let cases: [Case; 26] = [
+        (|p| p.name = "Exam Help".to_owned(), "name", "a-z"),
+        (|p| p.name = "x".repeat(41), "name", "1 to 40"),
+        (|p| p.team = "reader".to_owned(), "team", "`reader`"),
+        (|p| p.image.clear(), "image", "empty"),
+        (|p| p.image_gb = 0.0, "image_gb", "above 0"),
+        (|p| p.image_gb = f64::NAN, "image_gb", "above 0"),
+        (
+            |p| p.zones = vec!["hall-x".to_owned()],
+            "zones[0]",
+            "`hall-x`",
+        ),
+        (|p| p.least = 7, "least", "above `most`"),
+        (
+            |p| (p.least, p.most) = (0, 0),
+            "least",
+            "`most` must be above 0",
+        ),
+        (
+            |p| p.cost_per_hour_most = Some(0.0),
+            "cost_per_hour_most",
+            "above 0",
+        ),
+        (
+            |p| p.time_zone = "Africa/Lagoss".to_owned(),
+            "time_zone",
+            "`Africa/Lagoss`",
+        ),
+        (|p| p.time_zone.clear(), "time_zone", "must be given"),
+        (
+            |p| p.windows = vec![WindowSpec::default(); 33],
+            "windows",
+            "at most 32",
+        ),
+        (
+            |p| p.windows = vec![window(|w| w.from = "8:00".to_owned())],
+            "windows[0].from",
+            "`8:00`",
+        ),
+        (
+            |p| p.windows = vec![window(|w| w.from = "24:00".to_owned())],
+            "windows[0].from",
+            "before 24:00",
+        ),
+        (
+            |p| p.windows = vec![window(|w| w.to = "24:01".to_owned())],
+            "windows[0].to",
+            "`24:01`",
+        ),
+        (
+            |p| p.windows = vec![window(|w| w.to = "17:60".to_owned())],
+            "windows[0].to",
+            "`17:60`",
+        ),
+        (
+            |p| p.windows = vec![window(|w| w.to = "08:00".to_owned())],
+            "windows[0].to",
+            "begins",
+        ),
+        (
+            |p| p.windows = vec![window(|w| w.first_date = "2026-02-30".to_owned())],
+            "windows[0].first_date",
+            "`2026-02-30`",
+        ),
+        (
+            |p| p.windows = vec![window(|w| w.last_date = "soon".to_owned())],
+            "windows[0].last_date",
+            "`soon`",
+        ),
+        (
+            |p| {
+                p.windows = vec![window(|w| {
+                    w.first_date = "2026-06-02".to_owned();
+                    w.last_date = "2026-06-01".to_owned();
+                })];
+            },
+            "windows[0].last_date",
+            "before `first_date`",
+        ),
+        (
+            |p| p.windows = vec![window(|w| w.weekdays = vec!["monday".to_owned()])],
+            "windows[0].weekdays",
+            "`monday`",
+        ),
+        (
+            |p| p.windows = vec![window(|w| w.last_days_of_month = Some(29))],
+            "windows[0].last_days_of_month",
+            "1 to 28",
+        ),
+        (
+            |p| p.windows = vec![window(|w| w.last_days_of_month = Some(0))],
+            "windows[0].last_days_of_month",
+            "1 to 28",
+        ),
+        (
+            |p| p.windows = vec![window(|w| w.least = Some(9))],
+            "windows[0].least",
+            "above `most`",
+        ),
+        (
+            |p| p.windows = vec![window(|_| ()), window(|w| w.least = Some(1))],
+            "windows[1]",
+            "contradicts windows[0]",
+        ),
+    ];
+    for (n, (spoil, field, said)) in cases.into_iter().enumerate() {
+        let mut spec = good();
+        spoil(&mut spec);
+        let error = parse(&[spec]).expect_err(field);
+        assert_eq!(error.field, field, "case {n}: {error}");
+        assert!(error.to_string().contains(said), "case {n}: {error}");
+        assert!(error.to_string().starts_with("pool `"), "case {n}: {error}");
+    }
+}
+
+#[test]
+fn good_declarations_are_taken() {
+    let mut always = good();
+    always.name = "always".to_owned();
+    (always.windows, always.time_zone) = (Vec::new(), String::new());
+    let mut twice = good();
+    twice.name = "twice".to_owned();
+    twice.windows = vec![
+        window(|_| ()),
+        // The same size may be asked for twice at a time.
+        window(|w| w.from = "17:00".to_owned()),
+        window(|w| {
+            (w.from, w.to) = ("18:00".to_owned(), "24:00".to_owned());
+            w.most = Some(3);
+        }),
+    ];
+    let pools = parse(&[good(), always, twice]).expect("all are good");
+    assert_eq!(pools.iter().count(), 3);
+    let name = PoolName::parse("twice").expect("a name");
+    assert!(pools.get(&name).is_some());
+}
+
+#[test]
+fn a_name_that_is_used_twice_is_refused() {
+    let error = parse(&[good(), good()]).expect_err("twice");
+    assert_eq!(error.to_string(), "pool `exam-help`: `name` is used twice");
+}
+
+fn catalog() -> Vec<MachineType> {
+    let of = |name: &str, price, spot_price, cache_gb| MachineType {
+        name: name.to_owned(),
+        cpus: 8.0,
+        gpus: 0.0,
+        memory_gb: 16.0,
+        cache_gb,
+        fetch_gb_per_s: 1.0,
+        price,
+        spot_price,
+        boot_s: 45.0,
+        zones: vec!["hall-a".to_owned()],
+    };
+    vec![
+        of("big", 12.0, Some(4.0), 200.0),
+        of("small", 1.0, None, 20.0),
+    ]
+}
+
+#[test]
+fn what_no_machine_can_do_is_named_once_the_catalogue_is_known() {
+    let cases: [Case; 7] = [
+        (|_| (), "", ""),
+        (|p| p.types = vec!["huge".to_owned()], "types[0]", "`huge`"),
+        (
+            |p| p.zones = vec!["hall-x".to_owned()],
+            "zones[0]",
+            "`hall-x`",
+        ),
+        (|p| p.image_gb = 201.0, "image_gb", "largest cache, 200 GB"),
+        (
+            |p| p.types = vec!["small".to_owned()],
+            "image_gb",
+            "largest cache, 20 GB",
+        ),
+        (
+            |p| p.cost_per_hour_most = Some(11.9),
+            "cost_per_hour_most",
+            "12",
+        ),
+        (
+            |p| {
+                (p.types, p.image_gb) = (vec!["small".to_owned()], 10.0);
+                p.spot = true;
+            },
+            "spot",
+            "not to be had",
+        ),
+    ];
+    for (n, (spoil, field, said)) in cases.into_iter().enumerate() {
+        let mut spec = good();
+        spoil(&mut spec);
+        let pools = Pools::parse(&[spec], &["readers"], &[]).expect("good by itself");
+        let found = pools
+            .iter()
+            .next()
+            .expect("a pool")
+            .check_catalog(&catalog());
+        match (found, field) {
+            (Ok(()), "") => {}
+            (Err(e), field) => {
+                assert_eq!(e.field, field, "case {n}: {e}");
+                assert!(e.to_string().contains(said), "case {n}: {e}");
+            }
+            (Ok(()), field) => panic!("case {n}: {field} was taken"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pools/src/report/tests.rs
@@ -0,0 +1,131 @@
+use super::*;
+use forkshift_wire::MachineId;
+
+const HOUR: u64 = 3_600_000;
+const NOW: u64 = 10 * HOUR;
+
+fn pool() -> PoolName {
+    PoolName::parse("exam-help").expect("a name")
+}
+
+fn interval(machine: &str, state: PoolState, from: u64, to: u64, ended: Option<Ended>) -> Interval {
+    Interval {
+        pool: pool(),
+        machine: MachineId::new(machine),
+        machine_type: "big".to_owned(),
+        spot: false,
+        state,
+        from_ms: from,
+        to_ms: to,
+        ended,
+    }
+}
+
+fn accounts() -> Accounts {
+    use PoolState::{Booting, Fetching, Warm};
+    let price = |from_ms, hourly| Price {
+        machine_type: "big".to_owned(),
+        from_ms,
+        hourly,
+        spot_hourly: None,
+    };
+    let asked = |machines, from_ms, to_ms| Asked {
+        pool: pool(),
+        team: "readers".to_owned(),
+        machines,
+        from_ms,
+        to_ms,
+    };
+    Accounts {
+        intervals: vec![
+            interval("a", Booting, HOUR, 2 * HOUR, None),
+            interval("a", Fetching, 2 * HOUR, 3 * HOUR, None),
+            interval("a", Warm, 3 * HOUR, 6 * HOUR, Some(Ended::HandedOut)),
+            interval("b", Warm, 4 * HOUR, 5 * HOUR, Some(Ended::Reclaimed)),
+            interval("c", Booting, 6 * HOUR, 7 * HOUR, Some(Ended::Lost)),
+        ],
+        asked: vec![asked(2, HOUR, Some(6 * HOUR)), asked(1, 6 * HOUR, None)],
+        misses: vec![Miss {
+            pool: pool(),
+            job: "j-1".to_owned(),
+            tasks: 3,
+            at_ms: 2 * HOUR,
+        }],
+        prices: vec![price(4 * HOUR, 20.0), price(HOUR, 10.0)],
+        teams: BTreeMap::new(),
+    }
+}
+
+fn span(from: u64, to: u64) -> Span {
+    Span {
+        from_ms: from * HOUR,
+        to_ms: to * HOUR,
+    }
+}
+
+#[test]
+fn a_whole_account_is_summed_up() {
+    let report = report(&accounts(), span(0, 10), NOW);
+    let [found] = report.pools.as_slice() else {
+        panic!("{report:?}");
+    };
+    assert_eq!(found.team, "readers");
+    assert_eq!(found.asked_s, (2.0 * 5.0 + 4.0) * 3_600.0);
+    let hours = ByState {
+        booting: 2.0 * 3_600.0,
+        up: 0.0,
+        fetching: 3_600.0,
+        warm: 4.0 * 3_600.0,
+    };
+    assert_eq!(found.machine_s, hours);
+    // Short: 2 for two hours, 1 in the third and fifth, none in the fourth, 1 afterwards.
+    assert_eq!(found.short_s, (2.0 * 2.0 + 1.0 + 1.0 + 4.0) * 3_600.0);
+    // An hour at 10 while booting, one at 20; an hour warm at 10, three at 20.
+    assert_eq!(found.cost.booting, 30.0);
+    assert_eq!(found.cost.fetching, 10.0);
+    assert_eq!(found.cost.warm, 10.0 + 40.0 + 20.0);
+    assert_eq!(found.unpriced_s, 0.0);
+    let counts = (found.handed_out, found.missed, found.reclaimed, found.lost);
+    assert_eq!(counts, (1, 1, 1, 1));
+    assert_eq!(
+        report.teams,
+        BTreeMap::from([("readers".to_owned(), 110.0)])
+    );
+}
+
+#[test]
+fn spans_that_share_an_end_add_up() {
+    let accounts = accounts();
+    let whole = report(&accounts, span(0, 10), NOW);
+    for middle in 1..10 {
+        let parts = [span(0, middle), span(middle, 10)];
+        let parts = parts.map(|span| report(&accounts, span, NOW));
+        let sum = |of: fn(&PoolReport) -> f64| -> f64 {
+            parts.iter().flat_map(|r| r.pools.iter().map(of)).sum()
+        };
+        let of_whole = &whole.pools[0];
+        assert!(
+            (sum(|p| p.cost.sum()) - of_whole.cost.sum()).abs() < 1e-9,
+            "{middle}"
+        );
+        assert_eq!(
+            sum(|p| p.machine_s.sum()),
+            of_whole.machine_s.sum(),
+            "{middle}"
+        );
+        assert_eq!(sum(|p| p.asked_s), of_whole.asked_s, "{middle}");
+        assert_eq!(sum(|p| p.short_s), of_whole.short_s, "{middle}");
+        assert_eq!(sum(|p| f64::from(p.handed_out)), 1.0, "{middle}");
+    }
+}
+
+#[test]
+fn a_span_without_data_is_empty_and_missing_prices_are_said() {
+    assert!(report(&accounts(), span(0, 1), NOW).is_empty());
+    assert!(report(&Accounts::default(), span(0, 10), NOW).is_empty());
+    let mut unpriced = accounts();
+    unpriced.prices.clear();
+    let found = report(&unpriced, span(0, 10), NOW);
+    assert_eq!(found.pools[0].unpriced_s, 7.0 * 3_600.0);
+    assert_eq!(found.pools[0].cost.sum(), 0.0);
+}
