--- a/crates/core/src/commands.rs
+++ b/crates/core/src/commands.rs
@@ -23,7 +23,11 @@
         let Some(m) = self.machines.get(id) else {
             return;
         };
-        let any = m.push || !m.tasks.is_empty() || !m.exited.is_empty() || !m.orphans.is_empty();
+        let any = m.push
+            || !m.tasks.is_empty()
+            || !m.exited.is_empty()
+            || !m.orphans.is_empty()
+            || m.pool.membership.is_some();
         // What finds no free call is tried again soon: it is busy (`is_busy`).
         let full = ctx.worker_calls >= ctx.cfg.bounds.worker_calls;
         if m.calling || m.addr.is_none() || ctx.now < m.retry_at || !any || full {
@@ -34,10 +38,11 @@
         if ctx.entitled {
             commands.extend(self.starts(id));
         }
+        let prefetch = self.prefetch_due(ctx, id);
         let Some(machine) = self.machines.get_mut(id) else {
             return;
         };
-        if commands.is_empty() && !machine.push {
+        if commands.is_empty() && prefetch.is_empty() && !machine.push {
             return;
         }
         let Some(addr) = machine.addr.clone() else {
@@ -50,6 +55,7 @@
             token: machine.token,
             session,
             commands,
+            prefetch,
         };
         machine.calling = true;
         machine.push = false;
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -4,6 +4,7 @@
 use crate::format::FormatVersion;
 use crate::records::ShareId;
 use crate::Ms;
+use forkshift_pools::Pools;
 use forkshift_sched::{Resources, Weights};
 use forkshift_wire::settings::{NextStateLimits, Objective, Settings};
 use forkshift_wire::NodeName;
@@ -30,6 +31,8 @@
     /// The largest fleet that is expected, in machines. Limits too small for it are
     /// reported.
     pub machines: Option<u32>,
+    /// Warm pools; none: they are off.
+    pub pools: Pools,
 }
 
 impl Default for Operator {
@@ -47,6 +50,7 @@
             idle_boots: 0.2,
             silent_leases: 0.6,
             machines: None,
+            pools: Pools::default(),
         }
     }
 }
@@ -198,6 +202,17 @@
         }
     }
 
+    /// The format with which this controller registers, where one is finalized. That of
+    /// warm pools is asked for by those that have them switched on, and taken by all
+    /// others once it is finalized.
+    pub fn registered_format(&self, finalized: FormatVersion) -> FormatVersion {
+        let wants_pools = !self.ops.pools.is_empty() || finalized >= FormatVersion::POOLS;
+        match wants_pools {
+            true => self.format,
+            false => self.format.min(FormatVersion::DEPENDENCIES),
+        }
+    }
+
     /// Number of shares.
     pub fn shares(&self) -> u32 {
         self.nodes.len() as u32
--- a/crates/core/src/context.rs
+++ b/crates/core/src/context.rs
@@ -142,6 +142,11 @@
         self.wall.saturating_sub(wall) + self.cfg.clock_off_ms * 2
     }
 
+    /// Whether there are warm pools, and all controllers know them.
+    pub(crate) fn has_pools(&self) -> bool {
+        self.format >= FormatVersion::POOLS && !self.cfg.ops.pools.is_empty()
+    }
+
     /// Tells another controller something that it will learn anyway.
     pub(crate) fn tell(&mut self, node: &NodeName, epoch: u64, body: Body) {
         let envelope = Envelope {
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -5,6 +5,7 @@
 use crate::machine::Machine;
 use crate::overflow::Overflow;
 use crate::pending::Pending;
+use crate::pools::{open_reservations, Coming};
 use crate::records::{demand_key, share_key, total_of, DemandRecord, ShapeRecord};
 use crate::rounds::{host, names};
 use crate::share::Share;
@@ -56,7 +57,7 @@
             host.free += *more;
         }
         let draining = self.push_draining(&mut hosts);
-        self.push_booting(ctx, &mut hosts);
+        let booting = self.push_booting(ctx, &mut hosts);
         self.push_rental_intents(ctx, view, &mut hosts);
         for want in &mut wants {
             want.avoid.clear();
@@ -79,12 +80,20 @@
         run_round(&mut guests, &mut hosts, &mut quotas, &weights);
         shapes.extend(self.shapes_of(ctx, view, &guests, &mut quotas));
         self.note_idle(ctx, usable, &hosts);
+        let coming = Coming {
+            usable,
+            draining: draining.len(),
+            booting: &booting,
+        };
+        let for_pools = self.keep_pools(ctx, view, &coming, &hosts);
         // A missing spare place fits on no machine that is here, or it
         // would have been booked there; only what waits speaks against it.
         if shapes.iter().all(|s| s.spare || s.borrows) {
             hosts.truncate(usable.len());
             self.drain(ctx, view, usable, &mut hosts);
         }
+        // After everything that waits for room.
+        shapes.extend(for_pools);
         let (free, surplus) = self.empty_machines(usable);
         let rec = DemandRecord {
             rev: view.revision,
@@ -93,7 +102,9 @@
             free,
             surplus,
             borrowed: self.borrowed_machines(ctx, usable),
+            pooled: Vec::new(),
         };
+        let rec = self.with_offered_members(ctx, rec);
         self.show_demand(ctx, view, rec);
     }
 
@@ -119,16 +130,19 @@
         ids
     }
 
-    /// Adds the machines that boot. One that is overdue may come much later, or
+    /// Adds the machines that boot, and names them. One that is overdue may come much later, or
     /// never.
-    fn push_booting(&self, ctx: &Context, hosts: &mut Vec<Host>) {
+    fn push_booting(&self, ctx: &Context, hosts: &mut Vec<Host>) -> Vec<MachineId> {
+        let mut ids = Vec::new();
         for machine in self.machines.values() {
             let overdue = (machine.boot_ms as f64 * OVERDUE_BOOTS) as Ms;
             let due = ctx.now < machine.since + overdue;
             if machine.heard.is_none() && machine.condemned.is_none() && due {
                 hosts.push(coming(machine.total, machine, ctx.now));
+                ids.push(machine.id.clone());
             }
         }
+        ids
     }
 
     /// Books spare places, also on what comes free soon, and returns those that
@@ -153,7 +167,10 @@
     /// Empty machines that are kept as spare, and those that nothing needs.
     fn empty_machines(&self, usable: &[MachineId]) -> (Vec<MachineId>, Vec<MachineId>) {
         let empty = usable.iter().filter_map(|id| self.machines.get(id));
-        let empty = empty.filter(|m| m.tasks.is_empty() && !m.calling && m.exited.is_empty());
+        let is_empty = |m: &&Machine| {
+            m.tasks.is_empty() && !m.calling && m.exited.is_empty() && !m.is_pool_member()
+        };
+        let empty = empty.filter(is_empty);
         let (surplus, free): (Vec<&Machine>, Vec<&Machine>) =
             empty.partition(|m| m.idle_since.is_some());
         let ids = |list: Vec<&Machine>| list.into_iter().map(|m| m.id.clone()).collect();
@@ -207,6 +224,7 @@
                     spare: false,
                     reclaims: want.reclaim.reclaims_machines(),
                     borrows: want.standing.borrows(),
+                    gang: want.gang && ctx.has_pools(),
                 },
             );
         }
@@ -232,6 +250,7 @@
                     images: BTreeSet::new(),
                     held: false,
                     delay: t.boot_s,
+                    reserved_for: None,
                 });
             }
         }
@@ -248,24 +267,30 @@
             self.counting_since = Some(now);
         }
         let elapsed = self.counting_since.map_or(0, |t| now - t);
-        let mut classes: Vec<(f64, ShapeRecord, f64)> = Vec::new();
+        let mut classes: Vec<(f64, ShapeRecord, f64, BTreeSet<u32>)> = Vec::new();
         for (class, stats) in &mut self.classes {
             let Some(wait) = ctx.cfg.waits.get(class) else {
                 continue;
             };
             if *wait < boot_s {
-                classes.push((*wait, stats.last.clone(), stats.rate(now, elapsed)));
+                let open = open_reservations(ctx, &stats.last_team, &stats.last_image);
+                classes.push((*wait, stats.last.clone(), stats.rate(now, elapsed), open));
             }
         }
         classes.sort_by(|a, b| a.0.total_cmp(&b.0));
-        for (_, shape, rate) in classes {
+        for (_, shape, rate, open) in classes {
             let arrive = rate * boot_s * factor;
             let target = (arrive + arrive.sqrt() * factor.min(1.0)).ceil() as u32;
             let task = shape.resources();
             let types = names(ctx, shape.types.as_deref());
             let mut left = target;
             for host in hosts.iter_mut() {
-                let allowed = (shape.spot || !host.spot)
+                // Arrivals that find a pool's machine need no spare place besides.
+                let is_open = host
+                    .reserved_for
+                    .is_none_or(|number| open.contains(&number));
+                let allowed = is_open
+                    && (shape.spot || !host.spot)
                     && types
                         .as_ref()
                         .is_none_or(|t| t.contains(&host.machine_type));
@@ -312,7 +337,8 @@
             let Some(machine) = self.machines.get_mut(id) else {
                 continue;
             };
-            let empty = machine.tasks.is_empty() && host.free == machine.total;
+            let empty =
+                machine.tasks.is_empty() && host.free == machine.total && !machine.is_pool_member();
             if machine.note_empty(empty, ctx.now) {
                 self.look.touch(id);
             }
@@ -394,6 +420,7 @@
             && s.spot == shape.spot
             && s.reclaims == shape.reclaims
             && s.borrows == shape.borrows
+            && s.gang == shape.gang
     };
     match shapes.iter_mut().find(same) {
         Some(known) => known.n += shape.n,
--- a/crates/core/src/evidence.rs
+++ b/crates/core/src/evidence.rs
@@ -57,6 +57,7 @@
         }
         machine.exited.clear();
         machine.orphans.clear();
+        machine.note_images(ctx, report.images.as_ref());
 
         let mut listed: BTreeMap<(&TaskRef, u64), &TaskReport> = BTreeMap::new();
         for task in &report.tasks {
--- a/crates/core/src/fixture.rs
+++ b/crates/core/src/fixture.rs
@@ -60,6 +60,8 @@
             want: None,
             floor: 0,
             images: Vec::new(),
+            pool: None,
+            charged_until_ms: 0,
         };
         let of_type = json!({"name": "big", "cpus": 96.0, "accelerators": 8.0, "mem_gb": 768.0,
             "cache_gb": 200.0, "pull_gb_per_s": 1.0, "hourly": 12.0, "market_price": null,
@@ -179,6 +181,7 @@
             seq: self.seq,
             token,
             notice_s: None,
+            images: None,
             tasks: tasks.iter().map(one).collect(),
         }
     }
--- a/crates/core/src/format.rs
+++ b/crates/core/src/format.rs
@@ -20,7 +20,11 @@
     pub const FIRST: Self = Self(1);
     /// Adds dependencies between jobs, and a layout of jobs' blocks that is
     /// named in their heads.
-    pub const CURRENT: Self = Self(2);
+    pub const DEPENDENCIES: Self = Self(2);
+    /// Adds memberships in warm pools to the records of machines.
+    pub const POOLS: Self = Self(3);
+    /// The newest one that this release reads and writes.
+    pub const CURRENT: Self = Self::POOLS;
 
     /// Whether it is the one that records leave out.
     pub(crate) fn is_first(&self) -> bool {
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -9,6 +9,7 @@
 mod finalization;
 mod inventory;
 mod lending;
+mod prices;
 mod renting;
 
 use crate::context::Context;
@@ -17,6 +18,7 @@
 use crate::store::Bucket;
 use crate::view::{Changed, View};
 use crate::Ms;
+use forkshift_pools::account::Price;
 use forkshift_sched::Resources;
 use forkshift_wire::state::Cond;
 use forkshift_wire::{JobId, MachineId, NodeName};
@@ -87,6 +89,8 @@
     outdated_logged_at: Ms,
     /// Since when cancellations have waited, with the versions of their keys.
     aborts: BTreeMap<JobId, (u64, Ms)>,
+    /// Prices that are recorded for the accounts of pools.
+    recorded_prices: BTreeMap<String, Price>,
 }
 
 impl Leader {
@@ -123,6 +127,7 @@
             blockers_logged_at: 0,
             outdated_logged_at: 0,
             aborts: BTreeMap::new(),
+            recorded_prices: BTreeMap::new(),
         }
     }
 
--- a/crates/core/src/leader/deletion.rs
+++ b/crates/core/src/leader/deletion.rs
@@ -5,9 +5,11 @@
 use super::Leader;
 use crate::context::Context;
 use crate::pending::Pending;
-use crate::records::{machine_key, LEADER};
+use crate::pools::add_row;
+use crate::records::{machine_key, MachineRecord, LEADER};
 use crate::store::Urgency;
-use crate::view::View;
+use crate::view::{Stamped, View};
+use forkshift_pools::{Ended, Interval};
 use forkshift_wire::cloud::DELETE_MOST;
 use forkshift_wire::state::{Cond, Txn, Write};
 use forkshift_wire::MachineId;
@@ -72,11 +74,11 @@
             return;
         }
         // The machines are gone: their records say so by going, too.
-        let gone: Vec<(&MachineId, u64)> = machines
+        let gone: Vec<Gone> = machines
             .iter()
-            .filter_map(|id| view.machines.get(id).map(|m| (id, m.version)))
+            .filter_map(|id| Some(Gone::new(id, view.machines.get(id)?, ctx.wall)))
             .collect();
-        for group in gone.chunks(ctx.limits.txn_ops) {
+        for group in groups_of(gone, ctx.limits.txn_ops) {
             let leader = view.leader.as_ref().map_or(0, |l| l.version);
             let mut txn = Txn {
                 conds: vec![Cond {
@@ -85,18 +87,21 @@
                 }],
                 writes: Vec::new(),
             };
-            for (id, version) in group {
-                let key = machine_key(id);
+            for machine in &group {
+                let key = machine_key(&machine.id);
                 txn.conds.push(Cond {
                     key: key.clone(),
-                    version: *version,
+                    version: machine.version,
                 });
                 txn.writes.push(Write::Remove { remove: key });
+                if let Some(row) = &machine.row {
+                    add_row(&mut txn, row.key(), row);
+                }
                 // Until the view shows it, it must not be deleted again.
-                self.deleting.insert((*id).clone());
+                self.deleting.insert(machine.id.clone());
             }
-            let machines = group.iter().map(|(id, _)| (*id).clone()).collect();
             log::info!("{} machines returned", group.len());
+            let machines = group.into_iter().map(|machine| machine.id).collect();
             ctx.txn(Urgency::Work, &txn, Pending::Removed { machines });
         }
     }
@@ -111,3 +116,45 @@
         }
     }
 }
+
+/// A machine that is gone, and whose record is to be removed.
+struct Gone {
+    id: MachineId,
+    version: u64,
+    /// The end of a pool's charge for it, if its holder has not recorded one.
+    row: Option<Interval>,
+}
+
+impl Gone {
+    fn new(id: &MachineId, stamped: &Stamped<MachineRecord>, wall: u64) -> Self {
+        let mut rec = stamped.rec.clone();
+        Self {
+            id: id.clone(),
+            version: stamped.version,
+            row: rec.close_membership(id, wall, Err(Ended::Lost)),
+        }
+    }
+
+    /// Changes that its removal takes.
+    fn changes(&self) -> usize {
+        1 + usize::from(self.row.is_some())
+    }
+}
+
+/// Groups of machines whose removal takes so many changes at the most.
+fn groups_of(gone: Vec<Gone>, most: usize) -> Vec<Vec<Gone>> {
+    let mut groups: Vec<Vec<Gone>> = Vec::new();
+    let mut room = 0;
+    for machine in gone {
+        let changes = machine.changes();
+        if changes > room || groups.is_empty() {
+            groups.push(Vec::new());
+            room = most;
+        }
+        room -= changes;
+        if let Some(group) = groups.last_mut() {
+            group.push(machine);
+        }
+    }
+    groups
+}
--- a/crates/core/src/leader/finalization.rs
+++ b/crates/core/src/leader/finalization.rs
@@ -21,19 +21,21 @@
 impl Leader {
     /// Records the newest format that all controllers know, if it is not yet.
     pub(super) fn finalize_format(&mut self, ctx: &mut Context, view: &View) {
-        let format = ctx.cfg.format;
-        if view.format() >= format || ctx.now < self.finalize_at {
+        let newest = ctx.cfg.registered_format(view.format());
+        if view.format() >= newest || ctx.now < self.finalize_at {
             return;
         }
         let looks = crate::ms(ctx.cfg.ops.assign_s);
-        let lacking: Vec<NodeName> = lacking(ctx, view, format);
-        if !lacking.is_empty() {
-            if ctx.now >= self.blockers_logged_at {
-                self.blockers_logged_at = ctx.now + looks * Ms::from(LOG_LOOKS);
-                let names: Vec<&str> = lacking.iter().map(NodeName::as_str).collect();
-                let names = names.join(", ");
-                log::info!("format {format} is not finalized: {names} not registered with it");
-            }
+        let lacking: Vec<NodeName> = lacking(ctx, view, newest);
+        if !lacking.is_empty() && ctx.now >= self.blockers_logged_at {
+            self.blockers_logged_at = ctx.now + looks * Ms::from(LOG_LOOKS);
+            let names: Vec<&str> = lacking.iter().map(NodeName::as_str).collect();
+            let names = names.join(", ");
+            log::info!("format {newest} is not finalized: {names} not registered with it");
+        }
+        // One that all know is finalized while a newer one waits.
+        let format = known_to_all(ctx, view).min(newest);
+        if format <= view.format() {
             return;
         }
         self.finalize_at = ctx.now + looks * Ms::from(TRY_LOOKS);
@@ -79,6 +81,17 @@
     }
 }
 
+/// The newest format that all configured controllers have registered with.
+fn known_to_all(ctx: &Context, view: &View) -> FormatVersion {
+    let of = |name: &NodeName| {
+        view.nodes
+            .get(name)
+            .map_or(FormatVersion::FIRST, |n| n.rec.format)
+    };
+    let all = ctx.cfg.nodes.iter().map(of);
+    all.min().unwrap_or(FormatVersion::FIRST)
+}
+
 /// Configured controllers that have not registered with a format.
 fn lacking(ctx: &Context, view: &View, format: FormatVersion) -> Vec<NodeName> {
     let has = |name: &NodeName| view.nodes.get(name).is_some_and(|n| n.rec.format >= format);
--- a/crates/core/src/leader/inventory.rs
+++ b/crates/core/src/leader/inventory.rs
@@ -36,6 +36,9 @@
 impl Leader {
     /// Reads the catalogue and the list of machines when they are due.
     pub(super) fn poll_cloud(&mut self, ctx: &mut Context) {
+        if self.lacks_prices(ctx) {
+            self.catalog_at = self.catalog_at.min(ctx.now + CATALOG_UNKNOWN_PAUSE);
+        }
         if ctx.now >= self.catalog_at && self.may_call(ctx) {
             self.catalog_at = ctx.now + CATALOG_RETRY;
             ctx.cloud("GET", "/catalog".to_owned(), None, Pending::Catalog);
@@ -81,6 +84,7 @@
             } else {
                 CATALOG_UNKNOWN_PAUSE
             };
+        self.record_prices(ctx, view, &catalog.types);
         for t in catalog.types {
             let known = view.types.get(&t.name);
             if known.is_some_and(|k| k.rec == t) {
--- a/crates/core/src/leader/lending.rs
+++ b/crates/core/src/leader/lending.rs
@@ -143,10 +143,18 @@
             return None;
         }
         let others = demands.iter().filter(|(j, _)| **j != k);
+        let offered = |d: &'_ DemandRecord| {
+            let pooled = d.pooled.iter().filter(|_| shape.gang);
+            d.borrowed
+                .iter()
+                .chain(pooled)
+                .cloned()
+                .collect::<Vec<MachineId>>()
+        };
         others
-            .flat_map(|(j, d)| d.borrowed.iter().map(move |id| (j, id)))
+            .flat_map(|(j, d)| offered(d).into_iter().map(move |id| (j, id)))
             .find(|(j, id)| self.may_move(view, **j, id, shape))
-            .map(|(_, id)| id.clone())
+            .map(|(_, id)| id)
     }
 
     /// Whether a share may be asked for a machine that suits a shape.
--- a/crates/core/src/leader/renting.rs
+++ b/crates/core/src/leader/renting.rs
@@ -307,6 +307,8 @@
                 want: None,
                 floor: 0,
                 images: Vec::new(),
+                pool: None,
+                charged_until_ms: 0,
             };
             txn.conds.push(Cond {
                 key: key.clone(),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -36,6 +36,7 @@
 mod overflow;
 mod peers;
 mod pending;
+mod pools;
 mod preempt;
 mod ranges;
 mod reclaim;
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -2,6 +2,7 @@
 
 use crate::blame::MachineFailures;
 use crate::context::Context;
+use crate::pools::MachinePool;
 use crate::Ms;
 use forkshift_sched::Resources;
 use forkshift_wire::{MachineId, TaskRef};
@@ -88,6 +89,8 @@
     pub(crate) draining: bool,
     /// Since when nothing has needed it.
     pub(crate) idle_since: Option<Ms>,
+    /// Its part in warm pools.
+    pub(crate) pool: MachinePool,
 }
 
 impl Machine {
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -86,14 +86,15 @@
         let mine = view.is_alive(&ctx.cfg.node, ctx.inc);
         let blind = ctx.now < ctx.blind_until;
         let node = view.nodes.get(&ctx.cfg.node);
-        let says = node.is_some_and(|n| n.rec.blind == blind);
+        let format = ctx.cfg.registered_format(view.format());
+        let says = node.is_some_and(|n| n.rec.blind == blind && n.rec.format == format);
         if !self.putting && (!mine || !self.registered || !says) {
             let key = node_key(&ctx.cfg.node);
             let version = node.map_or(0, |n| n.version);
             let rec = NodeRecord {
                 inc: ctx.inc,
                 blind,
-                format: ctx.cfg.format,
+                format,
             };
             self.putting = true;
             put_leased(ctx, key, version, &rec, lease, Pending::NodePut { lease });
--- a/crates/core/src/node/answers.rs
+++ b/crates/core/src/node/answers.rs
@@ -72,6 +72,26 @@
                 }
             }
             Pending::MachinePut(id) => self.on_machine_put(&id, status, body),
+            Pending::PoolHeads { share, epoch } => {
+                if let Some(s) = self.shares.get_mut(&share).filter(|s| s.epoch == epoch) {
+                    s.on_pool_heads(&self.ctx, status, body);
+                }
+            }
+            Pending::PoolAsked {
+                share,
+                epoch,
+                asked,
+            } => {
+                if let Some(s) = self.shares.get_mut(&share).filter(|s| s.epoch == epoch) {
+                    s.on_pool_asked(*asked, status, body);
+                }
+            }
+            Pending::PoolRow { share, epoch, key } => {
+                if let Some(s) = self.shares.get_mut(&share).filter(|s| s.epoch == epoch) {
+                    s.on_pool_row(&self.ctx, &key, status);
+                }
+            }
+            Pending::PriceRow(price) => self.leader.on_price_row(*price, status),
             Pending::Demand { share } => {
                 self.missed(status, body);
                 if let Some(s) = self.shares.get_mut(&share) {
--- a/crates/core/src/pending.rs
+++ b/crates/core/src/pending.rs
@@ -3,6 +3,7 @@
 use crate::io::{Reply, RequestId};
 use crate::records::ShareId;
 use crate::Ms;
+use forkshift_pools::account::{Asked, Price};
 use forkshift_wire::users::{JobSpec, JobStage};
 use forkshift_wire::workers::Command;
 use forkshift_wire::{JobId, MachineId};
@@ -71,6 +72,25 @@
         id: JobId,
     },
     MachinePut(MachineId),
+    /// Reads what pools are asked for.
+    PoolHeads {
+        share: ShareId,
+        epoch: u64,
+    },
+    /// Writes what a pool is asked for.
+    PoolAsked {
+        share: ShareId,
+        epoch: u64,
+        asked: Box<Asked>,
+    },
+    /// Writes a row of a pool's account that stands by itself.
+    PoolRow {
+        share: ShareId,
+        epoch: u64,
+        key: String,
+    },
+    /// Writes a machine type's price.
+    PriceRow(Box<Price>),
     Demand {
         share: ShareId,
     },
--- /dev/null
+++ b/crates/core/src/pools/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of `pools`.
--- a/crates/core/src/reclaim.rs
+++ b/crates/core/src/reclaim.rs
@@ -135,6 +135,7 @@
 
     fn rooms(&self, ctx: &Context, usable: &[MachineId]) -> Vec<Room> {
         let machines = usable.iter().filter_map(|id| self.machines.get(id));
+        let machines = machines.filter(|m| !m.is_pool_member());
         machines.map(|m| self.room(ctx, m)).collect()
     }
 
--- a/crates/core/src/reconcile.rs
+++ b/crates/core/src/reconcile.rs
@@ -90,6 +90,7 @@
         self.stop_broken_gangs();
         self.follow_cancelled(ctx);
         self.round(ctx, view);
+        self.write_pool_rows(ctx);
         for id in self.look.take(ctx.now) {
             self.look_at(ctx, view, &id);
         }
@@ -225,6 +226,7 @@
         self.record_condemned(ctx, view, id);
         self.take_back(ctx, id);
         self.note_address(ctx, view, id);
+        self.note_membership(ctx, view, id);
         self.give_away(ctx, view, id);
         self.send_to(ctx, id);
         let Some(machine) = self.machines.get(id) else {
@@ -258,6 +260,7 @@
             let addr = m.heard.is_some() && r.addr.is_none() && m.condemned.is_none();
             condemned || addr || r.want.is_some()
         });
+        let unwritten = unwritten || m.pool.is_busy();
         let stopping = |t: &TaskRef| {
             let binding = self.jobs.get(&t.job).and_then(|j| j.bound.get(&t.index));
             binding.is_some_and(|b| b.stop.is_some() || b.sent == Sent::No)
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -5,6 +5,8 @@
 //! below `live/<share>/` while they are unfinished.
 
 use crate::format::FormatVersion;
+use forkshift_pools::account::MachineFacts;
+use forkshift_pools::{Ended, Interval, Membership, PoolState};
 use forkshift_sched::Resources;
 use forkshift_wire::cloud::MachineType;
 use forkshift_wire::users::{JobSpec, JobStage};
@@ -154,6 +156,38 @@
     /// Images that were there when it last changed shares, with their sizes.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub images: Vec<(String, f64)>,
+    /// Its membership in a warm pool. Since format 3.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pool: Option<Membership>,
+    /// Until when pools were charged for it, in milliseconds since 1970. Since format 3.
+    #[serde(default, skip_serializing_if = "is_never")]
+    pub charged_until_ms: u64,
+}
+
+impl MachineRecord {
+    /// Ends the time of its membership up to now; what follows is `next`. Returns the
+    /// row of the pool's account that must be written with it.
+    pub(crate) fn close_membership(
+        &mut self,
+        id: &MachineId,
+        at_ms: u64,
+        next: Result<PoolState, Ended>,
+    ) -> Option<Interval> {
+        let membership = self.pool.take()?;
+        let machine = MachineFacts {
+            id: id.clone(),
+            machine_type: self.machine_type.clone(),
+            spot: self.spot,
+        };
+        let interval = membership.close(&machine, at_ms, next.err());
+        self.charged_until_ms = interval.to_ms;
+        self.pool = next.ok().map(|state| Membership {
+            state,
+            since_ms: interval.to_ms,
+            ..membership
+        });
+        Some(interval)
+    }
 }
 
 /// A rental intent, written before the request.
@@ -218,9 +252,12 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub surplus: Vec<MachineId>,
     /// Machines that hold nothing but borrowed low-priority work, those that
-    /// lose the least of it first.
+    /// lose the least of it first, and warm pools' machines beyond the pools' least.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub borrowed: Vec<MachineId>,
+    /// Warm pools' machines that make up the pools' least: for gangs only. Since format 3.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub pooled: Vec<MachineId>,
 }
 
 impl DemandRecord {
@@ -241,7 +278,8 @@
             list.truncate(list.len() / 2);
             had
         }
-        halve(&mut self.borrowed)
+        halve(&mut self.pooled)
+            || halve(&mut self.borrowed)
             || halve(&mut self.surplus)
             || halve(&mut self.free)
             || halve(&mut self.now)
@@ -255,6 +293,7 @@
             && self.free == other.free
             && self.surplus == other.surplus
             && self.borrowed == other.borrowed
+            && self.pooled == other.pooled
     }
 }
 
@@ -284,6 +323,9 @@
     /// machine is rented for it.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub borrows: bool,
+    /// It is of a gang, which needs all of its places at once. Since format 3.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub gang: bool,
 }
 
 impl ShapeRecord {
--- a/crates/core/src/records/tests.rs
+++ b/crates/core/src/records/tests.rs
@@ -12,6 +12,7 @@
         spare: false,
         reclaims: false,
         borrows: false,
+        gang: false,
     }
 }
 
@@ -31,6 +32,7 @@
         free: machines(20),
         surplus: machines(200),
         borrowed: machines(200),
+        pooled: Vec::new(),
     };
     let size = |rec: &DemandRecord| serde_json::to_vec(rec).expect("a record").len();
     let whole = size(&full);
--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -3,6 +3,7 @@
 use crate::context::Context;
 use crate::job::{Binding, Job, Sent};
 use crate::machine::Machine;
+use crate::pools::open_reservations;
 use crate::share::Share;
 use crate::view::View;
 use crate::Ms;
@@ -17,7 +18,7 @@
 
 /// A job reclaims machines of other shares after it has waited this many
 /// rounds: by then its own share has no room for it.
-const RECLAIM_ROUNDS: f64 = 2.0;
+pub(crate) const RECLAIM_ROUNDS: f64 = 2.0;
 /// Jobs that failed again and again go behind all others, for so long: it may
 /// be that they are well, and that nothing else ever leaves them room.
 const PROBE_BAND: i32 = -1;
@@ -41,10 +42,13 @@
             .map(|m| m.id.clone())
             .collect();
         let mut hosts: Vec<Host> = usable.iter().map(|id| host(&self.machines[id])).collect();
+        self.reserve_members(ctx, &usable, &mut hosts);
         let (ids, mut wants) = self.pending_tasks(ctx, &usable);
         let mut quotas = self.quotas.clone();
         let weights = ctx.cfg.ops.weights;
-        let placed = run_round(&mut wants, &mut hosts, &mut quotas, &weights);
+        let mut placed = run_round(&mut wants, &mut hosts, &mut quotas, &weights);
+        self.note_misses(ctx, &ids, &wants);
+        placed.extend(self.reclaim_members(ctx, &ids, &mut wants, &mut hosts, &mut quotas));
         self.note_lacking_room(ctx.now, &ids, &wants);
         let mut attempts: BTreeMap<usize, u64> = BTreeMap::new();
         let mut tried = BTreeSet::new();
@@ -196,8 +200,9 @@
             false => band(job, guaranteed, aged),
         };
         let is_late = job.age(ctx.now) > crate::ms(ctx.cfg.ops.round_s * RECLAIM_ROUNDS);
-        let reclaims =
-            ctx.cfg.has_guests && !probed && (guaranteed || job.priority() >= Priority::High);
+        let from_guests = ctx.cfg.has_guests && (guaranteed || job.priority() >= Priority::High);
+        let from_pools = ctx.has_pools() && guaranteed;
+        let reclaims = !probed && (from_guests || from_pools);
         pending.reclaim = match reclaims {
             true if is_late => Reclaim::TasksAndMachines,
             true => Reclaim::Tasks,
@@ -325,6 +330,7 @@
         spot: spec.spot,
         zones: at,
         avoid: BTreeSet::new(),
+        reservations: open_reservations(ctx, &spec.team, &spec.image),
     }
 }
 
@@ -376,5 +382,6 @@
         images: m.images.iter().map(|(i, _)| *i).collect(),
         held: false,
         delay: 0.0,
+        reserved_for: None,
     }
 }
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -19,6 +19,7 @@
 use crate::job::Job;
 use crate::machine::Machine;
 use crate::pending::Pending;
+use crate::pools::SharePools;
 use crate::records::{DemandRecord, MachineRecord, ShareId};
 use crate::store::Urgency;
 use crate::timers::TimerQueue;
@@ -123,6 +124,8 @@
     pub(crate) look_for_aborts: bool,
     /// Jobs that wait for others, and were just added.
     pub(crate) new_blocked_jobs: Vec<JobId>,
+    /// Its teams' warm pools.
+    pub(crate) pools: SharePools,
 }
 
 impl Share {
@@ -178,6 +181,7 @@
             superseded: false,
             look_for_aborts: false,
             new_blocked_jobs: Vec::new(),
+            pools: SharePools::default(),
         };
         share.list(ctx, "");
         share
--- a/crates/core/src/share/arrivals.rs
+++ b/crates/core/src/share/arrivals.rs
@@ -16,6 +16,9 @@
     weight: f64,
     at: Ms,
     pub(crate) last: ShapeRecord,
+    /// Team and image of the last arrival.
+    pub(crate) last_team: String,
+    pub(crate) last_image: String,
 }
 
 impl ClassStats {
@@ -49,6 +52,7 @@
             spare: true,
             reclaims: false,
             borrows: false,
+            gang: false,
         };
         let stats = self
             .classes
@@ -57,9 +61,13 @@
                 weight: 0.0,
                 at: now,
                 last: last.clone(),
+                last_team: spec.team.clone(),
+                last_image: spec.image.clone(),
             });
         stats.fade(now);
         stats.weight += f64::from(spec.tasks);
         stats.last = last;
+        stats.last_team.clone_from(&spec.team);
+        stats.last_image.clone_from(&spec.image);
     }
 }
--- a/crates/core/src/share/machines.rs
+++ b/crates/core/src/share/machines.rs
@@ -6,9 +6,11 @@
 use crate::context::Context;
 use crate::machine::Machine;
 use crate::pending::Pending;
+use crate::pools::{add_row, MachinePool};
 use crate::records::{machine_key, share_key, total_of, MachineRecord};
 use crate::store::Urgency;
 use crate::view::{Changed, View};
+use forkshift_pools::{Ended, Interval};
 use forkshift_sched::Resources;
 use forkshift_wire::state::{Cond, Txn, Write};
 use forkshift_wire::{MachineId, TaskRef};
@@ -48,6 +50,7 @@
                     machine.condemned = stamped.rec.condemned.clone();
                 }
                 machine.addr = stamped.rec.addr.clone().or(machine.addr.take());
+                machine.pool.follow(&stamped.rec);
             }
         } else if let Some(machine) = self.new_machine(ctx, view, id, &stamped.rec, stamped.version)
         {
@@ -116,6 +119,7 @@
             full_house_until: 0,
             draining: false,
             idle_since: None,
+            pool: MachinePool::new(rec),
         })
     }
 
@@ -151,6 +155,7 @@
             return;
         };
         let names = self.image_names(ctx, id);
+        let is_offered = self.told.borrowed.contains(id) || self.told.pooled.contains(id);
         let Some(machine) = self.machines.get_mut(id) else {
             return;
         };
@@ -163,15 +168,18 @@
             && !machine.calling
             && !machine.unanswered
             && machine.condemned.is_none()
+            && (machine.pool.membership.is_none() || is_offered)
             && machine.is_confirmed();
         let floor = machine.token;
         if free || machine.leaving.is_some() {
             machine.leaving = Some(machine.version);
-            self.put_machine(ctx, view, id, |rec| {
+            let at_ms = ctx.wall;
+            self.put_machine_with(ctx, view, id, |rec| {
                 rec.share = to;
                 rec.want = None;
                 rec.floor = floor;
                 rec.images = names;
+                rec.close_membership(id, at_ms, Err(Ended::Reclaimed))
             });
         } else if !self.vacate(ctx, id) {
             self.put_machine(ctx, view, id, |rec| rec.want = None);
@@ -201,6 +209,20 @@
         view: &View,
         id: &MachineId,
         change: impl FnOnce(&mut MachineRecord),
+    ) {
+        self.put_machine_with(ctx, view, id, |rec| {
+            change(rec);
+            None
+        });
+    }
+
+    /// The same, with a row of a pool's account that the change ends.
+    pub(crate) fn put_machine_with(
+        &mut self,
+        ctx: &mut Context,
+        view: &View,
+        id: &MachineId,
+        change: impl FnOnce(&mut MachineRecord) -> Option<Interval>,
     ) {
         let (Some(machine), Some(stamped)) = (self.machines.get_mut(id), view.machines.get(id))
         else {
@@ -211,12 +233,12 @@
         }
         machine.putting = true;
         let mut rec = stamped.rec.clone();
-        change(&mut rec);
+        let row = change(&mut rec);
         // Only a takeover needs an address; all else frees a machine.
         let moves = rec.share != stamped.rec.share || rec.condemned != stamped.rec.condemned;
         let urgency = if moves { Urgency::Work } else { Urgency::Later };
         let key = machine_key(id);
-        let txn = Txn {
+        let mut txn = Txn {
             conds: vec![
                 Cond {
                     key: share_key(self.id),
@@ -229,6 +251,9 @@
             ],
             writes: vec![Write::put(key, to_value(rec).unwrap_or_default())],
         };
+        if let Some(row) = row {
+            add_row(&mut txn, row.key(), &row);
+        }
         ctx.txn(urgency, &txn, Pending::MachinePut(id.clone()));
     }
 
--- a/crates/pools/src/account.rs
+++ b/crates/pools/src/account.rs
@@ -224,6 +224,8 @@
 
 /// Prefix of all that is recorded of pools.
 pub const POOLS: &str = "pool/";
+/// Prefix of what pools are asked for now.
+pub const HEADS: &str = "pool-asked/";
 /// Prefix of prices.
 pub const PRICES: &str = "price/";
 /// Digits of a time in a key, so that keys are in the order of time.
@@ -231,7 +233,7 @@
 
 /// Key of what a pool is asked for now.
 pub fn head_key(pool: &PoolName) -> String {
-    format!("{POOLS}{pool}")
+    format!("{HEADS}{pool}")
 }
 
 fn row_key(pool: &PoolName, at_ms: u64, what: &str) -> String {
@@ -250,22 +252,18 @@
 }
 
 impl Row {
-    /// Reads a record below [`POOLS`]; none if it is not understood.
-    pub fn parse(key: &str, value: &str) -> Option<Self>
-    where
-        Self: Sized,
-    {
-        let name = key.strip_prefix(POOLS)?;
-        let kind = name.split_once('/').map(|(_, row)| row);
-        let kind = kind
-            .and_then(|row| row.split_once('-'))
-            .map(|(_, what)| what);
-        match kind {
-            None => parse_json(value).map(Self::Asked),
-            Some("asked") => parse_json(value).map(Self::Asked),
-            Some(what) if what.starts_with("machine-") => parse_json(value).map(Self::Interval),
-            Some(what) if what.starts_with("missed-") => parse_json(value).map(Self::Miss),
-            Some(_) => None,
+    /// Reads a record below [`POOLS`] or [`HEADS`]; none if it is not understood.
+    pub fn parse(key: &str, value: &str) -> Option<Self> {
+        if key.starts_with(HEADS) {
+            return parse_json(value).map(Self::Asked);
+        }
+        let (_, row) = key.strip_prefix(POOLS)?.split_once('/')?;
+        let (_, what) = row.split_once('-')?;
+        match what.split_once('-') {
+            None if what == "asked" => parse_json(value).map(Self::Asked),
+            Some(("machine", _)) => parse_json(value).map(Self::Interval),
+            Some(("missed", _)) => parse_json(value).map(Self::Miss),
+            _ => None,
         }
     }
 }
--- a/crates/pools/src/lib.rs
+++ b/crates/pools/src/lib.rs
@@ -2,11 +2,12 @@
 //!
 //! This package decides and does no I/O: which pools there are ([`declaration`]), how
 //! many machines each keeps at a time ([`calendar`]), which machines join and leave
-//! ([`choice`]), for which times a pool is charged ([`account`]), and what a span of time
-//! has cost ([`report`]). The controller's core carries the decisions out;
+//! ([`choice`]), for which times a pool is charged ([`account`], checked by [`audit`]), and
+//! what a span of time has cost ([`report`]). The controller's core carries the decisions out;
 //! `docs/design-warm-pools.md` says why they are as they are.
 
 pub mod account;
+pub mod audit;
 pub mod calendar;
 pub mod choice;
 pub mod declaration;
--- a/crates/pools/tests/model.rs
+++ b/crates/pools/tests/model.rs
@@ -1,9 +1,10 @@
 //! Pools over random orders of declarations, bursts, reclaims and ends: whatever
 //! happens, no machine is in two pools, none is charged outside its life or twice, the
-//! charges sum to what was charged, and limits hold. The checks are shown to fail on
-//! accounts made wrong on purpose.
+//! charges sum to what was charged, and limits hold. That the audit fails on accounts made
+//! wrong on purpose is shown beside it.
 
 use forkshift_pools::account::{MachineFacts, Price};
+use forkshift_pools::audit::{mistakes, Life};
 use forkshift_pools::choice::{affordable, joining, leaving, Candidate, Member};
 use forkshift_pools::report::{PriceList, Span};
 use forkshift_pools::{Ended, Interval, Membership, PoolName, PoolState};
@@ -207,33 +208,7 @@
     }
 }
 
-/// What is wrong with an account, by machine: times that overlap, that have a gap within
-/// one membership, or that lie outside the machine's life.
-fn wrong_times(rows: &[Interval], lives: &BTreeMap<MachineId, (u64, u64)>) -> Vec<String> {
-    let mut by_machine: BTreeMap<&MachineId, Vec<&Interval>> = BTreeMap::new();
-    for row in rows {
-        by_machine.entry(&row.machine).or_default().push(row);
-    }
-    let mut wrong = Vec::new();
-    for (id, mut rows) in by_machine {
-        rows.sort_by_key(|r| (r.from_ms, r.to_ms));
-        let (from, to) = lives[id];
-        if rows.iter().any(|r| r.from_ms < from || r.to_ms > to) {
-            wrong.push(format!("{id}: outside its life"));
-        }
-        for pair in rows.windows(2) {
-            if pair[1].from_ms < pair[0].to_ms {
-                wrong.push(format!("{id}: charged twice"));
-            }
-            if pair[0].ended.is_none() && pair[1].from_ms > pair[0].to_ms {
-                wrong.push(format!("{id}: not charged"));
-            }
-        }
-    }
-    wrong
-}
-
-fn lives(model: &Model) -> BTreeMap<MachineId, (u64, u64)> {
+fn lives(model: &Model) -> BTreeMap<MachineId, Life> {
     let machines = model.machines.iter().enumerate();
     let life = |m: &Machine| (m.from_ms, m.ended_ms.unwrap_or(model.now));
     machines.map(|(i, m)| (facts(i).id, life(m))).collect()
@@ -268,7 +243,7 @@
         for i in 0..model.machines.len() {
             model.change(i, None, Some(Ended::Withdrawn));
         }
-        prop_assert_eq!(wrong_times(&model.rows, &lives(&model)), Vec::<String>::new());
+        prop_assert_eq!(mistakes(&model.rows, &lives(&model), 0), vec![]);
 
         // The report's sums are those of the charges, machine by machine.
         let prices: Vec<Price> = (0..model.machines.len()).map(|i| Price {
@@ -288,52 +263,3 @@
         }
     }
 }
-
-/// A right account of one machine, and what makes it wrong.
-#[test]
-fn wrong_accounts_are_found() {
-    let row = |from_ms, to_ms, ended| Interval {
-        pool: pool(0),
-        machine: facts(0).id,
-        machine_type: "type-0".to_owned(),
-        spot: false,
-        state: PoolState::Warm,
-        from_ms,
-        to_ms,
-        ended,
-    };
-    let lives = BTreeMap::from([(facts(0).id, (100, 900))]);
-    let left = Some(Ended::Surplus);
-    let cases: [(Vec<Interval>, &[&str]); 6] = [
-        (
-            vec![
-                row(100, 200, None),
-                row(200, 300, left),
-                row(400, 900, left),
-            ],
-            &[],
-        ),
-        (
-            vec![row(100, 200, None), row(199, 300, left)],
-            &["charged twice"],
-        ),
-        (
-            vec![row(100, 200, None), row(201, 300, left)],
-            &["not charged"],
-        ),
-        (vec![row(99, 200, left)], &["outside its life"]),
-        (vec![row(800, 901, left)], &["outside its life"]),
-        (
-            vec![row(100, 300, left), row(100, 300, left)],
-            &["charged twice"],
-        ),
-    ];
-    for (n, (rows, expected)) in cases.into_iter().enumerate() {
-        let found = wrong_times(&rows, &lives);
-        let expected: Vec<String> = expected
-            .iter()
-            .map(|w| format!("host-000000: {w}"))
-            .collect();
-        assert_eq!(found, expected, "case {n}");
-    }
-}
--- a/crates/sched/src/host_table.rs
+++ b/crates/sched/src/host_table.rs
@@ -10,6 +10,7 @@
 use crate::round::{Host, PendingTasks};
 use crate::score::{choose, Candidate, Weights};
 use rustc_hash::{FxHashMap, FxHashSet};
+use std::collections::BTreeSet;
 
 /// Most zones whose bits fit into a mask; with more, nothing is remembered.
 const ZONES_MOST: usize = 64;
@@ -24,6 +25,7 @@
     price_bits: u64,
     fetch_rate_bits: u64,
     delay_bits: u64,
+    reserved_for: Option<u32>,
 }
 
 impl ClassKey {
@@ -36,6 +38,7 @@
             price_bits: host.price.to_bits(),
             fetch_rate_bits: host.fetch_rate.to_bits(),
             delay_bits: host.delay.to_bits(),
+            reserved_for: host.reserved_for,
         }
     }
 }
@@ -54,6 +57,7 @@
     /// A bit for each zone that is allowed.
     zones: u64,
     spot: bool,
+    reservations: BTreeSet<u32>,
 }
 
 impl Requirement {
@@ -70,6 +74,7 @@
             types: want.types.clone(),
             zones: allowed.fold(0, |mask, (bit, _)| mask | 1 << bit),
             spot: want.spot,
+            reservations: want.reservations.clone(),
         })
     }
 }
@@ -157,7 +162,8 @@
             let fits = !class.members.is_empty()
                 && want.task.fits(&key.free)
                 && zone.is_none_or(|z| z == key.zone)
-                && want.allowed(key.machine_type, key.zone, key.spot);
+                && want.allowed(key.machine_type, key.zone, key.spot)
+                && want.may_use_reserved(key.reserved_for);
             if !fits {
                 continue;
             }
--- a/crates/sched/src/host_table/tests.rs
+++ b/crates/sched/src/host_table/tests.rs
@@ -30,23 +30,27 @@
         btree_set(0..3_u32, 0..3),
         prop_oneof![4 => Just(0.0), 1 => Just(7.5)],
         prop_oneof![19 => Just(false), 1 => Just(true)],
+        prop_oneof![3 => Just(None), 1 => (0..2_u32).prop_map(Some)],
+    );
+    let host = host.prop_map(
+        |(machine_type, zone, spot, used, images, delay, held, reserved_for)| {
+            let size = i64::from(machine_type) + 1;
+            let total = Resources::new(8.0, 2.0, 32.0).times(size);
+            Host {
+                free: total - Resources::new(2.0, 0.5, 8.0).times(used),
+                total,
+                machine_type,
+                zone,
+                spot,
+                price: if spot { 1.0 } else { 3.0 } * size as f64,
+                fetch_rate: f64::from(machine_type),
+                images,
+                held,
+                delay,
+                reserved_for,
+            }
+        },
     );
-    let host = host.prop_map(|(machine_type, zone, spot, used, images, delay, held)| {
-        let size = i64::from(machine_type) + 1;
-        let total = Resources::new(8.0, 2.0, 32.0).times(size);
-        Host {
-            free: total - Resources::new(2.0, 0.5, 8.0).times(used),
-            total,
-            machine_type,
-            zone,
-            spot,
-            price: if spot { 1.0 } else { 3.0 } * size as f64,
-            fetch_rate: f64::from(machine_type),
-            images,
-            held,
-            delay,
-        }
-    });
     vec(host, 0..24)
 }
 
@@ -93,11 +97,12 @@
         Just(Reservation::Room),
         Just(Reservation::RoomAndQuota),
     ];
-    let rest = (0..3_u32, 0..TEAMS, reservation, 0..3_u32);
+    let reservations = btree_set(0..2_u32, 0..2);
+    let rest = (0..3_u32, 0..TEAMS, reservation, 0..3_u32, reservations);
     (shape, place, rest).prop_map(|(shape, place, rest)| {
         let (cpus, gpus, tasks, gang, band) = shape;
         let (types, zone, one_zone, spread, spot) = place;
-        let (image, team, reservation, estimate) = rest;
+        let (image, team, reservation, estimate, reservations) = rest;
         PendingTasks {
             task: Resources::new(cpus as f64, gpus as f64 * 0.5, 2.0),
             waiting: (0..tasks).collect(),
@@ -120,6 +125,7 @@
             spot,
             zones: BTreeMap::new(),
             avoid: BTreeSet::new(),
+            reservations,
         }
     })
 }
@@ -178,6 +184,7 @@
             images: BTreeSet::new(),
             held: false,
             delay: 0.0,
+            reserved_for: None,
         };
         let want = |zone: Option<u16>, tasks: u32| PendingTasks {
             task: Resources::new(5.0, 0.0, 2.0),
@@ -201,6 +208,7 @@
             spot: false,
             zones: BTreeMap::new(),
             avoid: BTreeSet::new(),
+            reservations: BTreeSet::new(),
         };
         // Two for the last zone, where one fits, and more for all than there are.
         let wants = vec![want(Some(zones - 1), 2), want(None, u32::from(zones) + 3)];
--- a/crates/sched/src/host_table/tests/reference.rs
+++ b/crates/sched/src/host_table/tests/reference.rs
@@ -56,7 +56,11 @@
 /// Keeps the machine that comes closest to having room for a task that has
 /// waited for long from being filled up by what is behind it.
 fn hold_host(want: &PendingTasks, hosts: &mut [Host]) {
-    let fits = |h: &Host| want.task.fits(&h.total) && want.allowed(h.machine_type, h.zone, h.spot);
+    let fits = |h: &Host| {
+        want.task.fits(&h.total)
+            && want.allowed(h.machine_type, h.zone, h.spot)
+            && want.may_use_reserved(h.reserved_for)
+    };
     let free = |h: &Host| 1.0 - (h.total - h.free).largest_share(&h.total);
     let best = hosts
         .iter_mut()
@@ -112,6 +116,7 @@
             && want.task.fits(&host.free)
             && zone.is_none_or(|z| z == host.zone)
             && want.allowed(host.machine_type, host.zone, host.spot)
+            && want.may_use_reserved(host.reserved_for)
             && !want.avoid.contains(&i);
         if !fits {
             continue;
--- a/crates/sched/src/round.rs
+++ b/crates/sched/src/round.rs
@@ -32,6 +32,9 @@
     pub held: bool,
     /// Extra seconds before anything can start (a machine that still boots).
     pub delay: f64,
+    /// Reserved for jobs to which this reservation is open, by a number given by the
+    /// caller; none: for any.
+    pub reserved_for: Option<u32>,
 }
 
 /// The tasks of one job that wait for a place.
@@ -81,6 +84,8 @@
     pub zones: BTreeMap<u16, u32>,
     /// Hosts that it is kept away from.
     pub avoid: BTreeSet<usize>,
+    /// Reservations of hosts that are open to it.
+    pub reservations: BTreeSet<u32>,
 }
 
 impl PendingTasks {
@@ -116,6 +121,11 @@
         !self.spread || here < self.total.div_ceil(2)
     }
 
+    /// Whether a host with such a reservation is open to it.
+    pub fn may_use_reserved(&self, reserved_for: Option<u32>) -> bool {
+        reserved_for.is_none_or(|number| self.reservations.contains(&number))
+    }
+
     /// Whether a task may go to such a machine at all.
     pub fn allowed(&self, machine_type: u16, zone: u16, spot: bool) -> bool {
         (self.spot || !spot)
@@ -193,7 +203,11 @@
 /// Keeps the machine that comes closest to having room for a task that has
 /// waited for long from being filled up by what is behind it.
 fn hold_host(want: &PendingTasks, table: &mut HostTable) {
-    let fits = |h: &Host| want.task.fits(&h.total) && want.allowed(h.machine_type, h.zone, h.spot);
+    let fits = |h: &Host| {
+        want.task.fits(&h.total)
+            && want.allowed(h.machine_type, h.zone, h.spot)
+            && want.may_use_reserved(h.reserved_for)
+    };
     let free = |h: &Host| 1.0 - (h.total - h.free).largest_share(&h.total);
     let hosts = table.hosts().iter().enumerate();
     let best = hosts
--- a/crates/sched/src/round/tests.rs
+++ b/crates/sched/src/round/tests.rs
@@ -14,6 +14,7 @@
         images: BTreeSet::new(),
         held: false,
         delay: 0.0,
+        reserved_for: None,
     }
 }
 
@@ -40,6 +41,7 @@
         spot: true,
         zones: BTreeMap::new(),
         avoid: BTreeSet::new(),
+        reservations: BTreeSet::new(),
     }
 }
 
--- a/crates/testkit/src/cloud.rs
+++ b/crates/testkit/src/cloud.rs
@@ -45,6 +45,10 @@
     pub(crate) ended: Vec<MachineId>,
     /// How many in all.
     pub(crate) n_ended: usize,
+    /// When each machine was rented, and when the charge for it ended.
+    pub(crate) lives: BTreeMap<MachineId, (Ms, Option<Ms>)>,
+    /// When it was last spoken to.
+    now: Ms,
 }
 
 /// How long a machine takes from its rental until it is up.
@@ -97,6 +101,8 @@
             booting: BTreeSet::new(),
             ended: Vec::new(),
             n_ended: 0,
+            lives: BTreeMap::new(),
+            now: 0,
         }
     }
 
@@ -107,6 +113,7 @@
         body: &[u8],
         rng: &mut StdRng,
     ) -> (u16, Value) {
+        self.now = now;
         if self.down {
             return (503, json!({"error": "trouble"}));
         }
@@ -162,6 +169,14 @@
         if self.machines.remove(id).is_some() {
             self.n_ended += 1;
             self.ended.push(id.clone());
+            self.note_end(id, self.now);
+        }
+    }
+
+    /// The charge for a machine has ended, if it had not before.
+    pub(crate) fn note_end(&mut self, id: &MachineId, now: Ms) {
+        if let Some((_, ended)) = self.lives.get_mut(id) {
+            ended.get_or_insert(now);
         }
     }
 
@@ -205,6 +220,7 @@
                 up_at: machine.up_at,
             });
             self.machines.insert(id.clone(), machine);
+            self.lives.insert(id.clone(), (now, None));
             ids.push(id);
         }
         let kind = (rent.machine_type, rent.zone);
--- a/crates/testkit/src/faults.rs
+++ b/crates/testkit/src/faults.rs
@@ -54,6 +54,10 @@
     Slow(Ms),
     /// It fails what it starts.
     Sick(Ms),
+    /// It loses all images.
+    Evict,
+    /// What it fetches ahead does not come.
+    StuckFetch(Ms),
 }
 
 /// What goes wrong.
@@ -293,13 +297,14 @@
             Self::CancelNow { hang, .. } => *hang,
             Self::At(_, kind) => kind.lasts(lease_ms),
             Self::Machines(_, fault) => match fault {
-                MachineFault::Die => 0,
+                MachineFault::Die | MachineFault::Evict => 0,
                 MachineFault::Slow(time) => time + 8_000,
                 MachineFault::Hang(time)
                 | MachineFault::Cut(time)
                 | MachineFault::Deaf(time)
                 | MachineFault::Mute(time)
-                | MachineFault::Sick(time) => *time,
+                | MachineFault::Sick(time)
+                | MachineFault::StuckFetch(time) => *time,
             },
         }
     }
--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -158,6 +158,15 @@
         }
     }
 
+    /// All records below a prefix.
+    pub(crate) fn below(&self, prefix: &str) -> Vec<(String, Value)> {
+        let there = self.entries.range(prefix.to_owned()..);
+        let there = there.take_while(|(key, _)| key.starts_with(prefix));
+        there
+            .map(|(key, entry)| (key.clone(), entry.value.clone()))
+            .collect()
+    }
+
     /// Lower limits come into force.
     pub(crate) fn set_limits(&mut self, write_rps: f64, sizes: SizeLimits) {
         self.writes_limit = Limit::new(write_rps);
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -6,7 +6,7 @@
 use forkshift_wire::cloud::MachineType;
 use forkshift_wire::users::{JobKind, JobSpec};
 use forkshift_wire::workers::{
-    Command, CommandRequest, ExitCause, Report, TaskReport, TaskStage, Verb,
+    Command, CommandRequest, ExitCause, HeldImages, Prefetch, Report, TaskReport, TaskStage, Verb,
 };
 use forkshift_wire::{JobId, MachineId, TaskRef};
 use std::collections::BTreeMap;
@@ -76,6 +76,12 @@
     /// Whether a task of a gang has been started here.
     pub(crate) has_gang_tasks: bool,
     images: Vec<String>,
+    /// Whether it tells its images, and fetches them before a task needs them.
+    tells_images: bool,
+    /// Images that it fetches ahead, and when each is there.
+    prefetching: BTreeMap<String, Ms>,
+    /// What it fetches ahead does not come before this.
+    pub(crate) stuck_until: Ms,
     /// The node that it reports to.
     pub(crate) node: usize,
     pub(crate) next_report: Ms,
@@ -108,6 +114,7 @@
         zone: &str,
         spot: bool,
         now: Ms,
+        tells_images: bool,
     ) -> Self {
         let t = machine_type;
         Self {
@@ -125,6 +132,9 @@
             next_due: 0,
             has_gang_tasks: false,
             images: Vec::new(),
+            tells_images,
+            prefetching: BTreeMap::new(),
+            stuck_until: 0,
             node: 0,
             next_report: now,
             open: None,
@@ -191,6 +201,10 @@
                     saved: t.saved,
                 })
                 .collect(),
+            images: self.tells_images.then(|| HeldImages {
+                held: self.images.clone(),
+                fetching: self.prefetching.keys().cloned().collect(),
+            }),
         }
     }
 
@@ -227,11 +241,50 @@
         if good {
             self.token = request.token;
             self.execute(a, &request.commands);
+            self.prefetch(a.now, &request.prefetch);
         }
         let report = serde_json::to_vec(&self.report(a.now)).unwrap_or_default();
         (if good { 200 } else { 409 }, report)
     }
 
+    /// Begins to fetch images ahead.
+    fn prefetch(&mut self, now: Ms, wanted: &[Prefetch]) {
+        for image in wanted.iter().filter(|_| self.tells_images) {
+            if self.images.contains(&image.image) || self.prefetching.contains_key(&image.image) {
+                continue;
+            }
+            let fetch = (image.image_gb / self.fetch_rate * 1000.0) as Ms;
+            self.prefetching.insert(image.image.clone(), now + fetch);
+        }
+    }
+
+    /// Takes in what was fetched ahead.
+    fn finish_prefetches(&mut self, now: Ms) {
+        if self.prefetching.is_empty() || now < self.stuck_until {
+            return;
+        }
+        let is_there = |until: &Ms| now >= *until;
+        let there: Vec<String> = self
+            .prefetching
+            .iter()
+            .filter(|(_, until)| is_there(until))
+            .map(|(image, _)| image.clone())
+            .collect();
+        for image in there {
+            self.prefetching.remove(&image);
+            if !self.images.contains(&image) {
+                self.images.push(image);
+            }
+            self.next_report = self.next_report.min(now + 500);
+        }
+    }
+
+    /// Loses all images, as other ones needed the room.
+    pub(crate) fn evict_images(&mut self, now: Ms) {
+        self.images.clear();
+        self.next_report = self.next_report.min(now + 500);
+    }
+
     /// A 200 to the report under way.
     pub(crate) fn replied(&mut self, a: &mut Around, token: u64, commands: &[Command]) {
         let Some((_, session, sent)) = self.open.take() else {
@@ -412,6 +465,7 @@
     /// Lets time pass.
     pub(crate) fn tick(&mut self, a: &mut Around) {
         self.expire(a);
+        self.finish_prefetches(a.now);
         if a.now < self.next_due {
             return;
         }
--- a/crates/testkit/src/worker/tests.rs
+++ b/crates/testkit/src/worker/tests.rs
@@ -60,6 +60,7 @@
                 "a",
                 false,
                 0,
+                false,
             ),
         };
         assert_eq!(bench.command_start(0), 200);
@@ -96,6 +97,7 @@
             token: 1,
             session: 1,
             commands: vec![start],
+            prefetch: Vec::new(),
         };
         let body = serde_json::to_vec(&commands).unwrap();
         let (worker, mut around) = self.around(now);
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -25,6 +25,7 @@
 use digest::Digest;
 use forkshift_core::records;
 use forkshift_core::{Config, Effect, FormatVersion, Input, Node, Operator, RequestId, Target};
+use forkshift_pools::{PoolSpec, Pools};
 use forkshift_wire::settings::Settings;
 use forkshift_wire::users::{JobKind, JobStage};
 use forkshift_wire::{JobId, MachineId, TaskRef};
@@ -93,6 +94,8 @@
     node: Option<Node>,
     /// It is still of the old release.
     is_old: bool,
+    /// Pools that it declares from its next start on.
+    pools: Vec<PoolSpec>,
     start: u64,
     inbox: Vec<Input>,
     stepped: Ms,
@@ -201,6 +204,17 @@
 
     /// A world of any size.
     pub fn sized(seed: u64, plans: Vec<Plan>, faults: Vec<Fault>, size: Size) -> Self {
+        Self::with_pools(seed, plans, faults, size, Vec::new())
+    }
+
+    /// A world whose controllers declare warm pools, each its own.
+    pub fn with_pools(
+        seed: u64,
+        plans: Vec<Plan>,
+        faults: Vec<Fault>,
+        size: Size,
+        pools: Vec<Vec<PoolSpec>>,
+    ) -> Self {
         let limits = (0..size.teams)
             .map(|t| (format!("team-{t}"), size.limit))
             .collect();
@@ -215,12 +229,35 @@
             model: ServiceModel::default(),
         };
         let mut world = Self::without_controllers(seed, plans, faults, size, services);
+        for (host, pools) in world.hosts.iter_mut().zip(pools) {
+            host.pools = pools;
+        }
         for n in 0..size.nodes {
             world.start(n);
         }
         world
     }
 
+    /// What pools a controller declares from its next start on.
+    pub fn declare_pools(&mut self, node: usize, pools: Vec<PoolSpec>) {
+        self.hosts[node].pools = pools;
+    }
+
+    /// What the state service has below a prefix.
+    pub fn records(&self, prefix: &str) -> Vec<(String, serde_json::Value)> {
+        self.state.below(prefix)
+    }
+
+    /// When the cloud's charge for each machine began, and when it ended.
+    pub fn lives(&self) -> &BTreeMap<MachineId, (Ms, Option<Ms>)> {
+        &self.cloud.lives
+    }
+
+    /// The time of day, as all controllers have it.
+    pub fn wall(&self) -> Ms {
+        self.now + WALL_OFF
+    }
+
     /// A world whose controllers are processes of their own; see
     /// [`World::advance_to`]. The state service refuses what is beyond its limits.
     pub fn remote(
@@ -307,6 +344,7 @@
             world.hosts.push(Host {
                 node: None,
                 is_old: size.begins_old,
+                pools: Vec::new(),
                 start: 0,
                 inbox: Vec::new(),
                 stepped: 0,
@@ -331,7 +369,18 @@
         host.inbox.clear();
         host.open.clear();
         host.requests.clear();
-        let mut config = Config::new(&settings, Operator::default());
+        let teams: Vec<&str> = settings
+            .cluster
+            .teams
+            .iter()
+            .map(|t| t.name.as_str())
+            .collect();
+        let pools = Pools::parse(&host.pools, &teams, &[]);
+        let operator = Operator {
+            pools: pools.unwrap_or_else(|e| panic!("pools: {e}")),
+            ..Operator::default()
+        };
+        let mut config = Config::new(&settings, operator);
         if host.is_old {
             config.format = FormatVersion::FIRST;
         }
@@ -490,6 +539,7 @@
             Event::Ask { id, node, ask } => self.ask(id, node, ask),
             Event::Taken(id) => {
                 self.end_worker(&id);
+                self.cloud.note_end(&id, self.now);
                 self.cloud.end(&id);
             }
         }
--- a/crates/testkit/src/world/fleet.rs
+++ b/crates/testkit/src/world/fleet.rs
@@ -36,7 +36,14 @@
                 continue;
             };
             let named = (id.clone(), (self.cloud.fleet.address)(&id));
-            let mut w = Worker::new(named, machine_type, &m.zone, m.spot, self.now);
+            let mut w = Worker::new(
+                named,
+                machine_type,
+                &m.zone,
+                m.spot,
+                self.now,
+                self.size.tells_images,
+            );
             w.node = self.rng.random_range(0..self.size.nodes);
             self.workers.insert(id.clone(), w);
             if let Some(remote) = &mut self.remote {
--- a/crates/testkit/src/world/inject.rs
+++ b/crates/testkit/src/world/inject.rs
@@ -105,6 +105,8 @@
                 MachineFault::Mute(time) => w.mute_until = now + time,
                 MachineFault::Slow(time) => w.slow_until = now + time,
                 MachineFault::Sick(time) => w.sick_until = now + time,
+                MachineFault::Evict => w.evict_images(now),
+                MachineFault::StuckFetch(time) => w.stuck_until = now + time,
             }
         }
     }
@@ -133,6 +135,7 @@
         if let Some(m) = self.cloud.machines.get_mut(id) {
             m.failed = true;
         }
+        self.cloud.note_end(id, self.now);
     }
 
     /// Faults that have come, with when. Controllers that were named by what
--- a/crates/testkit/src/world/size.rs
+++ b/crates/testkit/src/world/size.rs
@@ -38,6 +38,8 @@
     pub next_limits: Option<NextLimits>,
     /// All controllers begin as the old release.
     pub begins_old: bool,
+    /// Workers tell their images, and fetch them before a task needs them.
+    pub tells_images: bool,
 }
 
 impl Default for Size {
@@ -58,6 +60,7 @@
             poll_ms: POLL_MS,
             next_limits: None,
             begins_old: false,
+            tells_images: false,
         }
     }
 }
--- /dev/null
+++ b/crates/testkit/tests/warm_pools.rs
@@ -0,0 +1,561 @@
+//! Warm pools in virtual time: what they are for, and every way in which machines and
+//! controllers end meanwhile. After each day the accounts of all pools are audited against
+//! the lives that the stand-in for the cloud charged.
+
+use forkshift_pools::account::{Row, HEADS, POOLS};
+use forkshift_pools::audit::mistakes;
+use forkshift_pools::report::Accounts;
+use forkshift_pools::{Ended, Interval, Membership, PoolSpec, PoolState, WindowSpec};
+use forkshift_testkit::{job_id, Fault, FaultKind, MachineFault, Plan, Size, Which, Who, World};
+use forkshift_wire::users::{JobKind, Priority};
+use forkshift_wire::MachineId;
+use std::collections::BTreeMap;
+
+type Ms = u64;
+const NODES: usize = 3;
+/// By then a pool is full: the format is finalized, machines have booted and fetched, also
+/// where the first ones came late or never.
+const FULL: Ms = 70_000;
+/// A replica of the pool's image begins within this if there is a machine for it.
+const AT_ONCE: Ms = 3_000;
+/// By how much a charge may lie outside a machine's life: it is noted in steps, and what
+/// failed is known by silence only.
+const CLOCK_OFF: Ms = 1_000;
+
+fn size() -> Size {
+    Size {
+        nodes: NODES,
+        guarantee: (64.0, 32.0),
+        limit: (256.0, 96.0),
+        tells_images: true,
+        ..Size::default()
+    }
+}
+
+/// A pool of machines with eight GPUs each, whose image takes five seconds to fetch.
+fn pool(least: u32, most: u32) -> PoolSpec {
+    PoolSpec {
+        name: "help".to_owned(),
+        team: "team-0".to_owned(),
+        image: "weights".to_owned(),
+        image_gb: 20.0,
+        types: vec!["g8".to_owned()],
+        least,
+        most,
+        ..PoolSpec::default()
+    }
+}
+
+/// Replicas that take a whole machine each.
+fn replicas(n: u32, at: Ms, tasks: u32, image: &str) -> Plan {
+    let mut plan = Plan::plain(n, at, JobKind::Service, tasks, 0);
+    plan.spec.priority = Priority::High;
+    plan.spec.gpus = 8.0;
+    plan.spec.image = image.to_owned();
+    plan.spec.image_gb = 20.0;
+    plan
+}
+
+fn world(seed: u64, plans: Vec<Plan>, size: Size, pools: &[PoolSpec]) -> World {
+    World::with_pools(seed, plans, Vec::new(), size, vec![pools.to_vec(); NODES])
+}
+
+/// Memberships that go on.
+fn members(world: &World) -> Vec<(MachineId, Membership)> {
+    let machines = world.records("c/machine/");
+    let member = |(key, value): (String, serde_json::Value)| {
+        let id = MachineId::new(key.strip_prefix("c/machine/")?);
+        let membership = value.get("pool")?.clone();
+        Some((id, serde_json::from_value(membership).ok()?))
+    };
+    machines.into_iter().filter_map(member).collect()
+}
+
+fn warm(world: &World) -> usize {
+    let members = members(world);
+    members
+        .iter()
+        .filter(|(_, m)| m.state == PoolState::Warm)
+        .count()
+}
+
+/// The accounts of all pools, with what goes on as if it ended now.
+fn accounts(world: &World) -> Accounts {
+    let mut accounts = Accounts::default();
+    let rows = world.records(POOLS).into_iter().chain(world.records(HEADS));
+    for (key, value) in rows {
+        match Row::parse(&key, &value.to_string()) {
+            Some(Row::Interval(interval)) => accounts.intervals.push(interval),
+            Some(Row::Asked(asked)) => accounts.asked.push(asked),
+            Some(Row::Miss(miss)) => accounts.misses.push(miss),
+            None => panic!("{key} is not understood: {value}"),
+        }
+    }
+    for (id, membership) in members(world) {
+        let machine = forkshift_pools::account::MachineFacts {
+            id,
+            machine_type: "g8".to_owned(),
+            spot: false,
+        };
+        let open = membership.close(&machine, world.wall(), None);
+        accounts.intervals.push(open);
+    }
+    accounts
+}
+
+/// No rule is broken, and every second is charged once at most, within machines' lives.
+fn audit(world: &World, name: &str) -> Accounts {
+    assert_eq!(world.check.broken, vec![], "{name}: rules");
+    let accounts = accounts(world);
+    let wall_off = world.wall() - world.now();
+    let lives: BTreeMap<MachineId, (Ms, Ms)> = world
+        .lives()
+        .iter()
+        .map(|(id, (from, to))| {
+            let to = to.unwrap_or(world.now());
+            (id.clone(), (from + wall_off, to + wall_off))
+        })
+        .collect();
+    let found = mistakes(&accounts.intervals, &lives, CLOCK_OFF);
+    assert_eq!(found, vec![], "{name}: accounts");
+    accounts
+}
+
+fn ended(accounts: &Accounts, why: Ended) -> Vec<&Interval> {
+    let intervals = accounts.intervals.iter();
+    intervals.filter(|i| i.ended == Some(why)).collect()
+}
+
+/// How long the first task of a job waited.
+fn waited(world: &World, n: u32, at: Ms) -> Ms {
+    world
+        .check
+        .began_at(&job_id(n))
+        .map_or(Ms::MAX, |began| began - at)
+}
+
+#[test]
+fn a_burst_begins_at_once_where_a_pool_is_warm_and_after_a_boot_where_there_is_none() {
+    for seed in 1..=5 {
+        let burst = || vec![replicas(0, FULL, 3, "weights")];
+        let mut with = world(seed, burst(), size(), &[pool(3, 6)]);
+        with.run_until(FULL);
+        assert_eq!(warm(&with), 3, "seed {seed}: {:?}", members(&with));
+        with.run_until(FULL + AT_ONCE * 2);
+        assert_eq!(with.check.running(&job_id(0)), 3, "seed {seed}: all began");
+        assert!(waited(&with, 0, FULL) <= AT_ONCE, "seed {seed}");
+        with.run_until(FULL * 2);
+        assert!(warm(&with) >= 3, "seed {seed}: it fills again");
+        let accounts = audit(&with, "with");
+        assert_eq!(ended(&accounts, Ended::HandedOut).len(), 3, "seed {seed}");
+        assert_eq!(accounts.misses, vec![], "seed {seed}");
+
+        let mut without = world(seed, burst(), size(), &[]);
+        without.run_until(FULL * 2);
+        assert!(waited(&without, 0, FULL) > 2 * AT_ONCE, "seed {seed}");
+        assert!(audit(&without, "without").intervals.is_empty());
+    }
+}
+
+/// A worker that announces nothing is never told to fetch ahead. Its machine is up, never
+/// warm, and still spares the boot.
+#[test]
+fn machines_of_workers_that_announce_nothing_are_up_and_never_warm() {
+    let size = Size {
+        tells_images: false,
+        ..size()
+    };
+    let mut world = world(
+        1,
+        vec![replicas(0, FULL, 1, "weights")],
+        size,
+        &[pool(2, 4)],
+    );
+    world.run_until(FULL);
+    let states: Vec<PoolState> = members(&world).iter().map(|(_, m)| m.state).collect();
+    assert_eq!(states, vec![PoolState::Up; 2]);
+    world.run_until(FULL + 30_000);
+    let accounts = audit(&world, "up");
+    let tells = |i: &&Interval| matches!(i.state, PoolState::Fetching | PoolState::Warm);
+    assert_eq!(accounts.intervals.iter().find(tells), None);
+    assert_eq!(ended(&accounts, Ended::HandedOut).len(), 1);
+}
+
+/// A burst for another image takes the ordinary path. It does not empty a pool below its
+/// least, and what finds no machine of its own pool is counted.
+#[test]
+fn a_burst_without_warm_machines_leaves_other_pools_alone_and_is_counted() {
+    let other = PoolSpec {
+        name: "other".to_owned(),
+        image: "other".to_owned(),
+        ..pool(0, 1)
+    };
+    let plans = vec![replicas(0, FULL, 3, "other"), replicas(1, FULL, 1, "plain")];
+    let mut world = world(2, plans, size(), &[pool(2, 4), other]);
+    world.run_until(FULL + 1_000);
+    for _ in 0..40 {
+        world.run_until(world.now() + 1_000);
+        let kept = members(&world);
+        let kept = kept
+            .iter()
+            .filter(|(_, m)| m.pool.as_str() == "help")
+            .count();
+        assert!(kept >= 2, "at {}", world.now());
+    }
+    world.run_until(FULL + 60_000);
+    assert_eq!(world.check.running(&job_id(0)), 3);
+    assert_eq!(world.check.running(&job_id(1)), 1);
+    let accounts = audit(&world, "misses");
+    let [miss] = accounts.misses.as_slice() else {
+        panic!("{:?}", accounts.misses);
+    };
+    assert_eq!((miss.pool.as_str(), miss.tasks), ("other", 3));
+    assert!(ended(&accounts, Ended::Reclaimed).is_empty());
+}
+
+/// Three machines in all: two are in use, one is a pool's. A gang within its team's
+/// guarantee comes together with a burst for the pool, or alone: exactly one of them gets
+/// the machine, whether the gang's team is in the pool's share or in another.
+#[test]
+fn a_machine_is_reclaimed_by_a_gang_or_handed_out_and_never_both() {
+    const ALONE: Ms = 40_000;
+    for team in ["team-3", "team-1"] {
+        let mut reclaims = 0;
+        for (seed, burst_at) in (1..).zip([0, 500, 1_500, 2_500, 3_000, 3_500, ALONE, ALONE]) {
+            let mut gang = Plan::plain(1, FULL, JobKind::Gang, 1, 200_000);
+            gang.spec.team = team.to_owned();
+            gang.spec.gpus = 8.0;
+            gang.spec.priority = Priority::High;
+            let plans = vec![
+                replicas(9, 2_000, 2, "plain"),
+                gang,
+                replicas(0, FULL + burst_at, 1, "weights"),
+            ];
+            let size = Size {
+                capacity: 1,
+                ..size()
+            };
+            let mut world = world(seed, plans, size, &[pool(1, 1)]);
+            let name = format!("{team}, burst {burst_at} ms later");
+            world.run_until(FULL);
+            assert_eq!(warm(&world), 1, "{name}: {:?}", members(&world));
+            world.run_until(FULL + 25_000);
+            let accounts = audit(&world, &name);
+            let out = ended(&accounts, Ended::HandedOut).len();
+            let reclaimed = ended(&accounts, Ended::Reclaimed).len();
+            assert_eq!(out + reclaimed, 1, "{name}: {out} and {reclaimed}");
+            let began = [0, 1].map(|n| world.check.began_at(&job_id(n)).is_some());
+            assert_eq!(began, [out == 1, reclaimed == 1], "{name}");
+            assert!(
+                burst_at < ALONE || reclaimed == 1,
+                "{name}: the gang is alone"
+            );
+            reclaims += reclaimed;
+        }
+        assert!(
+            (2..8).contains(&reclaims),
+            "{team}: {reclaims} of 8, both ways are played"
+        );
+    }
+}
+
+#[test]
+fn weights_that_are_evicted_are_fetched_again_and_the_time_is_told_apart() {
+    let mut world = world(3, Vec::new(), size(), &[pool(2, 2)]);
+    world.run_until(FULL);
+    assert_eq!(warm(&world), 2);
+    let ids = members(&world).into_iter().map(|(id, _)| id).collect();
+    world.fault_now(FaultKind::Machines(Which::Named(ids), MachineFault::Evict));
+    world.run_until(FULL + 3_000);
+    assert_eq!(warm(&world), 0);
+    world.run_until(FULL + 15_000);
+    assert_eq!(warm(&world), 2);
+    let accounts = audit(&world, "evicted");
+    let since = world.wall() - 15_000;
+    let again = |i: &&Interval| i.state == PoolState::Fetching && i.from_ms >= since;
+    let again: Vec<&Interval> = accounts.intervals.iter().filter(again).collect();
+    assert_eq!(again.len(), 2);
+    for interval in again {
+        let took = interval.to_ms - interval.from_ms;
+        assert!((4_000..9_000).contains(&took), "{took} ms");
+    }
+}
+
+#[test]
+fn a_machine_whose_fetch_never_ends_is_replaced() {
+    let mut world = world(4, Vec::new(), size(), &[pool(1, 1)]);
+    while members(&world)
+        .iter()
+        .all(|(_, m)| m.state != PoolState::Fetching)
+    {
+        world.run_until(world.now() + 100);
+        assert!(world.now() < FULL, "none fetches");
+    }
+    let stuck = members(&world)[0].0.clone();
+    let never = MachineFault::StuckFetch(Ms::MAX / 4);
+    world.fault_now(FaultKind::Machines(
+        Which::Named(vec![stuck.clone()]),
+        never,
+    ));
+    world.run_until(world.now() + 90_000);
+    let accounts = audit(&world, "stuck");
+    let stalled: Vec<&MachineId> = ended(&accounts, Ended::Stalled)
+        .iter()
+        .map(|i| &i.machine)
+        .collect();
+    assert_eq!(stalled, vec![&stuck]);
+    assert_eq!(warm(&world), 1);
+    assert_ne!(members(&world)[0].0, stuck);
+}
+
+/// Each trouble of machines in turn, and all together: the pool fills again.
+#[test]
+fn pools_outlive_their_machines() {
+    let faults = [
+        vec![MachineFault::Die],
+        vec![MachineFault::Hang(25_000)],
+        vec![MachineFault::Cut(25_000)],
+        vec![MachineFault::Deaf(25_000)],
+        vec![
+            MachineFault::Die,
+            MachineFault::Evict,
+            MachineFault::Hang(25_000),
+        ],
+    ];
+    for (n, faults) in faults.into_iter().enumerate() {
+        let mut world = world(10 + n as u64, Vec::new(), size(), &[pool(3, 3)]);
+        world.run_until(FULL);
+        assert_eq!(
+            warm(&world),
+            3,
+            "case {n} at {}: {:?}",
+            world.now(),
+            members(&world)
+        );
+        for (fault, (id, _)) in faults.into_iter().zip(members(&world)) {
+            world.fault_now(FaultKind::Machines(Which::Named(vec![id]), fault));
+        }
+        world.run_until(FULL * 2);
+        assert_eq!(
+            warm(&world),
+            3,
+            "case {n} at {}: {:?}",
+            world.now(),
+            members(&world)
+        );
+        audit(&world, &format!("case {n}"));
+    }
+}
+
+/// The holder ends at any moment between two writes of a membership, and so does the
+/// leader, alone and together, while the pool fills and in a burst.
+#[test]
+fn accounts_are_right_whoever_ends_in_between() {
+    let crash = |who, at| {
+        let crash = FaultKind::Crash {
+            node: 0,
+            count: 1,
+            back: 3_000,
+        };
+        Fault {
+            at,
+            kind: FaultKind::At(who, Box::new(crash)),
+        }
+    };
+    let holder = || Who::HolderOf(job_id(5));
+    for n in 0..36_u64 {
+        let in_burst = n >= 18;
+        let at = match in_burst {
+            true => FULL - 500 + (n - 18) * 250,
+            false => 6_000 + n * 1_500,
+        };
+        let mut faults = vec![crash(holder(), at)];
+        if n % 3 == 0 {
+            faults.push(crash(Who::Leader, at));
+        }
+        // A job of the team shows who holds its share.
+        let mut steady = replicas(5, 2_000, 1, "plain");
+        steady.spec.gpus = 0.0;
+        let plans = vec![steady, replicas(0, FULL, 2, "weights")];
+        let pools = vec![vec![pool(2, 4)]; NODES];
+        let mut world = World::with_pools(n, plans, faults, size(), pools);
+        world.run_until(FULL * 2 + 20_000);
+        let name = format!("case {n}, {at} ms");
+        let accounts = audit(&world, &name);
+        assert_eq!(world.unserved(), Vec::<String>::new(), "{name}");
+        assert_eq!(world.check.running(&job_id(0)), 2, "{name}");
+        assert!(warm(&world) >= 2, "{name}: {:?}", members(&world));
+        let out = ended(&accounts, Ended::HandedOut).len();
+        assert!(out <= 2, "{name}: {out} handed out");
+    }
+}
+
+/// Writes without an answer, carried out at once or late, are no reason for a second
+/// charge.
+#[test]
+fn accounts_are_right_where_writes_have_no_answer() {
+    for seed in 0..6 {
+        let lost = FaultKind::LostWrites {
+            share: 30,
+            of: None,
+            at_once: seed % 2 == 0,
+            time: 60_000,
+        };
+        let faults = vec![Fault {
+            at: 8_000,
+            kind: lost,
+        }];
+        let plans = vec![replicas(0, FULL, 2, "weights")];
+        let pools = vec![vec![pool(2, 3)]; NODES];
+        let mut world = World::with_pools(seed, plans, faults, size(), pools);
+        world.run_until(FULL * 2 + 40_000);
+        audit(&world, &format!("seed {seed}"));
+        assert!(warm(&world) >= 2, "seed {seed}: {:?}", members(&world));
+    }
+}
+
+/// A window that ends in the middle of an outage: nothing can be recorded, so nothing is
+/// decided; afterwards the pool is given back, and is not filled again.
+#[test]
+fn an_outage_across_a_windows_end_keeps_the_pool_until_it_can_be_recorded() {
+    // Days begin 1,000 s into 1970; the window ends at 18 minutes, 80 s into the day.
+    let windowed = PoolSpec {
+        time_zone: "UTC".to_owned(),
+        windows: vec![WindowSpec {
+            to: "00:18".to_owned(),
+            ..WindowSpec::default()
+        }],
+        ..pool(2, 2)
+    };
+    let faults = vec![Fault {
+        at: 75_000,
+        kind: FaultKind::Outage(20_000),
+    }];
+    let pools = vec![vec![windowed]; NODES];
+    let mut world = World::with_pools(6, Vec::new(), faults, size(), pools);
+    world.run_until(74_000);
+    assert_eq!(warm(&world), 2);
+    world.run_until(95_000);
+    assert_eq!(members(&world).len(), 2, "nothing can be recorded");
+    world.run_until(150_000);
+    assert_eq!(members(&world), vec![]);
+    assert_eq!(world.machines(), 0, "they were returned");
+    let accounts = audit(&world, "outage");
+    assert_eq!(ended(&accounts, Ended::Surplus).len(), 2);
+    let asked = accounts.asked.iter().filter(|a| a.to_ms.is_none());
+    assert_eq!(asked.map(|a| a.machines).collect::<Vec<_>>(), vec![0]);
+}
+
+fn restart(world: &mut World, node: usize, pools: Vec<PoolSpec>) {
+    world.declare_pools(node, pools);
+    world.fault_now(FaultKind::Crash {
+        node,
+        count: 1,
+        back: 1_000,
+    });
+    world.run_until(world.now() + 20_000);
+}
+
+/// Pools begin once all controllers have them, and end one by one as they are withdrawn.
+#[test]
+fn pools_begin_when_all_declare_them_and_end_where_they_are_withdrawn() {
+    let on = || vec![pool(2, 2)];
+    let pools = vec![on(), on(), Vec::new()];
+    let mut world = World::with_pools(7, Vec::new(), Vec::new(), size(), pools);
+    world.run_until(FULL);
+    assert_eq!(world.finalized_format(), Some(2), "one has none");
+    assert!(audit(&world, "off at one").intervals.is_empty());
+    restart(&mut world, 2, on());
+    world.run_until(FULL * 2);
+    assert_eq!(world.finalized_format(), Some(3));
+    assert_eq!(warm(&world), 2);
+    // Whoever has no declaration gives the machines back, and still holds shares.
+    for node in 0..NODES {
+        restart(&mut world, node, Vec::new());
+    }
+    world.run_until(world.now() + 30_000);
+    assert_eq!(members(&world), vec![]);
+    let accounts = audit(&world, "withdrawn");
+    assert!(ended(&accounts, Ended::Withdrawn).len() >= 2);
+    let asked = accounts.asked.iter().filter(|a| a.to_ms.is_none());
+    assert_eq!(asked.map(|a| a.machines).collect::<Vec<_>>(), vec![0]);
+    assert!((0..NODES).any(|n| world.holds_shares(n)));
+}
+
+/// A declaration that changes its image or its size is followed by the next holder.
+#[test]
+fn a_changed_declaration_is_followed() {
+    let mut world = world(8, Vec::new(), size(), &[pool(2, 2)]);
+    world.run_until(FULL);
+    assert_eq!(warm(&world), 2);
+    let changed = PoolSpec {
+        image: "newer".to_owned(),
+        ..pool(1, 1)
+    };
+    for node in 0..NODES {
+        restart(&mut world, node, vec![changed.clone()]);
+    }
+    world.run_until(world.now() + 30_000);
+    assert_eq!(warm(&world), 1, "{:?}", members(&world));
+    let accounts = audit(&world, "changed");
+    assert!(!ended(&accounts, Ended::Surplus).is_empty());
+}
+
+/// A release without pools never sees a record of them: nothing is written before all
+/// have registered, so rolling back until then loses nothing.
+#[test]
+fn nothing_of_pools_is_written_beside_an_old_release() {
+    let size = Size {
+        begins_old: true,
+        ..size()
+    };
+    let pools = vec![vec![pool(2, 2)]; NODES];
+    let plans = vec![replicas(0, 5_000, 2, "weights")];
+    let mut world = World::with_pools(9, plans, Vec::new(), size, pools);
+    world.run_until(20_000);
+    for node in 0..NODES - 1 {
+        world.fault_now(FaultKind::Upgrade { node, back: 1_000 });
+        world.run_until(world.now() + 15_000);
+    }
+    for node in 0..NODES - 1 {
+        world.fault_now(FaultKind::Downgrade { node, back: 1_000 });
+        world.run_until(world.now() + 15_000);
+    }
+    assert_eq!(world.finalized_format(), None);
+    assert!(audit(&world, "old").intervals.is_empty());
+    assert!(accounts(&world).asked.is_empty());
+    assert_eq!(world.check.running(&job_id(0)), 2);
+    for node in 0..NODES {
+        world.fault_now(FaultKind::Upgrade { node, back: 1_000 });
+        world.run_until(world.now() + 15_000);
+    }
+    world.run_until(world.now() + FULL);
+    assert_eq!(world.finalized_format(), Some(3));
+    assert_eq!(warm(&world), 2);
+    audit(&world, "upgraded");
+}
+
+/// What the machines of a pool may cost is a limit, whatever is asked for.
+#[test]
+fn a_pool_is_no_larger_than_what_it_may_cost() {
+    let cheap = PoolSpec {
+        cost_per_hour_most: Some(33.0),
+        ..pool(4, 4)
+    };
+    let mut world = world(11, Vec::new(), size(), &[cheap]);
+    for _ in 0..120 {
+        world.run_until(world.now() + 1_000);
+        assert!(members(&world).len() <= 2, "at {}", world.now());
+    }
+    assert_eq!(warm(&world), 2);
+    let accounts = audit(&world, "cost");
+    let report = forkshift_pools::report::report(
+        &accounts,
+        forkshift_pools::report::Span {
+            from_ms: 0,
+            to_ms: world.wall(),
+        },
+        world.wall(),
+    );
+    assert!(report.pools[0].short_s > 0.0);
+}
--- a/crates/wire/src/workers.rs
+++ b/crates/wire/src/workers.rs
@@ -35,6 +35,21 @@
     /// All tasks on the machine.
     #[serde(rename = "shifts", default)]
     pub tasks: Vec<TaskReport>,
+    /// The images on the machine, of a worker that takes [`CommandRequest::prefetch`];
+    /// others leave it out.
+    #[serde(rename = "kits", default, skip_serializing_if = "Option::is_none")]
+    pub images: Option<HeldImages>,
+}
+
+/// The images on a machine. An extension of the protocol: a worker that reports them
+/// also fetches images before any task needs them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldImages {
+    /// Those that are there, whole.
+    pub held: Vec<String>,
+    /// Those that are being fetched.
+    #[serde(default)]
+    pub fetching: Vec<String>,
 }
 
 /// One task, as its worker sees it.
@@ -148,6 +163,21 @@
     /// Executed in this order.
     #[serde(rename = "orders")]
     pub commands: Vec<Command>,
+    /// Images to be fetched, and kept like those of a task that has just ended. Sent only
+    /// to workers that report [`Report::images`]; harmless however often and late it
+    /// arrives.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub prefetch: Vec<Prefetch>,
+}
+
+/// An image to be fetched before any task needs it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Prefetch {
+    /// The image.
+    #[serde(rename = "kit")]
+    pub image: String,
+    /// Its size.
+    pub image_gb: f64,
 }
 
 /// Answer to a report that is accepted.
