forkshift pools status and report; pools in the operators' settings, checked by field

Need: operators declare pools, and see what each team asked for, had and pays.

What can't be read is said with exit 1, never shown as nothing.

Result: tables of good and wrong declarations, of times, of the rendered columns.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,11 +1,13 @@
 //! The forkshift controller.
 
 mod operator;
+mod pools;
 mod run;
 mod spans;
 
 use clap::{Parser, Subcommand};
 use forkshift_core::{shortfalls, Config, Operator, Shortfall};
+use forkshift_wire::cloud::Catalog;
 use forkshift_wire::settings::{BadSettings, Settings};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -40,6 +42,15 @@
         /// The operators' own settings (protobuf text format).
         #[arg(long, value_name = "FILE")]
         operator: Option<PathBuf>,
+        /// The cloud's catalogue (JSON, as `GET /catalog` answers): pools are checked
+        /// against it.
+        #[arg(long, value_name = "FILE")]
+        catalog: Option<PathBuf>,
+    },
+    /// Say what warm pools have and cost, as the state service has it.
+    Pools {
+        #[command(subcommand)]
+        command: pools::PoolsCommand,
     },
 }
 
@@ -51,6 +62,10 @@
     Settings(String, BadSettings),
     #[error("{0}: {1}")]
     Operator(String, operator::BadOperator),
+    #[error("{0}: not a catalogue: {1}")]
+    Catalog(String, serde_json::Error),
+    #[error("{0}")]
+    Pools(#[from] pools::PoolsFailure),
     #[error("{0}")]
     Run(#[from] std::io::Error),
     #[error("{0}: limits are too small for the fleet{list}", list = lines(.1))]
@@ -60,7 +75,12 @@
 fn main() -> ExitCode {
     let args = Args::parse();
     let done = match args.command {
-        Command::Check { config, operator } => check(&config, operator.as_deref()),
+        Command::Check {
+            config,
+            operator,
+            catalog,
+        } => check(&config, operator.as_deref(), catalog.as_deref()),
+        Command::Pools { command } => pools::run(&command).map_err(Failure::from),
         Command::Serve {
             config,
             operator,
@@ -91,15 +111,18 @@
         None => Operator::default(),
         Some(path) => {
             let (name, text) = read(path)?;
-            operator::parse(&text).map_err(|e| Failure::Operator(name, e))?
+            operator::parse(&text, &settings).map_err(|e| Failure::Operator(name, e))?
         }
     };
     Ok((settings, ops))
 }
 
 /// Reads settings, and says whether they are good and large enough.
-fn check(config: &Path, operator: Option<&Path>) -> Result<(), Failure> {
+fn check(config: &Path, operator: Option<&Path>, catalog: Option<&Path>) -> Result<(), Failure> {
     let (settings, ops) = load(config, operator)?;
+    if let Some(path) = catalog {
+        check_catalog(path, &ops)?;
+    }
     let too_small = ops.machines.map(|n| shortfalls(&settings, n));
     match too_small.filter(|found| !found.is_empty()) {
         Some(found) => Err(Failure::TooSmall(config.display().to_string(), found)),
@@ -110,6 +133,18 @@
     }
 }
 
+/// Checks pools against the cloud's catalogue.
+fn check_catalog(path: &Path, ops: &Operator) -> Result<(), Failure> {
+    let (name, text) = read(path)?;
+    let catalog: Catalog =
+        serde_json::from_str(&text).map_err(|e| Failure::Catalog(name.clone(), e))?;
+    for pool in ops.pools.iter() {
+        let checked = pool.check_catalog(&catalog.types);
+        checked.map_err(|e| Failure::Operator(name.clone(), e.into()))?;
+    }
+    Ok(())
+}
+
 /// A line for each.
 fn lines(shortfalls: &[Shortfall]) -> String {
     let lines = shortfalls.iter().map(|s| format!("\n  {s}"));
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -1,14 +1,16 @@
 //! The operators' own settings, in protobuf text format.
 
 use forkshift_core::Operator;
+use forkshift_pools::{BadPool, PoolSpec, Pools, WindowSpec};
 use forkshift_sched::Weights;
+use forkshift_wire::settings::Settings;
 
 #[allow(missing_docs, clippy::all, clippy::pedantic)]
 mod generated {
     include!(concat!(env!("OUT_DIR"), "/proto/mod.rs"));
 }
 
-use generated::operator::Operator as Message;
+use generated::operator::{Operator as Message, Pool as PoolMessage, Window as WindowMessage};
 
 /// Why the operators' settings are refused.
 #[derive(Debug, thiserror::Error)]
@@ -16,6 +18,9 @@
     /// Not text of the expected message.
     #[error("{0}")]
     Text(#[from] protobuf::text_format::ParseError),
+    /// A pool can't be as it is declared.
+    #[error("{0}")]
+    Pool(#[from] BadPool),
     /// A field is out of its range.
     #[error("`{field}` must be {range}")]
     Field {
@@ -26,8 +31,9 @@
     },
 }
 
-/// Reads and checks the operators' settings; what they leave out keeps its default.
-pub fn parse(text: &str) -> Result<Operator, BadOperator> {
+/// Reads and checks the operators' settings beside the platform's; what they leave out
+/// keeps its default.
+pub fn parse(text: &str, settings: &Settings) -> Result<Operator, BadOperator> {
     let message: Message = protobuf::text_format::parse_from_str(text)?;
     let mut ops = Operator::default();
     if let Some(w) = message.weights.as_ref() {
@@ -49,10 +55,48 @@
         *field = given.unwrap_or(*field);
     }
     ops.machines = message.machines;
+    ops.pools = parse_pools(&message.pools, settings)?;
     check(&ops)?;
     Ok(ops)
 }
 
+fn parse_pools(messages: &[PoolMessage], settings: &Settings) -> Result<Pools, BadPool> {
+    let specs: Vec<PoolSpec> = messages.iter().map(pool_spec).collect();
+    let cluster = &settings.cluster;
+    let teams: Vec<&str> = cluster.teams.iter().map(|t| t.name.as_str()).collect();
+    Pools::parse(&specs, &teams, &cluster.zones)
+}
+
+fn pool_spec(message: &PoolMessage) -> PoolSpec {
+    PoolSpec {
+        name: message.name.clone(),
+        team: message.team.clone(),
+        image: message.image.clone(),
+        image_gb: message.image_gb,
+        types: message.types.clone(),
+        zones: message.zones.clone(),
+        spot: message.spot,
+        least: message.least,
+        most: message.most,
+        cost_per_hour_most: message.cost_per_hour_most,
+        time_zone: message.time_zone.clone(),
+        windows: message.windows.iter().map(window_spec).collect(),
+    }
+}
+
+fn window_spec(message: &WindowMessage) -> WindowSpec {
+    WindowSpec {
+        weekdays: message.weekdays.clone(),
+        from: message.from.clone(),
+        to: message.to.clone(),
+        first_date: message.first_date.clone(),
+        last_date: message.last_date.clone(),
+        last_days_of_month: message.last_days_of_month,
+        least: message.least,
+        most: message.most,
+    }
+}
+
 fn check(ops: &Operator) -> Result<(), BadOperator> {
     let w = &ops.weights;
     let weights = [w.fit, w.cost, w.latency];
--- a/crates/daemon/src/operator/tests.rs
+++ b/crates/daemon/src/operator/tests.rs
@@ -2,6 +2,13 @@
 
 use super::*;
 
+const SETTINGS: &str = include_str!("../../../../examples/settings.toml");
+
+fn parse(text: &str) -> Result<Operator, BadOperator> {
+    let settings = Settings::parse(SETTINGS).expect("the example is good");
+    super::parse(text, &settings)
+}
+
 #[test]
 fn settings_are_read_and_checked_field_by_field() {
     let cases = [
@@ -43,3 +50,34 @@
     assert_eq!(parse("round_s: 0.5").unwrap().round_s, 0.5);
     assert_eq!(parse("").unwrap().spare, Operator::default().spare);
 }
+
+/// The declaration of a pool that is good, with some fields more or instead.
+fn pool(more: &str) -> String {
+    format!("pools {{ name: 'help' team: 'readers' image: 'img-07' image_gb: 34 least: 2 most: 6 {more} }}")
+}
+
+#[test]
+fn pools_are_read_whole_and_what_is_wrong_is_named_with_its_pool() {
+    let cases = [
+        (pool(""), None),
+        (pool("types: 'g8' zones: 'hall-a' spot: true cost_per_hour_most: 40"), None),
+        (
+            pool("time_zone: 'Africa/Lagos' windows { weekdays: 'mon' from: '08:00' to: '18:00' last_days_of_month: 3 first_date: '2026-05-01' last_date: '2026-06-30' least: 1 most: 9 }"),
+            None,
+        ),
+        (pool("team: 'writers'"), Some("pool `help`: `team` is `writers`")),
+        (pool("zones: 'hall-x'"), Some("pool `help`: `zones[0]` is `hall-x`")),
+        (pool("time_zone: 'Lagos'"), Some("pool `help`: `time_zone` is `Lagos`")),
+        (pool("least: 7"), Some("pool `help`: `least` must not be above `most`")),
+        (format!("{} {}", pool(""), pool("")), Some("pool `help`: `name` is used twice")),
+        (pool("colour: 'red'"), Some("")),
+    ];
+    for (text, wrong) in cases {
+        match (parse(&text), wrong) {
+            (Ok(ops), None) => assert!(!ops.pools.is_empty(), "{text}"),
+            (Err(e), Some(said)) => assert!(e.to_string().contains(said), "{text}: {e}"),
+            (Ok(_), Some(_)) => panic!("{text} was taken"),
+            (Err(e), None) => panic!("{text}: {e}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/pools/render/tests.rs
@@ -0,0 +1,94 @@
+use super::*;
+use crate::pools::accounts::{CountByState, PoolStatus};
+use forkshift_pools::report::{ByState, PoolReport, Span};
+use forkshift_pools::PoolName;
+use std::collections::BTreeMap;
+
+fn pool() -> PoolName {
+    PoolName::parse("exam-help").expect("a name")
+}
+
+#[test]
+fn a_status_has_a_line_for_each_pool() {
+    let one = PoolStatus {
+        pool: pool(),
+        team: "readers".to_owned(),
+        asked: 4,
+        machines: CountByState {
+            booting: 1,
+            up: 0,
+            fetching: 0,
+            warm: 3,
+        },
+        cost_per_hour: 64.0,
+    };
+    let text = status(&[one]).expect("it renders");
+    let lines: Vec<Vec<&str>> = text
+        .lines()
+        .map(|l| l.split_whitespace().collect())
+        .collect();
+    assert_eq!(
+        lines[1],
+        ["exam-help", "readers", "4", "1", "0", "0", "3", "64.00"]
+    );
+    assert_eq!(status(&[]).expect("it renders"), "no pool is recorded");
+}
+
+#[test]
+fn a_report_shows_hours_cost_and_what_is_not_priced() {
+    let one = PoolReport {
+        pool: pool(),
+        team: "readers".to_owned(),
+        asked_s: 7_200.0,
+        machine_s: ByState {
+            warm: 3_600.0,
+            ..ByState::default()
+        },
+        short_s: 3_600.0,
+        cost: ByState {
+            warm: 16.0,
+            ..ByState::default()
+        },
+        unpriced_s: 1_800.0,
+        handed_out: 5,
+        missed: 2,
+        reclaimed: 1,
+        lost: 0,
+    };
+    let span = Span {
+        from_ms: 0,
+        to_ms: 86_400_000,
+    };
+    let mut shown = Report {
+        span,
+        pools: vec![one],
+        teams: BTreeMap::from([("readers".to_owned(), 16.0)]),
+    };
+    let text = report(&shown).expect("it renders");
+    for part in [
+        "1970-01-01T00:00:00Z to 1970-01-02T00:00:00Z",
+        "readers pays 16.00",
+        "exam-help: of 0.500 machine-hours no price is recorded",
+    ] {
+        assert!(text.contains(part), "{part} in {text}");
+    }
+    let rows: Vec<Vec<&str>> = text
+        .lines()
+        .filter(|l| l.starts_with("readers ") && !l.contains("pays"))
+        .map(|l| l.split_whitespace().collect())
+        .collect();
+    assert_eq!(
+        rows[0][2..],
+        ["2.000", "0.000", "0.000", "0.000", "1.000", "1.000"]
+    );
+    assert_eq!(
+        rows[1][2..],
+        ["0.00", "0.00", "0.00", "16.00", "5", "2", "1", "0"]
+    );
+    shown.pools.clear();
+    let empty = report(&shown).expect("it renders");
+    assert!(
+        empty.contains("nothing is recorded of pools in this time"),
+        "{empty}"
+    );
+}
