Emulator: bursts of model servers under an open loop, and pools' accounts beside the cloud's

Need: the proof of warm pools over real sockets.

Change: classes whose replicas answer requests once they have their weights, in a thread of its own with the load on them; jobs that come together at a set second; the controller that holds them may be killed at a set time. The report tells how soon a burst's replicas answer, and compares what each pool machine costs by the accounts with what the stand-in cloud charged, and with what `forkshift pools report` says, asked over its socket. A wrong account is exit 1. examples/warm-pools.toml, deploy/warm-pools.textproto.

--- a/crates/daemon/src/operator/tests.rs
+++ b/crates/daemon/src/operator/tests.rs
@@ -81,3 +81,12 @@
         }
     }
 }
+
+/// The file that switches pools on holds what the page for operators tells of.
+#[test]
+fn the_switch_file_is_good() {
+    let text = include_str!("../../../../deploy/warm-pools.textproto");
+    assert_eq!(parse(text).expect("it is good").pools.iter().count(), 1);
+    let off = include_str!("../../../../deploy/operator.textproto");
+    assert!(parse(off).expect("it is good").pools.is_empty());
+}
--- a/crates/emulator/src/addresses.rs
+++ b/crates/emulator/src/addresses.rs
@@ -5,6 +5,9 @@
 
 /// Port of all hollow workers; each has an IP address of its own.
 const WORKER_PORT: u16 = 9_000;
+/// First port of model servers, and how many there are on a machine.
+const MODEL_PORT: u16 = 9_100;
+const MODEL_PORTS: u16 = 1_000;
 /// First part of workers' addresses behind 127.
 const WORKER_NET: u32 = 64;
 
@@ -41,6 +44,14 @@
     }
 }
 
+/// The address of a replica's model server: that of its machine's worker, with a port of
+/// its own.
+pub fn model_server(machine: &MachineId, task: u32) -> SocketAddr {
+    let worker: Option<SocketAddr> = worker(machine).parse().ok();
+    let ip = worker.map_or(IpAddr::V4(Ipv4Addr::LOCALHOST), |addr| addr.ip());
+    SocketAddr::new(ip, MODEL_PORT + (task % u32::from(MODEL_PORTS)) as u16)
+}
+
 fn at(ip: [u8; 4], port: u16) -> SocketAddr {
     SocketAddr::new(IpAddr::V4(Ipv4Addr::from(ip)), port)
 }
--- a/crates/emulator/src/bridge.rs
+++ b/crates/emulator/src/bridge.rs
@@ -6,6 +6,8 @@
 
 use crate::addresses::{self, Addresses};
 use crate::metrics::Metrics;
+use crate::model_servers::{ModelServers, Replica};
+use crate::pools::{AnsweringJobs, BurstFigures};
 use crate::purpose;
 use async_channel::Sender;
 use async_executor::Task;
@@ -21,7 +23,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// How often the world is moved on.
 const TICK: Duration = Duration::from_millis(40);
@@ -75,6 +77,12 @@
     probes_failed: RefCell<Vec<u32>>,
     metrics: RefCell<Metrics>,
     started: Instant,
+    /// Time of day at the start, in milliseconds since 1970.
+    began_ms: u64,
+    jobs: AnsweringJobs,
+    model_servers: ModelServers,
+    /// The replicas that the model servers were told of.
+    replicas: RefCell<Vec<Replica>>,
 }
 
 impl Bridge {
@@ -84,7 +92,10 @@
         world: World,
         addresses: Addresses,
         controllers: usize,
+        jobs: AnsweringJobs,
     ) -> io::Result<Rc<Self>> {
+        let started = Instant::now();
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH);
         let bridge = Rc::new(Self {
             ex: ex.clone(),
             world: RefCell::new(world),
@@ -96,7 +107,11 @@
             probes: Rc::new(client(1, controllers)),
             probes_failed: RefCell::new(vec![PROBES_FAILED; controllers]),
             metrics: RefCell::default(),
-            started: Instant::now(),
+            started,
+            began_ms: wall.map_or(0, |t| t.as_millis() as u64),
+            jobs,
+            model_servers: ModelServers::start(started),
+            replicas: RefCell::default(),
         });
         bridge
             .serve(addresses.state(), Service::State, SERVICE_CONNECTIONS)?
@@ -121,6 +136,34 @@
         look(&mut self.metrics.borrow_mut())
     }
 
+    /// Time of day at the beginning, in milliseconds since 1970.
+    pub fn began_ms(&self) -> u64 {
+        self.began_ms
+    }
+
+    /// The controller that holds the share of the replicas that answer.
+    pub fn holder_of_answers(&self) -> Option<usize> {
+        let job = self.jobs.all.first()?;
+        self.with_world(|world| world.holder_of(job))
+    }
+
+    /// How soon the replicas of bursts answered.
+    pub fn burst_figures(&self) -> BurstFigures {
+        self.jobs.figures(&self.model_servers.first_answers())
+    }
+
+    /// Tells the model servers which replicas there are, if that changed.
+    fn follow_replicas(&self) {
+        if self.jobs.all.is_empty() {
+            return;
+        }
+        let replicas = self.with_world(|world| self.jobs.replicas(world));
+        if *self.replicas.borrow() != replicas {
+            self.model_servers.set(replicas.clone());
+            self.replicas.replace(replicas);
+        }
+    }
+
     /// Since the beginning.
     pub fn elapsed(&self) -> Duration {
         self.started.elapsed()
@@ -139,6 +182,7 @@
             Timer::after(TICK).await;
             self.advance();
             self.carry();
+            self.follow_replicas();
         }
     }
 
--- a/crates/emulator/src/controllers.rs
+++ b/crates/emulator/src/controllers.rs
@@ -133,6 +133,23 @@
         ended
     }
 
+    /// Asks the program for what pools have cost, all in all; none if it fails.
+    pub fn pools_report(&self) -> impl FnOnce() -> Option<String> + Send + 'static {
+        let program = self.program.clone();
+        let settings = self.all.first().map(|c| c.settings.clone());
+        move || {
+            let mut command = Command::new(program);
+            command.args(["pools", "report", "--json", "--from", "1970-01-01"]);
+            command.args(["--to", "2100-01-01", "--config"]);
+            let output = command.arg(settings?).output().ok()?;
+            if !output.status.success() {
+                log::error!("{}", String::from_utf8_lossy(&output.stderr));
+                return None;
+            }
+            String::from_utf8(output.stdout).ok()
+        }
+    }
+
     /// What each has used so far. Memory is that of its present process.
     pub fn figures(&self) -> Vec<ProcessFigures> {
         let of = |c: &Controller| {
--- a/crates/emulator/src/emulation.rs
+++ b/crates/emulator/src/emulation.rs
@@ -4,6 +4,7 @@
 use crate::bridge::Bridge;
 use crate::controllers::{self, Controllers};
 use crate::load::{self, ms};
+use crate::pools::{pool_figures, AnsweringJobs};
 use crate::preflight::{Allowance, Unfit};
 use crate::process::ProcessFigures;
 use crate::progress::Progress;
@@ -14,7 +15,7 @@
 use async_io::Timer;
 use forkshift_net::Executor;
 use forkshift_testkit::{
-    BootModel, Deployment, FaultKind, Fleet, MachineFault, Size, Which, World,
+    BootModel, Deployment, FaultKind, Fleet, MachineFault, Plan, Size, Which, World,
 };
 use forkshift_wire::cloud::MachineType;
 use std::fs;
@@ -72,7 +73,9 @@
     let addresses = Addresses::new(site.controllers.base_port);
     let mut controllers = Controllers::prepare(site, addresses, &folder.0)?;
     let ex: Executor = Rc::new(LocalExecutor::new());
-    let bridge = Bridge::start(&ex, world(site), addresses, controllers.len())?;
+    let plans = load::plans(site);
+    let jobs = AnsweringJobs::new(site, &plans);
+    let bridge = Bridge::start(&ex, world(site, plans), addresses, controllers.len(), jobs)?;
     for index in 0..controllers.len() {
         controllers.start(index)?;
     }
@@ -107,7 +110,11 @@
             let interrupted = stop.load(Ordering::Relaxed);
             if interrupted || now_s >= site.duration_s {
                 self.progress.finish();
-                return Ok(self.report(now_s, interrupted));
+                let mut report = self.report(now_s, interrupted);
+                if let Some(pools) = &mut report.pools {
+                    pools.reported_cost = self.ask_for_cost().await;
+                }
+                return Ok(report);
             }
         }
     }
@@ -122,7 +129,8 @@
     fn kill_due(&mut self, now_s: f64) {
         while self.kills.first().is_some_and(|k| k.at_s <= now_s) {
             let kill = self.kills.remove(0);
-            if let Some(index) = kill.controller {
+            let holder = kill.holder.then(|| self.bridge.holder_of_answers());
+            if let Some(index) = kill.controller.or(holder.flatten()) {
                 self.controllers.kill(index);
                 let back_s = now_s + self.site.controllers.restart_s;
                 self.restarts.push((back_s, index));
@@ -186,6 +194,20 @@
         self.progress.show(now_s as u64, &message);
     }
 
+    /// What the program itself reports that pools cost. It asks the state service that
+    /// this very process plays, so it is waited for in another thread.
+    async fn ask_for_cost(&self) -> Option<f64> {
+        let (sender, answer) = async_channel::bounded(1);
+        let asking = self.controllers.pools_report();
+        std::thread::spawn(move || {
+            let _ = sender.send_blocking(asking());
+        });
+        let text = answer.recv().await.ok()??;
+        let report: serde_json::Value = serde_json::from_str(&text).ok()?;
+        let teams = report.get("teams")?.as_object()?;
+        Some(teams.values().filter_map(serde_json::Value::as_f64).sum())
+    }
+
     fn report(&self, now_s: f64, interrupted: bool) -> Report {
         let now = self.used();
         let (from_s, from) = match &self.warm {
@@ -217,7 +239,11 @@
             report.jobs_cancelled = jobs.cancelled;
             report.jobs_running = jobs.running;
             report.jobs_waiting = jobs.waiting;
+            let figures = pool_figures(w, self.site, self.bridge.began_ms());
+            report.pools = (figures.machines > 0).then_some(figures);
         });
+        let burst = self.bridge.burst_figures();
+        report.burst = (burst.replicas > 0).then_some(burst);
         let ends = from.controllers.iter().zip(&now.controllers).enumerate();
         let used =
             ends.map(|(i, (from, to))| process_use(&controller_name(i), *from, *to, measured_s));
@@ -228,7 +254,7 @@
 }
 
 /// The world of a site, without its controllers.
-fn world(site: &Site) -> World {
+fn world(site: &Site, plans: Vec<Plan>) -> World {
     let times = &site.workers;
     let size = Size {
         nodes: site.controllers.count,
@@ -240,6 +266,7 @@
         gang_wait_ms: ms(times.gang_wait_s),
         cancel_ms: ms(times.cancel_s),
         poll_ms: POLL_MS,
+        tells_images: times.tells_images,
         ..Size::default()
     };
     let team_limits = site.teams.iter().flat_map(|team| {
@@ -252,7 +279,7 @@
         value_bytes: (site.state.value_kb * 1024.0) as usize,
         txn_ops: site.state.txn_ops,
     };
-    World::remote(site.seed, load::plans(site), Vec::new(), size, deployment)
+    World::remote(site.seed, plans, Vec::new(), size, deployment)
 }
 
 fn fleet(site: &Site) -> Fleet {
--- a/crates/emulator/src/load.rs
+++ b/crates/emulator/src/load.rs
@@ -21,7 +21,7 @@
     for class in &site.classes {
         for at_s in arrivals(class, site.duration_s, &mut rng) {
             let n = plans.len();
-            let team = &teams[n % teams.len()];
+            let team = class.team.as_ref().unwrap_or(&teams[n % teams.len()]);
             plans.push(plan(class, n, team, at_s, &mut rng));
         }
     }
@@ -32,7 +32,10 @@
 /// then at random with the class's rate.
 fn arrivals(class: &Class, duration_s: f64, rng: &mut StdRng) -> Vec<f64> {
     let spread_s = f64::from(class.initial) * INITIAL_S_PER_1000 / 1000.0;
-    let initial = (0..class.initial).map(|_| FIRST_S + rng.random_range(0.0..=spread_s));
+    let initial = (0..class.initial).map(|_| match class.burst_s {
+        Some(at_s) => at_s,
+        None => FIRST_S + rng.random_range(0.0..=spread_s),
+    });
     let mut times: Vec<f64> = initial.collect();
     if class.per_s <= 0.0 {
         return times;
@@ -63,7 +66,7 @@
         cpus: class.cpus,
         gpus: class.gpus,
         memory_gb: class.memory_gb,
-        image: format!("{}-{}", class.name, rng.random_range(0..class.images)),
+        image: image(class, rng),
         image_gb: class.image_gb,
         types: None,
         zone: None,
@@ -86,6 +89,14 @@
     }
 }
 
+/// The image of a job.
+fn image(class: &Class, rng: &mut StdRng) -> String {
+    match &class.image {
+        Some(image) => image.clone(),
+        None => format!("{}-{}", class.name, rng.random_range(0..class.images)),
+    }
+}
+
 /// Seconds as milliseconds.
 pub fn ms(seconds: f64) -> u64 {
     (seconds * 1000.0) as u64
--- a/crates/emulator/src/main.rs
+++ b/crates/emulator/src/main.rs
@@ -11,7 +11,9 @@
 mod fit;
 mod load;
 mod metrics;
+mod model_servers;
 mod plot;
+mod pools;
 mod preflight;
 mod process;
 mod progress;
@@ -56,6 +58,9 @@
         /// Workers in all; capacity, teams and jobs at the start follow.
         #[arg(long)]
         workers: Option<u32>,
+        /// The operators' settings of the controllers, instead of the site's.
+        #[arg(long, value_name = "FILE")]
+        operator: Option<PathBuf>,
         /// Write the report here too (JSON).
         #[arg(long, value_name = "FILE")]
         report: Option<PathBuf>,
@@ -137,8 +142,9 @@
             site,
             load,
             workers,
+            operator,
             report,
-        } => run(&site, &load.overrides(workers), report.as_deref()),
+        } => run(&site, &load.overrides(workers), operator, report.as_deref()),
         Command::Sweep {
             site,
             load,
@@ -188,16 +194,26 @@
     fs::write(path, text).map_err(failed)
 }
 
-/// Runs a site once; says whether a rule was broken.
-fn run(path: &Path, overrides: &Overrides, file: Option<&Path>) -> Result<bool, Failure> {
+/// Runs a site once; says whether a rule was broken, or an account is wrong.
+fn run(
+    path: &Path,
+    overrides: &Overrides,
+    operator: Option<PathBuf>,
+    file: Option<&Path>,
+) -> Result<bool, Failure> {
     let (name, site) = read_site(path)?;
-    let site = site.with(overrides).map_err(|e| Failure::Site(name, e))?;
+    let mut site = site.with(overrides).map_err(|e| Failure::Site(name, e))?;
+    site.controllers.operator = operator.or(site.controllers.operator);
     let report = emulation::run(&site, &stop_flag()?)?;
     print!("{report}");
     if let Some(file) = file {
         write(file, &json(&report))?;
     }
-    Ok(!report.rules_broken.is_empty())
+    let accounts_wrong = report
+        .pools
+        .as_ref()
+        .is_some_and(|p| !p.mistakes.is_empty());
+    Ok(!report.rules_broken.is_empty() || accounts_wrong)
 }
 
 fn json(report: &Report) -> String {
--- /dev/null
+++ b/crates/emulator/src/pools/tests.rs
@@ -0,0 +1,45 @@
+use super::*;
+
+fn jobs() -> AnsweringJobs {
+    let job = |n: u32| JobId::new(&format!("j-00000{n}"));
+    AnsweringJobs {
+        all: (0..3).map(job).collect(),
+        bursts: vec![(80.0, job(1), 2), (80.0, job(2), 1)],
+    }
+}
+
+/// Job, task and time of each answer; how many count, the first, and when all had.
+type Case = (&'static [(u32, u32, u64)], u64, Option<u64>, Option<u64>);
+
+/// Only replicas of bursts count, and "all" only once each of them has answered.
+#[test]
+fn a_bursts_answers_are_counted_from_its_submission() {
+    let answer = |(job, index, at_ms): (u32, u32, u64)| {
+        let task = TaskRef {
+            job: JobId::new(&format!("j-00000{job}")),
+            index,
+        };
+        (task, Duration::from_millis(at_ms))
+    };
+    let cases: [Case; 4] = [
+        (&[], 0, None, None),
+        (&[(0, 0, 20_000)], 0, None, None),
+        (&[(0, 0, 20_000), (1, 0, 80_250)], 1, Some(250), None),
+        (
+            &[(1, 0, 80_250), (1, 1, 80_100), (2, 0, 95_000)],
+            3,
+            Some(100),
+            Some(15_000),
+        ),
+    ];
+    for (answers, answered, first, all) in cases {
+        let found = jobs().figures(&answers.iter().copied().map(answer).collect());
+        let expected = BurstFigures {
+            replicas: 3,
+            answered,
+            first_answer_ms: first,
+            all_answered_ms: all,
+        };
+        assert_eq!(found, expected, "{answers:?}");
+    }
+}
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -1,6 +1,7 @@
 //! The report of a run.
 
 use crate::metrics::Metrics;
+use crate::pools::{BurstFigures, PoolFigures};
 use crate::process::ProcessFigures;
 use crate::purpose::Purpose;
 use forkshift_wire::users::Priority;
@@ -127,6 +128,12 @@
     /// The longest time by which that process was behind the clock, in milliseconds.
     /// Beyond a few hundred, times are its own rather than the controllers'.
     pub hollow_behind_ms: u64,
+    /// How soon the replicas of bursts answered, where there are bursts.
+    #[serde(default)]
+    pub burst: Option<BurstFigures>,
+    /// Warm pools, where machines were in any.
+    #[serde(default)]
+    pub pools: Option<PoolFigures>,
 }
 
 /// What is used between two looks.
@@ -213,6 +220,42 @@
     format!("median {median_ms} ms, 99% {p99_ms} ms, most {most_ms} ms ({count})")
 }
 
+fn burst_text(burst: &BurstFigures) -> String {
+    let ms = |ms: Option<u64>| ms.map_or("never".to_owned(), |ms| format!("{ms} ms"));
+    format!(
+        "{} of {} replicas answered, the first after {}, all after {}",
+        burst.answered,
+        burst.replicas,
+        ms(burst.first_answer_ms),
+        ms(burst.all_answered_ms)
+    )
+}
+
+fn pool_rows(out: &mut String, pools: &PoolFigures) {
+    let times = format!(
+        "{} machines, {:.0} machine-seconds asked for, {:.0} warm, {:.0} short",
+        pools.machines, pools.asked_s, pools.warm_s, pools.short_s
+    );
+    row(out, "pools", times);
+    let counts = format!(
+        "{} handed out, {} missed, {} reclaimed, {} lost",
+        pools.handed_out, pools.missed, pools.reclaimed, pools.lost
+    );
+    row(out, "", counts);
+    let reported = pools.reported_cost;
+    let cost = format!(
+        "cost {:.4} by the accounts, {} by the report, {:.4} by the cloud; {:.3} s apart at most",
+        pools.cost,
+        reported.map_or("none".to_owned(), |cost| format!("{cost:.4}")),
+        pools.cloud_cost,
+        pools.largest_difference_s
+    );
+    row(out, "", cost);
+    for mistake in &pools.mistakes {
+        row(out, "account", mistake);
+    }
+}
+
 fn process(used: &ProcessUse) -> String {
     format!("{:.3} cores, {:.1} MB", used.cpu_cores, used.resident_mb)
 }
@@ -273,6 +316,12 @@
             "controllers ended by themselves",
             self.controllers_ended,
         );
+        if let Some(burst) = &self.burst {
+            row(&mut out, "burst", burst_text(burst));
+        }
+        if let Some(pools) = &self.pools {
+            pool_rows(&mut out, pools);
+        }
         row(&mut out, "rules broken", self.rules_broken.len());
         for broken in &self.rules_broken {
             row(&mut out, "", broken);
--- a/crates/emulator/src/site.rs
+++ b/crates/emulator/src/site.rs
@@ -192,6 +192,9 @@
     pub gang_peer_s: f64,
     /// Within this the tasks of a cancelled job must be gone.
     pub cancel_s: f64,
+    /// Workers tell their images, and fetch them before a task needs them.
+    #[serde(default)]
+    pub tells_images: bool,
 }
 
 /// Limits of the state service.
@@ -320,6 +323,15 @@
     pub spot: bool,
     /// Its tasks should start within this many seconds.
     pub wait_s: Option<f64>,
+    /// The team that submits it; teams take turns if it is left out.
+    pub team: Option<String>,
+    /// Its only image, by name.
+    pub image: Option<String>,
+    /// Its replicas are model servers that answer requests once they have their weights.
+    #[serde(default)]
+    pub answers: bool,
+    /// The jobs of the start come together at this second instead.
+    pub burst_s: Option<f64>,
 }
 
 fn default_images() -> u32 {
@@ -334,7 +346,7 @@
     }
 }
 
-/// A controller or workers that are killed at a time: one of the three is named.
+/// A controller or workers that are killed at a time: one of the four is named.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Kill {
@@ -346,6 +358,9 @@
     pub workers: Option<usize>,
     /// All workers of a zone, with their machines.
     pub zone: Option<String>,
+    /// The controller that holds the share of the replicas that answer.
+    #[serde(default)]
+    pub holder: bool,
 }
 
 /// What the command line sets in place of the site file.
--- a/crates/emulator/src/site/check.rs
+++ b/crates/emulator/src/site/check.rs
@@ -99,8 +99,16 @@
         within(&format!("teams[{i}].count"), team.count, TEAMS_MOST)?;
     }
     check_capacity(site)?;
+    let teams: Vec<String> = site.teams.iter().flat_map(|t| t.names()).collect();
     for (i, class) in site.classes.iter().enumerate() {
         check_class(&format!("classes[{i}]"), class)?;
+        if class
+            .team
+            .as_ref()
+            .is_some_and(|team| !teams.contains(team))
+        {
+            return Err(wrong(format!("classes[{i}].team"), "names no team"));
+        }
     }
     check_kills(site)
 }
@@ -136,6 +144,13 @@
     if !(class.per_s.is_finite() && class.per_s >= 0.0) {
         return Err(wrong(format!("{path}.per_s"), "must not be negative"));
     }
+    if class.answers && class.kind != Kind::Service {
+        let field = format!("{path}.answers");
+        return Err(wrong(field, "is for classes of kind `service`"));
+    }
+    if let Some(at_s) = class.burst_s {
+        positive(&format!("{path}.burst_s"), at_s)?;
+    }
     within(&format!("{path}.images"), class.images as usize, 10_000)?;
     part(&format!("{path}.cancelled"), class.cancelled)
 }
@@ -147,9 +162,10 @@
             kill.controller.is_some(),
             kill.workers.is_some(),
             kill.zone.is_some(),
+            kill.holder,
         ];
         if named.into_iter().filter(|is_named| *is_named).count() != 1 {
-            let problem = "must name one of `controller`, `workers` and `zone`";
+            let problem = "must name one of `controller`, `workers`, `zone` and `holder`";
             return Err(wrong(path, problem));
         }
         if kill.zone.as_ref().is_some_and(|z| !site.zones.contains(z)) {
--- a/crates/emulator/src/site/tests.rs
+++ b/crates/emulator/src/site/tests.rs
@@ -10,7 +10,8 @@
 #[test]
 fn the_examples_are_good() {
     let capacity = include_str!("../../../../examples/capacity.toml");
-    for text in [EXAMPLE, capacity] {
+    let pools = include_str!("../../../../examples/warm-pools.toml");
+    for text in [EXAMPLE, capacity, pools] {
         assert!(Site::parse(text).is_ok(), "{:?}", Site::parse(text).err());
     }
 }
@@ -38,6 +39,22 @@
         ("workers = 2", "", "`kills[1]`"),
         ("workers = 2", "zone = \"x\"", "`kills[1].zone`"),
         ("workers = 2", "workers = 2\nzone = \"a\"", "`kills[1]`"),
+        ("workers = 2", "workers = 2\nholder = true", "`kills[1]`"),
+        (
+            "per_s = 1.0",
+            "per_s = 1.0\nteam = \"x\"",
+            "`classes[1].team`",
+        ),
+        (
+            "per_s = 1.0",
+            "per_s = 1.0\nanswers = true",
+            "`classes[1].answers`",
+        ),
+        (
+            "per_s = 1.0",
+            "per_s = 1.0\nburst_s = 0.0",
+            "`classes[1].burst_s`",
+        ),
         (
             "kind = \"gang\"",
             "kind = \"gong\"",
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -28,6 +28,7 @@
 use forkshift_pools::{PoolSpec, Pools};
 use forkshift_wire::settings::Settings;
 use forkshift_wire::users::{JobKind, JobStage};
+use forkshift_wire::workers::TaskStage;
 use forkshift_wire::{JobId, MachineId, TaskRef};
 use network::{Dest, Message, Origin};
 use odd::{Aside, Ask};
@@ -253,6 +254,21 @@
         &self.cloud.lives
     }
 
+    /// Tasks of some jobs that are on machines and have not exited, and whether each runs.
+    pub fn tasks_of(&self, jobs: &BTreeSet<JobId>) -> Vec<(TaskRef, MachineId, bool)> {
+        let mut found = Vec::new();
+        for worker in self.workers.values() {
+            let tasks = worker.tasks.iter();
+            let tasks = tasks
+                .filter(|((task, _), t)| jobs.contains(&task.job) && t.stage != TaskStage::Exited);
+            found.extend(tasks.map(|((task, _), t)| {
+                let runs = t.stage == TaskStage::Running;
+                (task.clone(), worker.id.clone(), runs)
+            }));
+        }
+        found
+    }
+
     /// The time of day, as all controllers have it.
     pub fn wall(&self) -> Ms {
         self.now + WALL_OFF
