--- a/crates/pools/src/audit.rs
+++ b/crates/pools/src/audit.rs
@@ -31,7 +31,9 @@
 }
 
 /// Everything that is wrong with the accounts of all pools together, where clocks may
-/// differ from the cloud's by so much. A machine without a life was never rented.
+/// differ from the cloud's by so much. Memberships that go on are among the intervals, as
+/// if they ended now, and so do the lives of machines that are there. A machine without a
+/// life was never rented.
 pub fn mistakes(
     intervals: &[Interval],
     lives: &BTreeMap<MachineId, Life>,
@@ -56,6 +58,13 @@
         if intervals.iter().any(is_outside) {
             found.push(Mistake::OutsideLife(id.clone()));
         }
+        // A membership that goes on, and of which nothing more is recorded.
+        let last = intervals.last().filter(|i| i.ended.is_none());
+        let breaks_off =
+            |i: &&Interval| life.is_some_and(|(_, to)| i.to_ms.saturating_add(clock_off_ms) < to);
+        if last.is_some_and(|i| breaks_off(&i)) {
+            found.push(Mistake::NotCharged(id.clone()));
+        }
         for pair in intervals.windows(2) {
             if pair[1].from_ms < pair[0].to_ms {
                 found.push(Mistake::ChargedTwice(id.clone()));
--- a/crates/pools/src/audit/tests.rs
+++ b/crates/pools/src/audit/tests.rs
@@ -26,7 +26,7 @@
         Mistake::NotCharged(id.clone()),
         Mistake::OutsideLife(id),
     );
-    let cases: [(Vec<Interval>, u64, Vec<Mistake>); 9] = [
+    let cases: [(Vec<Interval>, u64, Vec<Mistake>); 12] = [
         (
             vec![
                 interval(100, 200, None),
@@ -44,8 +44,11 @@
         (
             vec![interval(100, 200, None), interval(201, 300, left)],
             0,
-            vec![gap],
+            vec![gap.clone()],
         ),
+        (vec![interval(100, 900, None)], 0, vec![]),
+        (vec![interval(100, 899, None)], 1, vec![]),
+        (vec![interval(100, 899, None)], 0, vec![gap]),
         (vec![interval(99, 200, left)], 0, vec![outside.clone()]),
         (vec![interval(99, 200, left)], 1, vec![]),
         (vec![interval(800, 901, left)], 0, vec![outside.clone()]),
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -249,7 +249,13 @@
 
     /// Begins to fetch images ahead.
     fn prefetch(&mut self, now: Ms, wanted: &[Prefetch]) {
-        for image in wanted.iter().filter(|_| self.tells_images) {
+        let is_asked_for = wanted.is_empty() || self.tells_images;
+        assert!(
+            is_asked_for,
+            "{} was told to fetch ahead and takes no such command",
+            self.id
+        );
+        for image in wanted {
             if self.images.contains(&image.image) || self.prefetching.contains_key(&image.image) {
                 continue;
             }
