--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod inject;
 mod network;
+mod observe;
 mod odd;
 mod remote;
 mod size;
@@ -16,20 +17,17 @@
 pub use users::{job_id, Mistake, Plan};
 
 use crate::check::{Calm, Checker};
-use crate::cloud::{Boot, Cloud};
+use crate::cloud::Cloud;
 use crate::faults::{Fault, FaultKind};
 use crate::fleet::Fleet;
 use crate::state::{ServiceModel, SizeLimits, State};
 use crate::worker::{Truth, Worker};
 use crate::Ms;
 use digest::Digest;
-use forkshift_core::records;
 use forkshift_core::{Config, Effect, FormatVersion, Input, Node, Operator, RequestId, Target};
 use forkshift_pools::{PoolSpec, Pools};
 use forkshift_wire::settings::Settings;
-use forkshift_wire::users::{JobKind, JobStage};
-use forkshift_wire::workers::TaskStage;
-use forkshift_wire::{JobId, MachineId, TaskRef};
+use forkshift_wire::{JobId, MachineId};
 use network::{Dest, Message, Origin};
 use odd::{Aside, Ask};
 use rand::rngs::StdRng;
@@ -244,36 +242,6 @@
         self.hosts[node].pools = pools;
     }
 
-    /// What the state service has below a prefix.
-    pub fn records(&self, prefix: &str) -> Vec<(String, serde_json::Value)> {
-        self.state.below(prefix)
-    }
-
-    /// When the cloud's charge for each machine began, and when it ended.
-    pub fn lives(&self) -> &BTreeMap<MachineId, (Ms, Option<Ms>)> {
-        &self.cloud.lives
-    }
-
-    /// Tasks of some jobs that are on machines and have not exited, and whether each runs.
-    pub fn tasks_of(&self, jobs: &BTreeSet<JobId>) -> Vec<(TaskRef, MachineId, bool)> {
-        let mut found = Vec::new();
-        for worker in self.workers.values() {
-            let tasks = worker.tasks.iter();
-            let tasks = tasks
-                .filter(|((task, _), t)| jobs.contains(&task.job) && t.stage != TaskStage::Exited);
-            found.extend(tasks.map(|((task, _), t)| {
-                let runs = t.stage == TaskStage::Running;
-                (task.clone(), worker.id.clone(), runs)
-            }));
-        }
-        found
-    }
-
-    /// The time of day, as all controllers have it.
-    pub fn wall(&self) -> Ms {
-        self.now + WALL_OFF
-    }
-
     /// A world whose controllers are processes of their own; see
     /// [`World::advance_to`]. The state service refuses what is beyond its limits.
     pub fn remote(
@@ -483,53 +451,17 @@
         }
     }
 
-    /// The time.
-    pub fn now(&self) -> Ms {
-        self.now
-    }
-
     /// Something goes wrong now.
     pub fn fault_now(&mut self, kind: FaultKind) {
         self.inject(kind);
     }
 
-    /// Requests that the state service would have refused by its limits with
-    /// 429, of how many.
-    pub fn over_limit(&self) -> (u64, u64) {
-        self.state.over_limit
-    }
-
-    /// Transactions that the state service refused for their size.
-    pub fn too_large(&self) -> u64 {
-        self.state.too_large
-    }
-
-    /// The format that the controllers have finalized, as it is recorded.
-    pub fn finalized_format(&self) -> Option<u64> {
-        self.state.value(records::FINALIZED_FORMAT)?.as_u64()
-    }
-
     /// From now on, all that controllers write and tell each other is kept.
     pub fn keep_formats(&mut self) {
         self.state.puts = Some(Vec::new());
         self.messages = Some(Vec::new());
     }
 
-    /// Records that were put, with their keys, since they are kept.
-    pub fn kept_records(&self) -> &[(String, serde_json::Value)] {
-        self.state.puts.as_deref().unwrap_or_default()
-    }
-
-    /// Messages between controllers since they are kept.
-    pub fn kept_messages(&self) -> &[Vec<u8>] {
-        self.messages.as_deref().unwrap_or_default()
-    }
-
-    /// When a user was first told that a job is cancelled.
-    pub fn cancelled_at(&self, id: &JobId) -> Option<Ms> {
-        self.check.cancelled_at(id)
-    }
-
     fn happen(&mut self, event: Event) {
         match event {
             Event::Arrive(message) => self.arrive(message),
@@ -678,109 +610,4 @@
     pub fn close(&mut self) {
         self.check.close(self.now);
     }
-
-    /// How many jobs are accepted, and how they stand.
-    pub fn job_counts(&self) -> JobCounts {
-        let mut counts = JobCounts::default();
-        let ids = self.users.iter().map(|u| &u.plan.spec.id);
-        for id in ids.filter(|id| self.check.is_accepted(id)) {
-            counts.accepted += 1;
-            match self.check.told(id) {
-                Some(JobStage::Done) => counts.done += 1,
-                Some(JobStage::Cancelled) => counts.cancelled += 1,
-                _ if self.check.running(id) > 0 => counts.running += 1,
-                _ => counts.waiting += 1,
-            }
-        }
-        counts
-    }
-
-    /// What a quiet end must show: everything accepted is done, or runs.
-    pub fn unserved(&self) -> Vec<String> {
-        let mut left = Vec::new();
-        for user in &self.users {
-            let spec = &user.plan.spec;
-            if user.aim == Aim::Submit {
-                left.push(format!("{}: not accepted", spec.id));
-            }
-            if user.aim != Aim::Poll
-                || user.plan.cancel_at.is_none() && spec.kind == JobKind::Service
-            {
-                continue;
-            }
-            let tasks = (0..spec.tasks).map(|index| TaskRef {
-                job: spec.id.clone(),
-                index,
-            });
-            let cancelled = self.check.was_cancelled(&spec.id);
-            let done = tasks.clone().all(|t| self.check.is_completed(&t));
-            if !cancelled && self.check.is_cancel_wanted(&spec.id) && !done {
-                left.push(format!("{}: not cancelled", spec.id));
-            } else if !cancelled && !done && spec.kind != JobKind::Service {
-                left.push(format!(
-                    "{}: {:?} of {} tasks is not done",
-                    spec.id, spec.kind, spec.tasks
-                ));
-            }
-        }
-        left
-    }
-
-    /// Machines that the cloud has been told to delete, or has taken.
-    pub fn ended(&self) -> usize {
-        self.cloud.n_ended
-    }
-
-    /// Reports of workers so far, and what controllers that are up looked at.
-    pub fn work(&self) -> (u64, u64) {
-        let nodes = self.hosts.iter().filter_map(|h| h.node.as_ref());
-        (self.reports, nodes.map(Node::visits).sum())
-    }
-
-    /// Machines that were rented.
-    pub fn rented(&self) -> usize {
-        self.cloud.n_ended + self.cloud.machines.len()
-    }
-
-    /// Machines that were given up as their records say, and why.
-    pub fn given_up(&self) -> &BTreeMap<MachineId, String> {
-        &self.state.given_up
-    }
-
-    /// Rentals so far: when, type, zone, and how many machines were had.
-    pub fn rentals(&self) -> &[(Ms, String, String, u32)] {
-        &self.cloud.rented
-    }
-
-    /// The boots of all machines that were rented, in the order of rental.
-    pub fn boots(&self) -> &[Boot] {
-        &self.cloud.boots
-    }
-
-    /// Machines that are paid for and not up.
-    pub fn booting(&self) -> usize {
-        let all = self.cloud.machines.values();
-        all.filter(|m| !m.failed && m.up_at > self.now).count()
-    }
-
-    /// Machines that are up.
-    pub fn machines(&self) -> usize {
-        self.workers.len()
-    }
-
-    /// Most machines that were up at a time.
-    pub fn most_machines(&self) -> usize {
-        self.most_machines
-    }
-
-    /// A digest of everything that the controllers have sent, which is the
-    /// same for two runs in which they did the same at the same times.
-    pub fn digest(&self) -> u64 {
-        self.digest.value()
-    }
-
-    /// Puts and deletes that the state service has carried out.
-    pub fn writes(&self) -> u64 {
-        self.state.writes
-    }
 }
