--- a/crates/pools/src/audit.rs
+++ b/crates/pools/src/audit.rs
@@ -62,7 +62,7 @@
         let last = intervals.last().filter(|i| i.ended.is_none());
         let breaks_off =
             |i: &&Interval| life.is_some_and(|(_, to)| i.to_ms.saturating_add(clock_off_ms) < to);
-        if last.is_some_and(|i| breaks_off(&i)) {
+        if last.is_some_and(breaks_off) {
             found.push(Mistake::NotCharged(id.clone()));
         }
         for pair in intervals.windows(2) {
