--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -115,10 +115,7 @@
     fn send_group(&mut self, ctx: &mut Context, group: Vec<Part>) {
         let urgency = group[0].urgency;
         let mut txn = Txn {
-            conds: vec![Cond {
-                key: share_key(self.id),
-                version: self.version,
-            }],
+            conds: vec![self.held()],
             writes: Vec::new(),
         };
         let mut jobs = Vec::new();
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -6,7 +6,7 @@
 use crate::overflow::Overflow;
 use crate::pending::Pending;
 use crate::pools::{open_reservations, Coming};
-use crate::records::{demand_key, share_key, total_of, DemandRecord, ShapeRecord};
+use crate::records::{demand_key, total_of, DemandRecord, ShapeRecord};
 use crate::rounds::{host, names};
 use crate::share::Share;
 use crate::store::Urgency;
@@ -14,7 +14,7 @@
 use crate::Ms;
 use forkshift_sched::{run_round, Host, PendingTasks, Quota, Resources, Shortfall};
 use forkshift_wire::peer::Body;
-use forkshift_wire::state::{Cond, Txn, Write};
+use forkshift_wire::state::{Txn, Write};
 use forkshift_wire::users::JobKind;
 use forkshift_wire::{MachineId, TaskRef};
 use serde_json::to_value;
@@ -398,10 +398,7 @@
             rec.now
         );
         let txn = Txn {
-            conds: vec![Cond {
-                key: share_key(self.id),
-                version: self.version,
-            }],
+            conds: vec![self.held()],
             writes: vec![Write::put(
                 demand_key(self.id),
                 to_value(rec).unwrap_or_default(),
--- a/crates/core/src/leader/lending.rs
+++ b/crates/core/src/leader/lending.rs
@@ -143,18 +143,14 @@
             return None;
         }
         let others = demands.iter().filter(|(j, _)| **j != k);
-        let offered = |d: &'_ DemandRecord| {
-            let pooled = d.pooled.iter().filter(|_| shape.gang);
-            d.borrowed
-                .iter()
-                .chain(pooled)
-                .cloned()
-                .collect::<Vec<MachineId>>()
-        };
+        let is_gang = shape.gang;
         others
-            .flat_map(|(j, d)| offered(d).into_iter().map(move |id| (j, id)))
+            .flat_map(|(j, d)| {
+                let pooled = d.pooled.iter().filter(move |_| is_gang);
+                d.borrowed.iter().chain(pooled).map(move |id| (j, id))
+            })
             .find(|(j, id)| self.may_move(view, **j, id, shape))
-            .map(|(_, id)| id)
+            .map(|(_, id)| id.clone())
     }
 
     /// Whether a share may be asked for a machine that suits a shape.
--- a/crates/core/src/pools/ledger.rs
+++ b/crates/core/src/pools/ledger.rs
@@ -4,7 +4,6 @@
 use crate::context::{revision_of, Context};
 use crate::format::FormatVersion;
 use crate::pending::Pending;
-use crate::records::share_key;
 use crate::share::Share;
 use crate::store::Urgency;
 use crate::Ms;
@@ -181,10 +180,7 @@
         let key = next.key();
         let mut txn = Txn {
             conds: vec![
-                Cond {
-                    key: share_key(self.id),
-                    version: self.version,
-                },
+                self.held(),
                 Cond {
                     key: key.clone(),
                     version,
@@ -235,16 +231,14 @@
             let path = format!("/kv?starts={HEADS}&most=1000");
             ctx.read(Urgency::Later, path, Pending::PoolHeads { share, epoch });
         }
+        let held = self.held();
         let rows = self.pools.rows.iter_mut();
         let now = ctx.now;
         let due = rows.filter(|(_, row)| !row.is_writing && now >= row.retry_at);
         for (key, row) in due {
             row.is_writing = true;
             let mut txn = Txn {
-                conds: vec![Cond {
-                    key: share_key(self.id),
-                    version: self.version,
-                }],
+                conds: vec![held.clone()],
                 writes: Vec::new(),
             };
             add_row(&mut txn, key.clone(), &row.value);
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -20,7 +20,7 @@
 use crate::machine::Machine;
 use crate::pending::Pending;
 use crate::pools::SharePools;
-use crate::records::{DemandRecord, MachineRecord, ShareId};
+use crate::records::{share_key, DemandRecord, MachineRecord, ShareId};
 use crate::store::Urgency;
 use crate::timers::TimerQueue;
 use crate::Ms;
@@ -201,6 +201,14 @@
         (self.epoch << TOKEN_BITS).max(rec.floor + 1)
     }
 
+    /// The condition that the share is still held under this epoch.
+    pub(crate) fn held(&self) -> Cond {
+        Cond {
+            key: share_key(self.id),
+            version: self.version,
+        }
+    }
+
     /// Asks for a round before its time.
     pub(crate) fn hurry(&mut self, ctx: &Context) {
         let gap = crate::ms(ctx.cfg.ops.round_gap_s);
--- a/crates/core/src/share/machines.rs
+++ b/crates/core/src/share/machines.rs
@@ -7,7 +7,7 @@
 use crate::machine::Machine;
 use crate::pending::Pending;
 use crate::pools::{add_row, MachinePool};
-use crate::records::{machine_key, share_key, total_of, MachineRecord};
+use crate::records::{machine_key, total_of, MachineRecord};
 use crate::store::Urgency;
 use crate::view::{Changed, View};
 use forkshift_pools::{Ended, Interval};
@@ -240,10 +240,7 @@
         let key = machine_key(id);
         let mut txn = Txn {
             conds: vec![
-                Cond {
-                    key: share_key(self.id),
-                    version: self.version,
-                },
+                self.held(),
                 Cond {
                     key: key.clone(),
                     version: stamped.version,
--- a/crates/emulator/src/pools.rs
+++ b/crates/emulator/src/pools.rs
@@ -3,10 +3,9 @@
 
 use crate::model_servers::Replica;
 use crate::site::Site;
-use forkshift_pools::account::{MachineFacts, Price, Row, HEADS, POOLS, PRICES};
 use forkshift_pools::audit::{mistakes, Life};
 use forkshift_pools::report::{report, Accounts, PriceList, Span};
-use forkshift_pools::{Interval, Membership};
+use forkshift_pools::Interval;
 use forkshift_testkit::World;
 use forkshift_wire::{JobId, MachineId, TaskRef};
 use serde::{Deserialize, Serialize};
@@ -127,15 +126,8 @@
 /// began at `began_ms`, in milliseconds since 1970.
 pub fn pool_figures(world: &World, site: &Site, began_ms: u64) -> PoolFigures {
     let now_ms = began_ms + world.now();
-    let accounts = accounts(world, now_ms);
-    let lives: BTreeMap<MachineId, Life> = world
-        .lives()
-        .iter()
-        .map(|(id, (from, to))| {
-            let to = to.unwrap_or(world.now());
-            (id.clone(), (began_ms + from, began_ms + to))
-        })
-        .collect();
+    let accounts = world.pool_accounts(now_ms);
+    let lives = world.pool_lives(began_ms);
     let all = Span {
         from_ms: 0,
         to_ms: now_ms + 1,
@@ -204,43 +196,5 @@
     price.unwrap_or(0.0)
 }
 
-fn accounts(world: &World, now_ms: u64) -> Accounts {
-    let mut accounts = Accounts::default();
-    let rows = world.records(POOLS).into_iter().chain(world.records(HEADS));
-    for (key, value) in rows {
-        match Row::parse(&key, &value.to_string()) {
-            Some(Row::Interval(interval)) => accounts.intervals.push(interval),
-            Some(Row::Asked(asked)) => accounts.asked.push(asked),
-            Some(Row::Miss(miss)) => accounts.misses.push(miss),
-            None => log::error!("{key} is not understood"),
-        }
-    }
-    for (_, value) in world.records(PRICES) {
-        accounts
-            .prices
-            .extend(serde_json::from_value::<Price>(value));
-    }
-    for (key, value) in world.records("c/machine/") {
-        let membership = value.get("pool").cloned();
-        let membership = membership.and_then(|m| serde_json::from_value::<Membership>(m).ok());
-        let (Some(id), Some(membership)) = (key.strip_prefix("c/machine/"), membership) else {
-            continue;
-        };
-        let machine_type = value
-            .get("type")
-            .and_then(|t| t.as_str())
-            .unwrap_or_default();
-        let facts = MachineFacts {
-            id: MachineId::new(id),
-            machine_type: machine_type.to_owned(),
-            spot: value.get("spot").and_then(|s| s.as_bool()).unwrap_or(false),
-        };
-        accounts
-            .intervals
-            .push(membership.close(&facts, now_ms, None));
-    }
-    accounts
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -6,6 +6,7 @@
 mod network;
 mod observe;
 mod odd;
+mod pools;
 mod remote;
 mod size;
 mod troubles;
--- /dev/null
+++ b/crates/testkit/src/world/pools.rs
@@ -0,0 +1,78 @@
+//! Warm pools, as the state service has them, and what the cloud charged.
+
+use super::World;
+use crate::Ms;
+use forkshift_core::records::MachineRecord;
+use forkshift_pools::account::{MachineFacts, Price, Row, HEADS, POOLS, PRICES};
+use forkshift_pools::audit::Life;
+use forkshift_pools::report::Accounts;
+use forkshift_pools::Membership;
+use forkshift_wire::MachineId;
+use std::collections::BTreeMap;
+
+const MACHINES: &str = "c/machine/";
+
+impl World {
+    /// Machines that are in pools now.
+    pub fn pool_members(&self) -> Vec<(MachineId, Membership)> {
+        let members = self.machine_records().into_iter();
+        members
+            .filter_map(|(id, rec)| Some((id, rec.pool?)))
+            .collect()
+    }
+
+    /// The accounts of all pools; what goes on is taken to end now.
+    ///
+    /// # Panics
+    ///
+    /// If a record is not understood.
+    pub fn pool_accounts(&self, now_ms: Ms) -> Accounts {
+        let mut accounts = Accounts::default();
+        let rows = self.records(POOLS).into_iter().chain(self.records(HEADS));
+        for (key, value) in rows {
+            match Row::parse(&key, &value.to_string()) {
+                Some(Row::Interval(interval)) => accounts.intervals.push(interval),
+                Some(Row::Asked(asked)) => accounts.asked.push(asked),
+                Some(Row::Miss(miss)) => accounts.misses.push(miss),
+                None => panic!("{key} is not understood: {value}"),
+            }
+        }
+        for (key, value) in self.records(PRICES) {
+            let price: Price =
+                serde_json::from_value(value).unwrap_or_else(|e| panic!("{key}: {e}"));
+            accounts.prices.push(price);
+        }
+        for (id, rec) in self.machine_records() {
+            let Some(membership) = rec.pool else {
+                continue;
+            };
+            let machine = MachineFacts {
+                id,
+                machine_type: rec.machine_type,
+                spot: rec.spot,
+            };
+            let open = membership.close(&machine, now_ms, None);
+            accounts.intervals.push(open);
+        }
+        accounts
+    }
+
+    /// From when to when the cloud charged for each machine, if the world began then.
+    pub fn pool_lives(&self, began_ms: Ms) -> BTreeMap<MachineId, Life> {
+        let lives = self.lives().iter();
+        let life = |(from, to): &(Ms, Option<Ms>)| {
+            let to = to.unwrap_or(self.now());
+            (began_ms + from, began_ms + to)
+        };
+        lives.map(|(id, times)| (id.clone(), life(times))).collect()
+    }
+
+    fn machine_records(&self) -> Vec<(MachineId, MachineRecord)> {
+        let machines = self.records(MACHINES).into_iter();
+        let record = |(key, value): (String, serde_json::Value)| {
+            let id = MachineId::new(key.strip_prefix(MACHINES)?);
+            Some((id, serde_json::from_value(value).ok()?))
+        };
+        machines.filter_map(record).collect()
+    }
+}
--- a/crates/testkit/tests/warm_pools.rs
+++ b/crates/testkit/tests/warm_pools.rs
@@ -2,14 +2,12 @@
 //! controllers end meanwhile. After each day the accounts of all pools are audited against
 //! the lives that the stand-in for the cloud charged.
 
-use forkshift_pools::account::{Row, HEADS, POOLS};
 use forkshift_pools::audit::mistakes;
 use forkshift_pools::report::Accounts;
 use forkshift_pools::{Ended, Interval, Membership, PoolSpec, PoolState, WindowSpec};
 use forkshift_testkit::{job_id, Fault, FaultKind, MachineFault, Plan, Size, Which, Who, World};
 use forkshift_wire::users::{JobKind, Priority};
 use forkshift_wire::MachineId;
-use std::collections::BTreeMap;
 
 type Ms = u64;
 const NODES: usize = 3;
@@ -62,13 +60,7 @@
 
 /// Memberships that go on.
 fn members(world: &World) -> Vec<(MachineId, Membership)> {
-    let machines = world.records("c/machine/");
-    let member = |(key, value): (String, serde_json::Value)| {
-        let id = MachineId::new(key.strip_prefix("c/machine/")?);
-        let membership = value.get("pool")?.clone();
-        Some((id, serde_json::from_value(membership).ok()?))
-    };
-    machines.into_iter().filter_map(member).collect()
+    world.pool_members()
 }
 
 fn warm(world: &World) -> usize {
@@ -79,43 +71,11 @@
         .count()
 }
 
-/// The accounts of all pools, with what goes on as if it ended now.
-fn accounts(world: &World) -> Accounts {
-    let mut accounts = Accounts::default();
-    let rows = world.records(POOLS).into_iter().chain(world.records(HEADS));
-    for (key, value) in rows {
-        match Row::parse(&key, &value.to_string()) {
-            Some(Row::Interval(interval)) => accounts.intervals.push(interval),
-            Some(Row::Asked(asked)) => accounts.asked.push(asked),
-            Some(Row::Miss(miss)) => accounts.misses.push(miss),
-            None => panic!("{key} is not understood: {value}"),
-        }
-    }
-    for (id, membership) in members(world) {
-        let machine = forkshift_pools::account::MachineFacts {
-            id,
-            machine_type: "g8".to_owned(),
-            spot: false,
-        };
-        let open = membership.close(&machine, world.wall(), None);
-        accounts.intervals.push(open);
-    }
-    accounts
-}
-
 /// No rule is broken, and every second is charged once at most, within machines' lives.
 fn audit(world: &World, name: &str) -> Accounts {
     assert_eq!(world.check.broken, vec![], "{name}: rules");
-    let accounts = accounts(world);
-    let wall_off = world.wall() - world.now();
-    let lives: BTreeMap<MachineId, (Ms, Ms)> = world
-        .lives()
-        .iter()
-        .map(|(id, (from, to))| {
-            let to = to.unwrap_or(world.now());
-            (id.clone(), (from + wall_off, to + wall_off))
-        })
-        .collect();
+    let accounts = world.pool_accounts(world.wall());
+    let lives = world.pool_lives(world.wall() - world.now());
     let found = mistakes(&accounts.intervals, &lives, CLOCK_OFF);
     assert_eq!(found, vec![], "{name}: accounts");
     accounts
@@ -529,7 +489,7 @@
     }
     assert_eq!(world.finalized_format(), None);
     assert!(audit(&world, "old").intervals.is_empty());
-    assert!(accounts(&world).asked.is_empty());
+    assert!(world.pool_accounts(world.wall()).asked.is_empty());
     assert_eq!(world.check.running(&job_id(0)), 2);
     for node in 0..NODES {
         world.fault_now(FaultKind::Upgrade { node, back: 1_000 });
