Pools: giving a machine up ends its membership in the same transaction

Change: the record that gives a machine up ends its membership, with the time at which it was last heard of. `forkshift pools` is tested against stand-ins that refuse, are gone or garble.

--- a/crates/core/src/pools/membership.rs
+++ b/crates/core/src/pools/membership.rs
@@ -184,13 +184,8 @@
         membership: &Membership,
     ) -> Result<PoolState, Ended> {
         let machine = self.machines.get(id).ok_or(Ended::Lost)?;
-        if let Some(why) = &machine.condemned {
-            let is_stalled = why == STALLED;
-            return Err(if is_stalled {
-                Ended::Stalled
-            } else {
-                Ended::Lost
-            });
+        if machine.condemned.is_some() {
+            return Err(self.end_of_membership(ctx, id).1);
         }
         let pool = ctx.cfg.ops.pools.get(&membership.pool);
         if !machine.tasks.is_empty() {
@@ -215,6 +210,16 @@
         }
     }
 
+    /// When and why the membership of a machine ends that is given up.
+    pub(crate) fn end_of_membership(&self, ctx: &Context, id: &MachineId) -> (u64, Ended) {
+        let condemned = self.machines.get(id).and_then(|m| m.condemned.as_deref());
+        let ended = match condemned {
+            Some(STALLED) => Ended::Stalled,
+            _ => Ended::Lost,
+        };
+        (self.left_at(ctx, id, Err(ended)), ended)
+    }
+
     /// The time of day at which a member leaves or changes. A machine that is given up
     /// was of use until it was last heard of.
     fn left_at(&self, ctx: &Context, id: &MachineId, next: Result<PoolState, Ended>) -> u64 {
--- a/crates/core/src/share/machines.rs
+++ b/crates/core/src/share/machines.rs
@@ -283,7 +283,12 @@
         self.drop_unsent_of(tasks);
         let recorded = view.machines.get(id);
         if recorded.is_some_and(|m| m.rec.condemned.is_none()) {
-            self.put_machine(ctx, view, id, |rec| rec.condemned = Some(why));
+            // The leader may remove the record at once, and knows less of when it ended.
+            let (at_ms, ended) = self.end_of_membership(ctx, id);
+            self.put_machine_with(ctx, view, id, |rec| {
+                rec.condemned = Some(why);
+                rec.close_membership(id, at_ms, Err(ended))
+            });
         }
     }
 }
--- a/crates/daemon/tests/command_line.rs
+++ b/crates/daemon/tests/command_line.rs
@@ -1,5 +1,7 @@
 //! The program's answers to settings, from the command line.
 
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Command, Output};
 
@@ -57,3 +59,106 @@
         }
     }
 }
+
+/// A stand-in for the state service that gives every request the same answer.
+fn state_service(status: &'static str, body: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { continue };
+            let mut request = [0; 4_096];
+            let _ = stream.read(&mut request);
+            let length = body.len();
+            let answer = format!(
+                "HTTP/1.1 {status}\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}"
+            );
+            let _ = stream.write_all(answer.as_bytes());
+        }
+    });
+    addr
+}
+
+/// Runs `forkshift pools` against a state service.
+fn pools(name: &str, state: SocketAddr, arguments: &[&str]) -> Output {
+    let text = std::fs::read_to_string(example()).expect("the example");
+    let text = text.replace("127.0.0.1:2379", &state.to_string());
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).expect("a file for the settings");
+    Command::new(env!("CARGO_BIN_EXE_forkshift"))
+        .arg("pools")
+        .args(arguments)
+        .arg("--config")
+        .arg(path)
+        .output()
+        .expect("the program runs")
+}
+
+const REPORT: [&str; 5] = ["report", "--from", "2026-12-01", "--to", "2026-12-02"];
+const EMPTY: &str = r#"{"items":[],"has_next":false,"ledger_rev":1}"#;
+const GARBLED: &str =
+    r#"{"items":[{"key":"pool/x/1-odd","data":{},"stamp":1}],"has_next":false,"ledger_rev":1}"#;
+
+/// What can't be read is said with exit 1, and never shown as nothing.
+#[test]
+fn pools_are_never_empty_because_nothing_could_be_read() {
+    let closed = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let nobody = closed.local_addr().expect("an address");
+    drop(closed);
+    let cases: [(&str, SocketAddr, &[&str], i32, &str); 7] = [
+        (
+            "empty",
+            state_service("200 OK", EMPTY),
+            &REPORT,
+            0,
+            "nothing is recorded of pools",
+        ),
+        (
+            "none",
+            state_service("200 OK", EMPTY),
+            &["status"],
+            0,
+            "no pool is recorded",
+        ),
+        (
+            "out",
+            state_service("503 Service Unavailable", "{}"),
+            &REPORT,
+            1,
+            "refuses with 503",
+        ),
+        ("gone", nobody, &["status"], 1, "does not answer"),
+        (
+            "odd",
+            state_service("200 OK", GARBLED),
+            &REPORT,
+            1,
+            "is not understood",
+        ),
+        (
+            "html",
+            state_service("200 OK", "<html>"),
+            &["status"],
+            1,
+            "is not understood",
+        ),
+        (
+            "span",
+            nobody,
+            &["report", "--from", "2026-12-02", "--to", "2026-12-01"],
+            1,
+            "`--to` is not behind `--from`",
+        ),
+    ];
+    for (name, state, arguments, code, said) in cases {
+        let output = pools(&format!("{name}.toml"), state, arguments);
+        let (out, errors) = (
+            String::from_utf8_lossy(&output.stdout),
+            String::from_utf8_lossy(&output.stderr),
+        );
+        assert_eq!(output.status.code(), Some(code), "{name}: {out}{errors}");
+        let text = if code == 0 { &out } else { &errors };
+        assert!(text.contains(said), "{name}: {out}{errors}");
+        assert!(code == 0 || out.is_empty(), "{name}: {out}");
+    }
+}
--- a/crates/testkit/tests/warm_pools.rs
+++ b/crates/testkit/tests/warm_pools.rs
@@ -525,3 +525,25 @@
     );
     assert!(report.pools[0].short_s > 0.0);
 }
+
+/// A pool of spot machines takes no others, and fills again when they are taken back. The
+/// leader may remove a record as soon as it says that its machine is given up: when that
+/// did not end the membership as well, what was taken was charged until its removal.
+#[test]
+fn a_pool_of_spot_machines_outlives_a_wave_of_recalls() {
+    let spot = PoolSpec {
+        spot: true,
+        ..pool(3, 3)
+    };
+    for (seed, notice) in [(20, 0), (21, 5_000)] {
+        let mut world = world(seed, Vec::new(), size(), std::slice::from_ref(&spot));
+        world.run_until(FULL);
+        assert_eq!(warm(&world), 3, "{:?}", members(&world));
+        world.fault_now(FaultKind::Taken { notice });
+        world.run_until(FULL * 2 + 30_000);
+        assert_eq!(warm(&world), 3, "{:?}", members(&world));
+        let accounts = audit(&world, &format!("notice {notice}"));
+        assert!(accounts.intervals.iter().all(|i| i.spot));
+        assert!(!ended(&accounts, Ended::Lost).is_empty(), "some were taken");
+    }
+}
