Pools: what waits before pools begin counts as no miss

Cause: misses were noted as soon as pools were declared, and written once their format was finalized, though no machine could have been kept until then.

Change: they are noted from the finalization on.

--- a/crates/core/src/pools/membership.rs
+++ b/crates/core/src/pools/membership.rs
@@ -115,14 +115,10 @@
         let (Some(machine), Some(stamped)) = (self.machines.get(id), view.machines.get(id)) else {
             return;
         };
-        if stamped.rec.pool.is_none() && machine.pool.joining.is_none() {
-            return;
-        }
-        if stamped.rec.pool.is_none() {
-            self.join(ctx, view, id);
-            return;
-        }
         let Some(membership) = stamped.rec.pool.clone() else {
+            if machine.pool.joining.is_some() {
+                self.join(ctx, view, id);
+            }
             return;
         };
         let next = self.next_state(ctx, id, &membership);
--- a/crates/core/src/pools/placement.rs
+++ b/crates/core/src/pools/placement.rs
@@ -193,7 +193,7 @@
 
     /// Counts the jobs of a pool's team and image that found no machine of it, once each.
     pub(crate) fn note_misses(&mut self, ctx: &Context, ids: &[JobId], wants: &[PendingTasks]) {
-        if ctx.cfg.ops.pools.is_empty() {
+        if !ctx.has_pools() {
             return;
         }
         for (id, want) in ids.iter().zip(wants).filter(|(_, w)| !w.waiting.is_empty()) {
--- a/crates/testkit/tests/warm_pools.rs
+++ b/crates/testkit/tests/warm_pools.rs
@@ -427,7 +427,8 @@
 fn pools_begin_when_all_declare_them_and_end_where_they_are_withdrawn() {
     let on = || vec![pool(2, 2)];
     let pools = vec![on(), on(), Vec::new()];
-    let mut world = World::with_pools(7, Vec::new(), Vec::new(), size(), pools);
+    let early = vec![replicas(0, 20_000, 1, "weights")];
+    let mut world = World::with_pools(7, early, Vec::new(), size(), pools);
     world.run_until(FULL);
     assert_eq!(world.finalized_format(), Some(2), "one has none");
     assert!(audit(&world, "off at one").intervals.is_empty());
@@ -435,6 +436,8 @@
     world.run_until(FULL * 2);
     assert_eq!(world.finalized_format(), Some(3));
     assert_eq!(warm(&world), 2);
+    let misses = audit(&world, "on").misses;
+    assert_eq!(misses, vec![], "what came before pools began missed none");
     // Whoever has no declaration gives the machines back, and still holds shares.
     for node in 0..NODES {
         restart(&mut world, node, Vec::new());
