Bounds: calls to workers and a demand with 4,000 machines at their edges

Tests alone: one call too many waits for the next step, and a share's demand that names 4,000 empty machines and 60 shapes has room in a message, with one byte less the least useful list is halved.

--- a/crates/core/src/commands/tests.rs
+++ b/crates/core/src/commands/tests.rs
@@ -131,3 +131,23 @@
         assert_eq!(sent(&effects).len() as u32, second, "{tasks} tasks");
     }
 }
+
+/// With as many calls to workers under way as there may be, a start waits for one of them
+/// to end.
+#[test]
+fn a_call_beyond_the_bound_waits() {
+    for (beside, starts) in [(1, 1), (0, 0)] {
+        let mut f = Fixture::new();
+        let id = f.job("j-1", JobKind::Service, 1);
+        f.bind(&id, 0, Sent::No);
+        f.node.ctx.worker_calls = f.node.ctx.cfg.bounds.worker_calls - beside;
+        assert_eq!(sent(&f.step(1)).len(), starts, "{beside} free");
+        f.node.ctx.worker_calls = 0;
+        let report_ms = f.node.ctx.cfg.report_ms;
+        assert_eq!(
+            sent(&f.step(report_ms)).len(),
+            1 - starts,
+            "{beside} free, later"
+        );
+    }
+}
--- a/crates/core/src/records/tests.rs
+++ b/crates/core/src/records/tests.rs
@@ -62,3 +62,23 @@
         assert!(cut.shapes.iter().eq(full.shapes.iter().take(left[0])));
     }
 }
+
+/// The demand of a share that holds four thousand machines, all of them empty, has room in
+/// a message with more shapes than there once could be; one byte less, and the least
+/// useful list is halved.
+#[test]
+fn a_demand_with_four_thousand_machines_is_sent_whole() {
+    let most = forkshift_wire::peer::MESSAGE_MOST / 4 * 3;
+    let mut full = DemandRecord {
+        shapes: (1..=60).map(shape).collect(),
+        surplus: machines(4_000),
+        ..DemandRecord::default()
+    };
+    assert!(full.clone().cut_to(most).is_like(&full));
+    full.borrowed = machines(2);
+    let size = serde_json::to_vec(&full).expect("a record").len();
+    assert!(full.clone().cut_to(size).is_like(&full));
+    let cut = full.clone().cut_to(size - 1);
+    let left = (cut.shapes.len(), cut.surplus.len(), cut.borrowed.len());
+    assert_eq!(left, (60, 4_000, 1));
+}
