--- a/crates/testkit/tests/warm_pools.rs
+++ b/crates/testkit/tests/warm_pools.rs
@@ -2,6 +2,7 @@
 //! controllers end meanwhile. After each day the accounts of all pools are audited against
 //! the lives that the stand-in for the cloud charged.
 
+use forkshift_pools::account::{HEADS, POOLS};
 use forkshift_pools::audit::mistakes;
 use forkshift_pools::report::Accounts;
 use forkshift_pools::{Ended, Interval, Membership, PoolSpec, PoolState, WindowSpec};
@@ -550,3 +551,58 @@
         assert!(!ended(&accounts, Ended::Lost).is_empty(), "some were taken");
     }
 }
+
+/// Memberships, how many rows there are, and what is asked for.
+type Recorded = (
+    Vec<(MachineId, Membership)>,
+    usize,
+    Vec<(String, serde_json::Value)>,
+);
+
+/// What is recorded of pools, for telling whether something was written.
+fn recorded(world: &World) -> Recorded {
+    let rows = world.records(POOLS).len();
+    (members(world), rows, world.records(HEADS))
+}
+
+/// A day is played once to find every write of a membership and of the account, and then
+/// again for each of them, with the holder ending right behind it.
+#[test]
+fn accounts_are_right_where_the_holder_ends_after_any_write() {
+    const SEED: u64 = 33;
+    const END: Ms = FULL + 15_000;
+    let plans = || {
+        let mut steady = replicas(5, 2_000, 1, "plain");
+        steady.spec.gpus = 0.0;
+        vec![steady, replicas(0, FULL, 2, "weights")]
+    };
+    let mut reference = world(SEED, plans(), size(), &[pool(2, 4)]);
+    let mut writes = Vec::new();
+    let mut before = recorded(&reference);
+    while reference.now() < END {
+        reference.run_until(reference.now() + 10);
+        let now = recorded(&reference);
+        if now != before {
+            writes.push(reference.now());
+            before = now;
+        }
+    }
+    // Two machines join, fetch, are warm and leave; some of it falls into one step.
+    assert!(writes.len() >= 8, "{writes:?}");
+    for at in writes {
+        let crash = FaultKind::Crash {
+            node: 0,
+            count: 1,
+            back: 3_000,
+        };
+        let kind = FaultKind::At(Who::HolderOf(job_id(5)), Box::new(crash));
+        let faults = vec![Fault { at, kind }];
+        let pools = vec![vec![pool(2, 4)]; NODES];
+        let mut world = World::with_pools(SEED, plans(), faults, size(), pools);
+        world.run_until(FULL * 2 + 20_000);
+        let name = format!("ended at {at} ms");
+        audit(&world, &name);
+        assert_eq!(world.check.running(&job_id(0)), 2, "{name}");
+        assert!(warm(&world) >= 2, "{name}: {:?}", members(&world));
+    }
+}
