--- a/crates/core/src/leader/prices.rs
+++ b/crates/core/src/leader/prices.rs
@@ -6,7 +6,6 @@
 
 use super::Leader;
 use crate::context::Context;
-use crate::format::FormatVersion;
 use crate::pending::Pending;
 use crate::pools::add_row;
 use crate::records::LEADER;
@@ -16,15 +15,10 @@
 use forkshift_wire::cloud::MachineType;
 use forkshift_wire::state::{Cond, Txn};
 
-/// Whether accounts may need prices.
-fn records_prices(ctx: &Context) -> bool {
-    ctx.format >= FormatVersion::POOLS && !ctx.cfg.ops.pools.is_empty()
-}
-
 impl Leader {
     /// Whether accounts may need prices of which none is recorded yet.
     pub(super) fn lacks_prices(&self, ctx: &Context) -> bool {
-        records_prices(ctx) && self.recorded_prices.is_empty()
+        ctx.has_pools() && self.recorded_prices.is_empty()
     }
 
     /// Records prices that changed, if there may be pools.
@@ -34,7 +28,7 @@
         view: &View,
         catalog: &[MachineType],
     ) {
-        if !records_prices(ctx) {
+        if !ctx.has_pools() {
             return;
         }
         for machine_type in catalog {
--- a/crates/core/src/pools/placement.rs
+++ b/crates/core/src/pools/placement.rs
@@ -6,6 +6,7 @@
 //! needs several at once, any; other jobs only those beyond the pool's least, as they are
 //! served by renting, one machine after another.
 
+use super::sizing::hourly;
 use crate::context::Context;
 use crate::job::Job;
 use crate::machine::Machine;
@@ -68,7 +69,7 @@
         let machines = ids.iter().filter_map(|id| self.machines.get(*id));
         let member = |machine: &Machine| Member {
             state: machine.state_for(pool),
-            price: machine.price * 3600.0,
+            price: hourly(machine),
         };
         machines.map(member).collect()
     }
--- a/crates/core/src/pools/sizing.rs
+++ b/crates/core/src/pools/sizing.rs
@@ -255,7 +255,8 @@
         && machine.pool.joining.is_none()
 }
 
-fn hourly(machine: &Machine) -> f64 {
+/// Price an hour.
+pub(super) fn hourly(machine: &Machine) -> f64 {
     machine.price * 3600.0
 }
 
