Less processor time for messages: deadlines on one timer, one write a message

Most come from timers: each one set interrupts the reactor, and behind each interruption main thread and async-io's own thread take turns as pollers.

Change: deadlines of calls, requests and idle connections are entries in one map with one timer (net::deadline); head and body of a message go out in one write; the reactor's own thread alone waits for events.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -89,7 +89,9 @@
     if let Some(spans) = spans {
         ex.spawn(log_spans(spans)).detach();
     }
-    async_io::block_on(ex.run(owner.work(receiver)));
+    // The reactor's own thread waits for events. `async_io::block_on` would wait for
+    // them here as well, and the two take turns at a switch of threads each.
+    future::block_on(ex.run(owner.work(receiver)));
     Ok(())
 }
 
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -3,8 +3,9 @@
 //! Connections are kept and used again. A call is made once: whether it is
 //! repeated is for the caller to say, who knows what a repetition means.
 
+use crate::deadline;
 use crate::stream::{Stream, Traffic};
-use async_io::Timer;
+use async_h1::client::Encoder;
 use futures_lite::{future, AsyncReadExt};
 use http_types::{Body, Method, Url};
 use std::cell::{Cell, RefCell};
@@ -87,7 +88,7 @@
             }
         };
         let late = async {
-            Timer::after(call.timeout).await;
+            deadline::after(call.timeout).await;
             log::debug!("{} {} {}: no answer", call.addr, call.method, call.path);
             NO_ANSWER
         };
@@ -153,7 +154,8 @@
         let Some(stream) = guard.0.as_ref() else {
             return Ok(NO_ANSWER);
         };
-        let mut res = async_h1::connect(stream.clone(), req).await?;
+        stream.send(Encoder::new(req)).await?;
+        let mut res = async_h1::client::decode(stream.clone()).await?;
         let mut body = Vec::new();
         (&mut res)
             .take(self.limits.largest + 1)
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,12 +4,14 @@
 
 mod bind;
 mod client;
+mod deadline;
 mod peers;
 mod server;
 mod stream;
 
 pub use bind::bind;
 pub use client::{Call, Client, ClientLimits, Outcome, TOO_LONG};
+pub use deadline::{after, Deadline};
 pub use peers::{listen, PeerLink};
 pub use server::{serve, Request, Response, ServerLimits};
 pub use stream::Traffic;
--- a/crates/net/src/peers.rs
+++ b/crates/net/src/peers.rs
@@ -1,5 +1,6 @@
 //! Connections between controllers: one way, each message behind its length.
 
+use crate::deadline;
 use crate::stream::Stream;
 use crate::Executor;
 use async_channel::{Receiver, Sender};
@@ -112,7 +113,7 @@
             io::Result::Ok(to)
         };
         let late = async {
-            Timer::after(SEND).await;
+            deadline::after(SEND).await;
             Err(io::ErrorKind::TimedOut.into())
         };
         match future::or(sending, late).await {
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,9 +1,12 @@
 //! The server that users, workers and probes come to.
 
+use crate::deadline;
 use crate::stream::Stream;
 use crate::Executor;
+use async_h1::server::Encoder;
 use async_io::{Async, Timer};
-use futures_lite::{future, AsyncReadExt};
+use futures_lite::{future, io, AsyncReadExt};
+use http_types::headers::{HeaderValues, CONNECTION};
 use http_types::{Body, Method, StatusCode};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -136,16 +139,10 @@
     F: Fn(Request) -> Fut + 'static,
     Fut: Future<Output = Response> + 'static,
 {
-    let endpoint = |req: http_types::Request| async {
-        busy.set(true);
-        let mut answered = answer(req, limits, &handler).await;
-        busy.set(false);
-        if let (Ok(res), true) = (&mut answered, table.len() > limits.roomy) {
-            res.insert_header("connection", "close");
-        }
-        answered
+    let serving = async {
+        while exchange(stream, limits, table, busy, &handler).await? == Next::KeepAlive {}
+        Ok::<(), http_types::Error>(())
     };
-    let serving = async_h1::accept(stream.clone(), endpoint);
     let idle = async {
         stream.idle(limits.idle).await;
         Ok(())
@@ -155,6 +152,54 @@
     }
 }
 
+/// What becomes of a connection behind an answer.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Next {
+    KeepAlive,
+    Close,
+}
+
+/// Reads a request and answers it. `async_h1::accept` sets a timer of `async-io` for
+/// each; the deadline of the head is the same here, twice the idle time.
+async fn exchange<F, Fut>(
+    stream: &Stream,
+    limits: ServerLimits,
+    table: &Table,
+    busy: &Cell<bool>,
+    handler: &F,
+) -> http_types::Result<Next>
+where
+    F: Fn(Request) -> Fut + 'static,
+    Fut: Future<Output = Response> + 'static,
+{
+    let late = async {
+        deadline::after(limits.idle * 2).await;
+        Ok(None)
+    };
+    let decoded = future::or(async_h1::server::decode(stream.clone()), late).await?;
+    let Some((req, mut unread)) = decoded else {
+        return Ok(Next::Close);
+    };
+    let method = req.method();
+    let last_by_client = is_close(req.header(CONNECTION));
+    busy.set(true);
+    let answered = answer(req, limits, handler).await;
+    busy.set(false);
+    let mut res = answered?;
+    if table.len() > limits.roomy {
+        res.insert_header(CONNECTION, "close");
+    }
+    let last = last_by_client || is_close(res.header(CONNECTION));
+    stream.send(Encoder::new(res, method)).await?;
+    // What the handler left of the body stands before the next request.
+    io::copy(&mut unread, &mut io::sink()).await?;
+    Ok(if last { Next::Close } else { Next::KeepAlive })
+}
+
+fn is_close(connection: Option<&HeaderValues>) -> bool {
+    connection.is_some_and(|values| values.as_str().eq_ignore_ascii_case("close"))
+}
+
 async fn answer<F, Fut>(
     mut req: http_types::Request,
     limits: ServerLimits,
@@ -184,7 +229,7 @@
             (&mut req).take(limit).read_to_end(&mut body).await
         };
         let late = async {
-            Timer::after(limits.read).await;
+            deadline::after(limits.read).await;
             Err(std::io::ErrorKind::TimedOut.into())
         };
         if let Err(e) = future::or(reading, late).await {
--- a/crates/net/src/stream.rs
+++ b/crates/net/src/stream.rs
@@ -1,7 +1,9 @@
 //! A TCP stream that can be shared and knows when it was last of use.
 
-use async_io::{Async, Timer};
+use crate::deadline;
+use async_io::Async;
 use futures_lite::io::{AsyncRead, AsyncWrite};
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::pin::Pin;
@@ -70,7 +72,7 @@
             if left.is_zero() {
                 return;
             }
-            Timer::after(left).await;
+            deadline::after(left).await;
         }
     }
 
@@ -90,6 +92,14 @@
         }
     }
 
+    /// Sends a message whole, head and body in one write: each write is a packet
+    /// and a system call.
+    pub(crate) async fn send(&self, mut message: impl AsyncRead + Unpin) -> io::Result<()> {
+        let mut bytes = Vec::new();
+        message.read_to_end(&mut bytes).await?;
+        self.clone().write_all(&bytes).await
+    }
+
     /// Ends the connection, for all handles.
     pub(crate) fn close(&self) {
         let _ = self.0.tcp.get_ref().shutdown(Shutdown::Both);
