--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -53,7 +53,7 @@
         let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
         let reply = match (method, parts.as_slice()) {
             ("GET", ["up"]) => Some(self.up()),
-            ("POST", ["v1", "report"]) => Some(self.report(body)),
+            ("POST", ["v1", "report"]) => Some(self.report(request, body)),
             ("POST", ["submissions"]) => self.submit(request, body),
             ("GET", ["submissions", id]) => self.question(request, id),
             ("POST", ["submissions", id, "abort"]) => self.abort(request, id),
--- a/crates/core/src/api/reports.rs
+++ b/crates/core/src/api/reports.rs
@@ -1,13 +1,21 @@
 //! Reports of workers.
 
-use crate::io::Reply;
+use crate::context::Context;
+use crate::io::{Reply, RequestId};
 use crate::node::Node;
-use crate::share::{Phase, TOKEN_BITS};
+use crate::records::ShareId;
+use crate::share::{epoch_of_token, Phase};
+use forkshift_links::Route;
 use forkshift_wire::workers::{Redirect, Report, ReportReply};
+use forkshift_wire::MachineId;
 
 impl Node {
-    /// A worker reports.
-    pub(crate) fn report(&mut self, body: Option<Vec<u8>>) -> Reply {
+    /// A worker reports, to us or to a controller that passes it on.
+    pub(crate) fn report(&mut self, request: RequestId, body: Option<Vec<u8>>) -> Reply {
+        let route = match request.is_remote() {
+            true => Route::Relayed,
+            false => Route::Direct,
+        };
         let Some(body) = body else {
             return Reply::error(413, "too large");
         };
@@ -27,8 +35,7 @@
                 let (token, commands) = (report.token, Vec::new());
                 return Reply::json(200, &ReportReply { token, commands });
             }
-            let holder = self.view.holder(k).filter(|n| **n != self.ctx.cfg.node);
-            let report_to = holder.map(|n| n.to_string());
+            let report_to = self.redirect_to(k, &report.machine);
             return Reply::json(421, &Redirect { report_to });
         }
         let share = self.shares.get(&k);
@@ -57,16 +64,40 @@
         {
             // Somebody newer holds the machine. A 200 would be dropped, and
             // the worker would stay here while its lease runs out.
-            let epoch = report.token >> TOKEN_BITS;
+            let epoch = epoch_of_token(report.token);
             if epoch > newest {
                 share.supersede(&format!("{} has a token of epoch {epoch}", report.machine));
             }
             return Reply::json(421, &Redirect::default());
         }
-        share.ingest(ctx, &report);
+        // A late copy tells nothing of the way by which reports come now.
+        if share.ingest(ctx, &report) {
+            share.note_route(ctx, &report.machine, route);
+        }
         match share.report_reply(ctx, &report.machine) {
             Some((token, commands)) => Reply::json(200, &ReportReply { token, commands }),
             None => Reply::json(421, &Redirect::default()),
         }
     }
+
+    /// To which controller a worker is sent that has come to us; none: to the next one.
+    fn redirect_to(&mut self, share: ShareId, machine: &MachineId) -> Option<String> {
+        let holder = &self.view.shares.get(&share)?.rec;
+        let (to, inc) = (holder.holder.clone(), holder.inc);
+        if to == self.ctx.cfg.node || self.deaf_holder(machine).is_some() {
+            return None;
+        }
+        // What we knew before we lost the state service may be over. A worker that was sent
+        // to a holder that it could not reach came back here again and again, as the next one
+        // in its list, until its lease was over.
+        if !self.ctx.entitled && !self.ctx.is_peer_answering(&to) {
+            return None;
+        }
+        let Context { redirects, now, .. } = &mut self.ctx;
+        if redirects.came_back(machine, &to, inc, *now) {
+            return None;
+        }
+        redirects.on_sent(machine.clone(), to.clone(), inc, *now);
+        Some(to.to_string())
+    }
 }
--- a/crates/core/src/attestation.rs
+++ b/crates/core/src/attestation.rs
@@ -79,6 +79,12 @@
         self.proven = self.proven.max(until);
     }
 
+    /// As of which moment a peer was there: when the heartbeat of ours was sent that its
+    /// last one answers. One that was held up on the way proves nothing about now.
+    pub(crate) fn there_as_of(&self, node: &NodeName) -> Option<Ms> {
+        self.refused.get(node).map(|r| r.since)
+    }
+
     /// Before this moment nobody can have confirmed a cancellation in our
     /// stead. Only a holder of the share under a higher epoch can, once it has
     /// seen that epoch in its view. As long as every other controller
--- a/crates/core/src/commands.rs
+++ b/crates/core/src/commands.rs
@@ -9,6 +9,7 @@
 use crate::pending::Pending;
 use crate::records::ShareId;
 use crate::share::Share;
+use forkshift_links::Decision;
 use forkshift_wire::workers::{Command, CommandRequest, Report, Verb};
 use forkshift_wire::{JobId, MachineId, TaskRef};
 
@@ -35,7 +36,7 @@
         }
         let mut commands = self.safe_commands(ctx, id);
         // Without a right somebody else may have confirmed a cancellation.
-        if ctx.entitled {
+        if ctx.links.allow(Decision::StartTasks) {
             commands.extend(self.starts(id));
         }
         let prefetch = self.prefetch_due(ctx, id);
@@ -67,9 +68,7 @@
             token: request.token,
             commands: request.commands,
         };
-        // A start whose call is given up late holds its task up for as long.
-        let timeout = (ctx.cfg.report_ms * 2).clamp(1_000, 4_000);
-        ctx.worker(&addr, body, timeout, pending);
+        ctx.worker(&addr, body, ctx.cfg.call_ms(), pending);
     }
 
     /// Commands that do no harm however often and late they arrive: `forget`
@@ -124,7 +123,8 @@
         let Some(machine) = self.machines.get(id) else {
             return Vec::new();
         };
-        if machine.condemned.is_some() || !machine.is_confirmed() {
+        let takes_starts = machine.link.takes_starts() && machine.is_confirmed();
+        if machine.condemned.is_some() || !takes_starts {
             return Vec::new();
         }
         let (token, session) = (machine.token, machine.session);
@@ -162,6 +162,9 @@
             return;
         };
         machine.calling = false;
+        let is_answered = matches!(status, 200 | 409);
+        let timing = ctx.cfg.link_timing();
+        machine.link.on_call(ctx.now, is_answered, &timing);
         self.look.touch(id);
         let report: Option<Report> = serde_json::from_slice(body).ok();
         match (status, report) {
@@ -182,7 +185,8 @@
                 log::debug!("machine {id}: commands had no answer ({status})");
                 machine.retry_at = ctx.now + ctx.cfg.report_ms / 2;
                 if commands.is_empty() {
-                    machine.push = true;
+                    // An unheard machine is called again at a pace (`find_unheard`).
+                    machine.push = !machine.is_unheard(ctx);
                 } else {
                     // It may be carried out late, unless a newer token is
                     // there first.
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -4,6 +4,7 @@
 use crate::format::FormatVersion;
 use crate::records::ShareId;
 use crate::Ms;
+use forkshift_links::Timing;
 use forkshift_pools::Pools;
 use forkshift_sched::{Resources, Weights};
 use forkshift_wire::settings::{NextStateLimits, Objective, Settings};
@@ -161,6 +162,11 @@
 /// The part of the time for a cancellation that is kept for drift and late timers.
 const LATE_PART: f64 = 0.01;
 
+/// The longest pause between two reports, as a multiple of the usual one.
+pub(crate) const REPORT_SPREAD: f64 = 1.25;
+/// For delays on a report's way, and timers that are late, in milliseconds.
+pub(crate) const REPORT_LATE_MS: Ms = 500;
+
 /// What a worker's try at a controller that does not answer takes.
 const TRY_MS: f64 = 5_000.0;
 
@@ -230,6 +236,21 @@
         self.in_time_ms().saturating_sub(self.lease_ms * 2)
     }
 
+    /// Time that a worker has to answer a call. A start whose call is given up late
+    /// holds its task up for as long.
+    pub fn call_ms(&self) -> Ms {
+        (self.report_ms * 2).clamp(1_000, 4_000)
+    }
+
+    /// Times of the links to workers.
+    pub fn link_timing(&self) -> Timing {
+        let longest = (self.report_ms as f64 * REPORT_SPREAD) as Ms;
+        Timing {
+            report_ms: longest + REPORT_LATE_MS,
+            lease_ms: self.lease_ms,
+        }
+    }
+
     /// The time that a cancellation has, less what clocks drift and timers are
     /// late by.
     fn in_time_ms(&self) -> Ms {
--- a/crates/core/src/context.rs
+++ b/crates/core/src/context.rs
@@ -12,6 +12,7 @@
 use crate::records::{DemandRecord, ShareId};
 use crate::store::{StateCall, Store, Urgency};
 use crate::Ms;
+use forkshift_links::{CloudLink, Links, Redirects, RelayTable};
 use forkshift_wire::cloud::Machines;
 use forkshift_wire::peer::{Body, Envelope};
 use forkshift_wire::state::{Txn, TxnReply, Write};
@@ -65,6 +66,13 @@
     /// When we last went on after standing still.
     pub(crate) awake_since: Ms,
     pub(crate) failure_detector: FailureDetector,
+    /// Which of our links are up.
+    pub(crate) links: Links,
+    pub(crate) cloud_link: CloudLink,
+    /// Workers that other controllers do not hear.
+    pub(crate) relays: RelayTable,
+    /// Workers that were sent to other controllers lately.
+    pub(crate) redirects: Redirects,
     /// Until then we say that we hear no machine.
     pub(crate) blind_until: Ms,
     /// Peers that were heard.
@@ -101,6 +109,7 @@
     pub(crate) fn new(cfg: Rc<Config>, inc: u64, seed: u64) -> Self {
         let n = cfg.nodes.len() as f64;
         let image_names = cfg.bounds.image_names;
+        let redirects = Redirects::new(cfg.lease_ms);
         Self {
             now: 0,
             wall: 0,
@@ -119,6 +128,10 @@
             entitled: false,
             awake_since: 0,
             failure_detector: FailureDetector::default(),
+            links: Links::default(),
+            cloud_link: CloudLink::default(),
+            relays: RelayTable::default(),
+            redirects,
             blind_until: 0,
             peers: BTreeMap::new(),
             attestations: Attestations::default(),
@@ -351,6 +364,14 @@
         self.cloud("POST", path, Some(body), pending);
     }
 
+    /// Asks a worker for its report.
+    pub(crate) fn worker_status(&mut self, addr: &str, timeout: Ms, pending: Pending) {
+        self.worker_calls += 1;
+        let target = Target::Worker(addr.to_owned());
+        let path = "/status".to_owned();
+        self.call(target, "GET", path, None, timeout, pending);
+    }
+
     /// Sends commands to a worker.
     pub(crate) fn worker(
         &mut self,
--- a/crates/core/src/failure_detector.rs
+++ b/crates/core/src/failure_detector.rs
@@ -7,16 +7,20 @@
 //! runs there goes on while controllers inside answer (`Node::keeps`), and
 //! comes back sooner than other machines could boot.
 
+use crate::config::{REPORT_LATE_MS, REPORT_SPREAD};
 use crate::context::Context;
 use crate::machine::Machine;
 use crate::node::Node;
 use crate::share::{Phase, Share};
 use crate::Ms;
+use forkshift_links::{Decision, Link, Timing};
 use forkshift_wire::NodeName;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// Fewer machines than this say nothing about their zone or their holder.
 const LEAST: u32 = 4;
+/// Machines that are called to find out whether calls reach any.
+const CALLED_LEAST: u32 = LEAST * 2;
 /// The part of a zone's machines that must be silent for it to be cut off.
 const ZONE_PART: f64 = 0.75;
 /// The part of all machines that must be silent for their holder to be.
@@ -27,29 +31,34 @@
 /// Boots until another machine runs what one has run: it has to be asked for
 /// and to fetch the images.
 const REPLACED_BOOTS: f64 = 1.3;
-/// Reports that a machine must have missed, at the longest pause between two.
-const MISSED: f64 = 1.25;
 /// A worker gives a report without an answer up after this, tries the next
 /// controller after a pause, and may take some more to follow its redirect.
 const REPORT_TIMEOUT: Ms = 4_000;
 const NEXT_CONTROLLER: Ms = 1_000;
 const REDIRECT: Ms = 500;
-/// For delays on the way, and timers that are late.
-const SLACK: Ms = 500;
 /// The part of a lease in which a silent machine is given up in any case.
 const SILENT_MOST: f64 = 0.9;
 /// Looks that a peer may miss and still be there.
 const PEER_LOOKS: Ms = 5;
+/// Boots after which a silent machine is given up although no controller hears most of
+/// theirs: another could not be heard either, and the cloud tells of those that failed.
+const UNHEARD_BOOTS: f64 = 6.0;
 /// How long a blind controller is given nothing, in leases of a worker.
 const BLIND_LEASES: Ms = 2;
 
 /// What the detector has concluded last.
 #[derive(Default)]
 pub(crate) struct FailureDetector {
-    /// Zones that are cut off, and worth waiting for.
-    cut: BTreeSet<u16>,
-    /// No machine is heard.
+    /// Zones that are cut off, and worth waiting for, or were, and until when. When a cut
+    /// ends most workers are back at once and some are on the way: as soon as most were
+    /// heard, the others were once given up.
+    cut: BTreeMap<u16, Ms>,
+    /// Until when the same holds for all zones, as we were cut off.
+    was_blind_until: Ms,
+    /// Hardly any machine is heard, or reached by calls.
     blind: bool,
+    /// The same holds for all other controllers that are there.
+    all_blind: bool,
 }
 
 impl Context {
@@ -64,10 +73,14 @@
     /// that took longer than the part of the lease, and a network that was gone
     /// for 1.5 s cost machines with all that ran there.
     pub(crate) fn silent_ms(&self) -> Ms {
-        let longest = (self.cfg.report_ms as f64 * MISSED) as Ms;
-        let back = longest + REPORT_TIMEOUT + NEXT_CONTROLLER + REDIRECT + SLACK;
         let most = (self.cfg.lease_ms as f64 * SILENT_MOST) as Ms;
-        self.silent_part_ms().max(back.min(most))
+        self.silent_part_ms().max(self.return_ms().min(most))
+    }
+
+    /// How long a worker takes that has sent a report in vain, until it is heard again.
+    fn return_ms(&self) -> Ms {
+        let longest = (self.cfg.report_ms as f64 * REPORT_SPREAD) as Ms;
+        longest + REPORT_TIMEOUT + NEXT_CONTROLLER + REDIRECT + REPORT_LATE_MS
     }
 
     /// How long a machine may be silent before it is given up. Nobody knows
@@ -78,13 +91,15 @@
     /// better begun elsewhere at once.
     pub(crate) fn silent_after(&self, machine: &Machine) -> Ms {
         let detector = &self.failure_detector;
-        let patient = detector.blind || !self.entitled || detector.cut.contains(&machine.zone);
-        if patient {
-            let replaced = (machine.boot_ms as f64 * REPLACED_BOOTS) as Ms;
-            replaced.max(self.silent_ms())
-        } else {
-            self.silent_ms()
-        }
+        let may_tell = self.links.allow(Decision::GiveUpSilentMachines);
+        let boots = match () {
+            () if detector.all_blind => UNHEARD_BOOTS,
+            () if !may_tell || self.now < detector.was_blind_until => REPLACED_BOOTS,
+            () if detector.cut.contains_key(&machine.zone) => REPLACED_BOOTS,
+            () => 0.0,
+        };
+        let waited = (machine.boot_ms as f64 * boots) as Ms;
+        waited.max(self.silent_ms())
     }
 
     /// After this process stood still, silence is counted from now on: it
@@ -96,6 +111,12 @@
         }
     }
 
+    /// Whether a controller has answered a heartbeat of ours lately.
+    pub(crate) fn is_peer_answering(&self, node: &NodeName) -> bool {
+        let as_of = self.attestations.there_as_of(node);
+        as_of.is_some_and(|t| self.now < t + self.beat_ms() * PEER_LOOKS)
+    }
+
     /// Whether a start of another controller was heard lately.
     pub(crate) fn is_peer_there(&self, node: &NodeName, inc: u64) -> bool {
         let peer = self.peers.get(node).filter(|p| p.inc == inc);
@@ -103,11 +124,42 @@
     }
 }
 
+/// Machines that should report.
+#[derive(Clone, Copy, Default, Debug)]
+struct Count {
+    all: u32,
+    /// Nothing comes from them, by whichever way.
+    silent: u32,
+    /// They themselves are not heard.
+    unheard: u32,
+    /// They are heard, and were called lately.
+    tried: u32,
+    /// They are heard, and calls to them have no answer.
+    unreached: u32,
+}
+
+impl Count {
+    fn plus(&self, other: &Self) -> Self {
+        Self {
+            all: self.all + other.all,
+            silent: self.silent + other.silent,
+            unheard: self.unheard + other.unheard,
+            tried: self.tried + other.tried,
+            unreached: self.unreached + other.unreached,
+        }
+    }
+}
+
 impl Share {
     /// Counts machines that should report, and those that do not, by zone.
-    fn count_silent(&self, ctx: &Context, zones: &mut BTreeMap<u16, (u32, u32)>) {
-        let longest = (ctx.cfg.report_ms as f64 * MISSED) as Ms;
+    fn count_machines(&self, ctx: &Context, zones: &mut BTreeMap<u16, Count>) {
+        let longest = (ctx.cfg.report_ms as f64 * REPORT_SPREAD) as Ms;
         let quiet = (ctx.silent_part_ms() / 2).max(longest);
+        // Who was never heard may still be on the way to us for a lease.
+        let timing = Timing {
+            report_ms: quiet,
+            lease_ms: ctx.cfg.lease_ms * 2,
+        };
         for m in self.machines.values().filter(|m| m.condemned.is_none()) {
             if m.addr.is_none() && m.heard.is_none() {
                 continue;
@@ -118,9 +170,19 @@
             if m.heard.is_none() && !is_silent {
                 continue;
             }
-            let (all, silent) = zones.entry(m.zone).or_default();
-            *all += 1;
-            *silent += u32::from(is_silent);
+            let since = m.since.max(ctx.awake_since);
+            let unheard = m.link.is_unheard(ctx.now, since, &timing);
+            let count = zones.entry(m.zone).or_default();
+            count.all += 1;
+            count.silent += u32::from(is_silent);
+            if is_silent || unheard {
+                // That calls don't reach it tells nothing more. Counted, the machines
+                // of a zone that was cut off once had their holder hand its shares over.
+                count.unheard += 1;
+                continue;
+            }
+            count.tried += u32::from(m.link.is_tried(ctx.now, &timing));
+            count.unreached += u32::from(!m.link.takes_calls());
         }
     }
 }
@@ -130,6 +192,7 @@
     /// whether this controller is.
     pub(crate) fn run_failure_detector(&mut self) {
         self.ctx.entitled = self.member.has_right(&self.ctx, &self.view);
+        self.note_link(Link::StateService, self.ctx.entitled);
         if self.ctx.entitled {
             self.ctx
                 .attestations
@@ -141,34 +204,76 @@
         self.failure_detector_at = self.ctx.now + self.ctx.beat_ms();
         let cfg = self.ctx.cfg.clone();
         self.send_heartbeats();
-        let mut zones = BTreeMap::new();
+        self.ask_for_relays();
+        let mut zones: BTreeMap<u16, Count> = BTreeMap::new();
         for share in self.shares.values().filter(|s| s.phase == Phase::Active) {
-            share.count_silent(&self.ctx, &mut zones);
+            share.count_machines(&self.ctx, &mut zones);
         }
-        let (all, silent) = zones
-            .values()
-            .fold((0, 0), |(a, s), (all, silent)| (a + all, s + silent));
+        let sum = zones.values().fold(Count::default(), |sum, c| sum.plus(c));
+        let all = sum.all;
         let most =
             |n: u32, all: u32, part: f64| all >= LEAST && f64::from(n) >= part * f64::from(all);
-        let blind = self.ctx.entitled && most(silent, all, BLIND_PART);
+        self.note_link(Link::Reports, !most(sum.unheard, all, BLIND_PART));
+        // What was not called says nothing of calls.
+        self.note_link(Link::Calls, !most(sum.unreached, sum.tried, BLIND_PART));
+        if sum.unreached > 0 && sum.tried < CALLED_LEAST.min(all) {
+            self.call_untried_machines();
+        }
+        let blind = self.ctx.entitled && !self.ctx.links.allow(Decision::HoldShares);
         let kept = |zone: u16| {
             let name = self.ctx.places.name(zone).unwrap_or_default();
             cfg.kept_in_cut(name) >= KEPT_LEAST
         };
-        let cut = zones
-            .into_iter()
-            .filter(|(zone, (all, silent))| most(*silent, *all, ZONE_PART) && kept(*zone))
-            .map(|(zone, _)| zone)
-            .collect();
+        let now = self.ctx.now;
+        let until = now + self.ctx.return_ms();
+        let mut cut = std::mem::take(&mut self.ctx.failure_detector.cut);
+        cut.retain(|_, until| now < *until);
+        let lost = zones.iter();
+        let lost = lost.filter(|(zone, c)| most(c.silent, c.all, ZONE_PART) && kept(**zone));
+        cut.extend(lost.map(|(zone, _)| (*zone, until)));
+        let was_blind_until = match self.ctx.links.is_up(Link::Reports) {
+            true => self.ctx.failure_detector.was_blind_until,
+            false => until,
+        };
         if blind && !self.ctx.failure_detector.blind {
-            log::info!("{silent} of {all} machines are silent: we are cut off from them");
+            let Count {
+                unheard, unreached, ..
+            } = sum;
+            log::info!(
+                "of {all} machines {unheard} are silent, {unreached} take no calls: \
+                 we are cut off from them"
+            );
         }
-        self.ctx.failure_detector = FailureDetector { cut, blind };
+        let all_blind = blind && self.view.nodes.values().all(|n| n.rec.blind);
+        self.ctx.failure_detector = FailureDetector {
+            cut,
+            was_blind_until,
+            blind,
+            all_blind,
+        };
         if blind {
             self.ctx.blind_until = self.ctx.now + self.ctx.cfg.lease_ms * BLIND_LEASES;
         }
     }
 
+    /// Calls some machines that were not called lately: where few are called nobody could
+    /// tell one that is lost from a controller whose calls are.
+    fn call_untried_machines(&mut self) {
+        let timing = self.ctx.cfg.link_timing();
+        let now = self.ctx.now;
+        let active = self.shares.values_mut();
+        for share in active.filter(|s| s.phase == Phase::Active) {
+            let Share { machines, look, .. } = share;
+            let untried = machines
+                .values_mut()
+                .filter(|m| m.heard.is_some() && !m.calling && !m.link.is_tried(now, &timing));
+            for machine in untried.take(CALLED_LEAST as usize) {
+                machine.push = true;
+                look.touch(&machine.id);
+            }
+        }
+    }
+
     /// Who should hold our shares while we hear no machine: a controller that
     /// is there and hears them, or has yet to try.
     pub(crate) fn relief(&self) -> Option<NodeName> {
--- a/crates/core/src/failure_detector/tests.rs
+++ b/crates/core/src/failure_detector/tests.rs
@@ -65,3 +65,27 @@
         assert_eq!(f.node.ctx.silent_ms(), waited, "lease of {lease} ms");
     }
 }
+
+/// Where no controller hears most machines another machine could not be heard either: what
+/// is silent is waited for much longer than where others hear theirs.
+#[test]
+fn machines_are_kept_where_nobody_hears_any() {
+    let mut f = crate::fixture::Fixture::new();
+    let id = f.machine.clone();
+    let mut waited = |all_blind, blind| {
+        f.node.ctx.failure_detector = FailureDetector {
+            blind,
+            all_blind,
+            ..FailureDetector::default()
+        };
+        f.node.note_link(Link::Reports, !blind);
+        let machine = &f.node.shares[&f.share].machines[&id];
+        f.node.ctx.silent_after(machine)
+    };
+    let (alone, others_hear, nobody_hears) = (
+        waited(false, false),
+        waited(false, true),
+        waited(true, true),
+    );
+    assert!(alone < others_hear && others_hear * 3 < nobody_hears);
+}
--- a/crates/core/src/forward.rs
+++ b/crates/core/src/forward.rs
@@ -1,4 +1,4 @@
-//! Requests of users that another controller can answer better.
+//! Requests that another controller can answer better.
 //!
 //! A question or a cancellation goes to the holder of the job's share, who
 //! answers from memory by right; that saves a read of the state service, which
@@ -16,20 +16,52 @@
 use forkshift_wire::users::JobStatus;
 use forkshift_wire::{JobId, NodeName};
 
+/// Where workers report.
+const REPORT_PATH: &str = "/v1/report";
 /// Time that another controller has for a question; users wait 2 s.
 const QUESTION_MS: Ms = 500;
 /// Time for what has to be written.
 const WRITE_MS: Ms = 1_500;
+/// Pause before a report is passed on again: the same report a second time changes nothing.
+const RESEND_MS: Ms = 500;
 /// Pause after another controller was found to be refused as well.
 const OUT_MS: Ms = 1_000;
 
-/// A request that was passed on.
-pub(crate) struct Forward {
-    request: RequestId,
+/// What is asked of another controller.
+pub(crate) struct ForwardedRequest {
     method: String,
     path: String,
     body: Option<Vec<u8>>,
+}
+
+impl ForwardedRequest {
+    fn message(&self, ask: u64) -> Body {
+        Body::Forward {
+            ask,
+            method: self.method.clone(),
+            path: self.path.clone(),
+            body: self.body.clone(),
+        }
+    }
+
+    /// A worker's report.
+    pub(crate) fn report(body: Option<Vec<u8>>) -> Self {
+        Self {
+            method: "POST".to_owned(),
+            path: REPORT_PATH.to_owned(),
+            body,
+        }
+    }
+}
+
+/// A request that was passed on.
+pub(crate) struct Forward {
+    request: RequestId,
+    what: ForwardedRequest,
+    to: NodeName,
     until: Ms,
+    /// When it is sent again, if it may be: a message may be lost with its connection.
+    resend_at: Option<Ms>,
 }
 
 impl Node {
@@ -45,6 +77,9 @@
         if request.is_remote() {
             return Err(body);
         }
+        if path == REPORT_PATH {
+            return self.relay_report(request, body);
+        }
         let Some(to) = self.better(method, path) else {
             return Err(body);
         };
@@ -53,25 +88,46 @@
         } else {
             WRITE_MS
         };
+        let what = ForwardedRequest {
+            method: method.to_owned(),
+            path: path.to_owned(),
+            body,
+        };
+        self.forward(request, &to, what, time);
+        Ok(())
+    }
+
+    /// Asks another controller, which has so much time for its answer.
+    pub(crate) fn forward(
+        &mut self,
+        request: RequestId,
+        to: &NodeName,
+        what: ForwardedRequest,
+        time: Ms,
+    ) {
         self.asks += 1;
         let ask = self.asks;
+        let now = self.ctx.now;
+        self.ctx.tell(to, 0, what.message(ask));
         let forward = Forward {
             request,
-            method: method.to_owned(),
-            path: path.to_owned(),
-            body: body.clone(),
-            until: self.ctx.now + time,
+            to: to.clone(),
+            until: now + time,
+            resend_at: (what.path == REPORT_PATH).then_some(now + RESEND_MS),
+            what,
         };
         self.forwards.insert(ask, forward);
-        let (method, path) = (method.to_owned(), path.to_owned());
-        let body = Body::Forward {
-            ask,
-            method,
-            path,
-            body,
-        };
-        self.ctx.tell(&to, 0, body);
-        Ok(())
+    }
+
+    /// Sends again what may be and has had no answer yet.
+    fn resend_forwards(&mut self) {
+        let now = self.ctx.now;
+        for (ask, forward) in &mut self.forwards {
+            if forward.resend_at.is_some_and(|t| now >= t) {
+                forward.resend_at = Some(now + RESEND_MS);
+                self.ctx.tell(&forward.to, 0, forward.what.message(*ask));
+            }
+        }
     }
 
     /// Who should answer a request instead of us.
@@ -114,7 +170,7 @@
         path: &str,
         body: Option<Vec<u8>>,
     ) {
-        if !path.starts_with("/submissions") {
+        if !path.starts_with("/submissions") && path != REPORT_PATH {
             return;
         }
         let is_full = self.ctx.remote.len() >= self.ctx.cfg.bounds.forwarded_requests;
@@ -133,6 +189,9 @@
         let Some(forward) = self.forwards.remove(&ask) else {
             return;
         };
+        if forward.what.path == REPORT_PATH {
+            return self.ctx.respond(forward.request, reply);
+        }
         if reply.status == 503 {
             if self.ctx.store.is_out() {
                 // The service is out for others, too.
@@ -168,18 +227,13 @@
                 self.deal_with(forward);
             }
         }
+        self.resend_forwards();
         self.ctx.forget_remote();
     }
 
     fn deal_with(&mut self, forward: Forward) {
-        let Forward {
-            request,
-            method,
-            path,
-            body,
-            ..
-        } = forward;
-        self.serve_here(request, &method, &path, body);
+        let Forward { request, what, .. } = forward;
+        self.serve_here(request, &what.method, &what.path, what.body);
     }
 }
 
--- a/crates/core/src/forward/tests.rs
+++ b/crates/core/src/forward/tests.rs
@@ -53,9 +53,13 @@
     let mut f = Fixture::new();
     let forward = Forward {
         request: RequestId(1),
-        method: "GET".to_owned(),
-        path: "/submissions/j-1".to_owned(),
-        body: None,
+        what: ForwardedRequest {
+            method: "GET".to_owned(),
+            path: "/submissions/j-1".to_owned(),
+            body: None,
+        },
+        to: NodeName::new("north"),
+        resend_at: None,
         until: f.node.ctx.now + QUESTION_MS,
     };
     f.node.forwards.insert(5, forward);
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -148,6 +148,7 @@
         let anew = !self.active;
         if anew {
             log::info!("leader from now on");
+            ctx.cloud_link.on_elected();
             *self = Self {
                 nodes: std::mem::take(&mut self.nodes),
                 // A controller that leads for a second time must not use a
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -42,6 +42,7 @@
 mod reclaim;
 mod reconcile;
 pub mod records;
+mod relay;
 mod rounds;
 mod share;
 mod sizing;
@@ -54,6 +55,7 @@
 pub use format::FormatVersion;
 pub use io::{CallId, Effect, Input, Reply, RequestId, Target};
 pub use node::Node;
+pub use share::epoch_of_token;
 pub use sizing::{shortfalls, Shortfall};
 
 /// Milliseconds of a steady clock.
--- a/crates/core/src/machine.rs
+++ b/crates/core/src/machine.rs
@@ -4,6 +4,7 @@
 use crate::context::Context;
 use crate::pools::MachinePool;
 use crate::Ms;
+use forkshift_links::MachineLink;
 use forkshift_sched::Resources;
 use forkshift_wire::{MachineId, TaskRef};
 use std::collections::{BTreeMap, BTreeSet};
@@ -44,6 +45,8 @@
     pub(crate) unechoed_since: Option<Ms>,
     /// When the newest message came; none: nothing was heard yet.
     pub(crate) heard: Option<Ms>,
+    /// What is known of the link to it.
+    pub(crate) link: MachineLink,
     /// Since when we know the machine.
     pub(crate) since: Ms,
     /// When the cloud takes it away.
@@ -111,6 +114,13 @@
         heard.is_some_and(|t| ctx.now < t + ctx.cfg.report_ms * MISSED_MOST)
     }
 
+    /// Whether its worker itself should have been heard and was not.
+    pub(crate) fn is_unheard(&self, ctx: &Context) -> bool {
+        let since = self.since.max(ctx.awake_since);
+        let timing = ctx.cfg.link_timing();
+        self.link.is_unheard(ctx.now, since, &timing)
+    }
+
     /// Notes whether nothing needs it. Returns true if that is new.
     pub(crate) fn note_empty(&mut self, empty: bool, now: Ms) -> bool {
         let anew = empty && self.idle_since.is_none();
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -14,6 +14,11 @@
 /// What the state service says of a lease that has ended.
 const NO_SUCH_LEASE: &str = "no such lease";
 
+/// How long a controller that has lost the cloud leaves it to others to lead, in leases of a
+/// controller: the first time, and at most.
+const ABSTAINED_LEASES: Ms = 4;
+const ABSTAINED_LEASES_MOST: Ms = 64;
+
 /// Where this controller stands with the state service.
 #[derive(Default)]
 pub(crate) struct Member {
@@ -24,6 +29,8 @@
     next: Ms,
     putting: bool,
     electing: bool,
+    /// Since when nobody has led.
+    leaderless_since: Option<Ms>,
     /// Our record is on our lease.
     registered: bool,
     /// The revision that put it there.
@@ -99,7 +106,11 @@
             self.putting = true;
             put_leased(ctx, key, version, &rec, lease, Pending::NodePut { lease });
         }
-        if mine && self.registered && !self.electing {
+        self.leaderless_since = match &view.leader {
+            None => Some(self.leaderless_since.unwrap_or(ctx.now)),
+            Some(_) => None,
+        };
+        if mine && self.registered && !self.electing && !self.leaves_it_to_others(ctx, view) {
             // A leader's key left over from an earlier start of this very
             // controller belongs to a process that is gone for certain.
             let version = match &view.leader {
@@ -123,6 +134,40 @@
         }
     }
 
+    /// Whether another controller should lead: we have lost the cloud, and others are
+    /// there who may not have. If none of them has come forward in time, we do.
+    fn leaves_it_to_others(&self, ctx: &Context, view: &View) -> bool {
+        let patience = ctx.cfg.node_lease_ms();
+        let is_early = self
+            .leaderless_since
+            .is_some_and(|since| ctx.now < since + patience);
+        is_early && view.nodes.len() > 1 && ctx.cloud_link.abstains(ctx.now)
+    }
+
+    /// Gives leadership up, for others to take. The condition is the leader's record: what
+    /// was recorded under it before stays, and nothing is written under it any more.
+    pub(crate) fn resign(&mut self, ctx: &mut Context, view: &View) {
+        let Some(leader) = view.leader.as_ref().filter(|_| !self.electing) else {
+            return;
+        };
+        log::info!("we do not reach the cloud: another controller should lead");
+        let lease = ctx.cfg.node_lease_ms();
+        let now = ctx.now;
+        ctx.cloud_link
+            .on_resigned(now, lease * ABSTAINED_LEASES, lease * ABSTAINED_LEASES_MOST);
+        self.electing = true;
+        let txn = Txn {
+            conds: vec![Cond {
+                key: LEADER.to_owned(),
+                version: leader.version,
+            }],
+            writes: vec![Write::Remove {
+                remove: LEADER.to_owned(),
+            }],
+        };
+        ctx.txn(Urgency::Member, &txn, Pending::LeaderPut);
+    }
+
     fn ask(&mut self, ctx: &mut Context) {
         self.asked = true;
         let sent = ctx.now;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -19,6 +19,7 @@
 use crate::share::{Phase, Share};
 use crate::view::View;
 use crate::Ms;
+use forkshift_links::{Decision, Link};
 use forkshift_wire::state::Item;
 use forkshift_wire::JobId;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -42,6 +43,9 @@
     pub(crate) admissions: BTreeMap<RequestId, Admission>,
     pub(crate) forwards: BTreeMap<u64, Forward>,
     pub(crate) asks: u64,
+    /// Lists of machines that we do not hear, and whether the last one named any.
+    pub(crate) unheard_lists: u64,
+    pub(crate) has_unheard: bool,
     /// Until then no other controller is tried for what the service refuses.
     pub(crate) all_out_until: Ms,
     listed: Vec<Item>,
@@ -86,6 +90,8 @@
             admissions: BTreeMap::new(),
             forwards: BTreeMap::new(),
             asks: inc,
+            unheard_lists: 0,
+            has_unheard: false,
             all_out_until: 0,
             listed: Vec::new(),
             list_rev: 0,
@@ -127,9 +133,12 @@
                 Input::Peer(message) => self.on_peer(&message),
                 Input::Answer { call, status, body } => {
                     if let Some(pending) = self.ctx.pending.remove(&call) {
-                        if matches!(pending, Pending::Commands { .. }) {
+                        if is_worker(&pending) {
                             self.ctx.worker_calls -= 1;
                         }
+                        if is_cloud(&pending) {
+                            self.ctx.cloud_link.on_call(self.ctx.now, status != 0);
+                        }
                         if is_state(&pending) {
                             let now = self.ctx.now;
                             let Context { store, rng, .. } = &mut self.ctx;
@@ -173,6 +182,7 @@
         self.follow_format();
         self.forget_images();
         self.run_failure_detector();
+        self.follow_cloud_link();
         let machines = self.view.take_changed();
         self.leader.tick(&mut self.ctx, &self.view, &machines);
         self.follow_shares();
@@ -215,6 +225,17 @@
         self.log_status();
     }
 
+    /// Gives leadership up if no call reaches the cloud and others are there to try.
+    fn follow_cloud_link(&mut self) {
+        let patience = self.ctx.cfg.node_lease_ms();
+        let is_lost = self.ctx.cloud_link.is_lost(self.ctx.now, patience);
+        self.note_link(Link::Cloud, !is_lost);
+        let may_lead = self.ctx.links.allow(Decision::Lead) || self.view.nodes.len() < 2;
+        if !may_lead && Leader::is_leader(&self.ctx, &self.view) {
+            self.member.resign(&mut self.ctx, &self.view);
+        }
+    }
+
     /// Writes new formats from the moment at which the view shows that all
     /// controllers know them. From then on everything fits the limits that are
     /// announced, too: nobody is told when those come into force.
@@ -291,15 +312,24 @@
     active.find(|s| s.jobs.contains_key(id))
 }
 
-/// Whether the answer to a call tells how the state service is.
-fn is_state(pending: &Pending) -> bool {
-    !matches!(
+/// Whether a call went to the cloud.
+fn is_cloud(pending: &Pending) -> bool {
+    matches!(
         pending,
-        Pending::Commands { .. }
-            | Pending::Catalog
+        Pending::Catalog
             | Pending::MachineList { .. }
             | Pending::Rent { .. }
             | Pending::Delete { .. }
             | Pending::Evict { .. }
     )
 }
+
+/// Whether the answer to a call tells how the state service is.
+fn is_state(pending: &Pending) -> bool {
+    !is_cloud(pending) && !is_worker(pending)
+}
+
+/// Whether a call went to a worker.
+fn is_worker(pending: &Pending) -> bool {
+    matches!(pending, Pending::Commands { .. } | Pending::Probe { .. })
+}
--- a/crates/core/src/node/answers.rs
+++ b/crates/core/src/node/answers.rs
@@ -13,6 +13,7 @@
             Pending::Lease { sent } => self.member.on_lease(&self.ctx, sent, status, body),
             Pending::Extend { sent } => self.member.on_extend(&self.ctx, sent, status),
             Pending::NodePut { lease } => self.member.on_node_put(lease, status, body),
+            Pending::Probe { holder } => self.on_probe_answered(&holder, status, body),
             Pending::LeaderPut => self.member.on_leader_put(status, body),
             Pending::ViewList => self.on_view_list(status, body),
             Pending::ViewWatch { serial } => self.on_view_watch(serial, status, body),
--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -96,6 +96,11 @@
                 }
             }
             Body::Cancel { id } => self.on_cancel_message(epoch, &id),
+            Body::Unheard { list, machines } => {
+                self.on_unheard(&from, inc, list, &machines);
+            }
+            Body::Probe { machines } => self.on_probe(&from, &machines),
+            Body::Probed { report } => self.on_probed(&report),
             Body::Needed { id, priority } => self.on_needed_message(&id, priority),
         }
     }
--- a/crates/core/src/pending.rs
+++ b/crates/core/src/pending.rs
@@ -6,7 +6,7 @@
 use forkshift_pools::account::{Asked, Price};
 use forkshift_wire::users::{JobSpec, JobStage};
 use forkshift_wire::workers::Command;
-use forkshift_wire::{JobId, MachineId};
+use forkshift_wire::{JobId, MachineId, NodeName};
 
 /// What is to be done when a call ends.
 #[derive(Debug)]
@@ -21,6 +21,10 @@
         lease: u64,
     },
     LeaderPut,
+    /// A worker was called for the holder of its machine.
+    Probe {
+        holder: NodeName,
+    },
     ViewList,
     ViewWatch {
         /// Which of them: an earlier one was given up.
--- a/crates/core/src/reconcile.rs
+++ b/crates/core/src/reconcile.rs
@@ -241,11 +241,14 @@
         self.look.wake(id, again.min(deadline).max(ctx.now + 1));
     }
 
-    /// What was never sent to a machine that is not heard any more goes
-    /// elsewhere: it needs no evidence, and the machine may be waited for long.
+    /// What was never sent to a machine that is not heard any more, or that no call
+    /// reaches, goes elsewhere: it needs no evidence, and the machine may be waited for long.
     fn take_back(&mut self, ctx: &Context, id: &MachineId) {
-        let silent = |m: &&Machine| m.heard.is_some() && !m.is_heard(ctx);
-        if let Some(machine) = self.machines.get(id).filter(silent) {
+        let is_out_of_reach = |m: &&Machine| {
+            let is_silent = m.heard.is_some() && !m.is_heard(ctx);
+            is_silent || !m.link.takes_starts()
+        };
+        if let Some(machine) = self.machines.get(id).filter(is_out_of_reach) {
             let tasks: Vec<TaskRef> = machine.tasks.iter().cloned().collect();
             self.drop_unsent_of(tasks);
         }
--- /dev/null
+++ b/crates/core/src/relay.rs
@@ -0,0 +1,246 @@
+//! Reports of workers that reach another controller than the holder of their share.
+//!
+//! Such a worker is usually sent to the holder. If the holder has said that it does not
+//! hear the machine, the way there is cut: the report is passed on, and the holder's answer
+//! is given to the worker. It renews the lease and carries commands as one that
+//! the holder gives itself: token and commands are the holder's, given by its right,
+//! and the worker drops what comes later than it would wait.
+//!
+//! The holder also has a silent machine called, by itself and by two others (as in SWIM's
+//! indirect probes): what the worker answers is as good as a report, except that it renews no
+//! lease. So a machine that somebody reaches is not given up, and that its lease has
+//! ended is known from its session.
+
+use crate::config::Config;
+use crate::context::Context;
+use crate::forward::ForwardedRequest;
+use crate::io::RequestId;
+use crate::node::Node;
+use crate::pending::Pending;
+use crate::share::{Phase, Share};
+use crate::Ms;
+use forkshift_links::{Decision, Link, Timing};
+use forkshift_wire::peer::Body;
+use forkshift_wire::workers::Report;
+use forkshift_wire::{MachineId, NodeName};
+
+/// Time that the holder has for an answer; workers wait 4 s.
+const ANSWER_MS: Ms = 2_000;
+/// A list of unheard machines counts for so many pauses between two lists.
+const LIST_LOOKS: Ms = 5;
+/// Controllers that are asked to call a machine: one may have lost it, too.
+const PROBERS: usize = 2;
+/// Bytes of a machine's name in a message, beside the name itself.
+const NAME_LENGTH_BYTES: usize = 4;
+
+/// Machines that are not heard.
+#[derive(Default)]
+struct Unheard {
+    /// Their reports are to be passed on by whoever gets them.
+    relayed: Vec<MachineId>,
+    /// They are to be called now.
+    probed: Vec<MachineId>,
+}
+
+impl Share {
+    /// Adds machines that should report to us and are not heard.
+    fn find_unheard(&mut self, now: Ms, awake_since: Ms, timing: &Timing, found: &mut Unheard) {
+        let Self { machines, look, .. } = self;
+        for m in machines.values_mut().filter(|m| m.condemned.is_none()) {
+            let is_up = m.heard.is_some() || !m.tasks.is_empty();
+            let since = m.since.max(awake_since);
+            if !is_up || !m.link.is_unheard(now, since, timing) {
+                continue;
+            }
+            if m.link.wants_relay(now, since, timing) {
+                found.relayed.push(m.id.clone());
+            }
+            if !m.link.is_relayed_lately(now, timing) && m.link.take_probe(now, timing) {
+                found.probed.push(m.id.clone());
+                m.push = true;
+                look.touch(&m.id);
+            }
+        }
+    }
+}
+
+impl Node {
+    /// Asks the other controllers for the reports of machines that we do not hear.
+    pub(crate) fn ask_for_relays(&mut self) {
+        let timing = self.ctx.cfg.link_timing();
+        let (now, awake_since) = (self.ctx.now, self.ctx.awake_since);
+        self.ctx.relays.forget_late(now);
+        self.ctx.redirects.forget_late(now);
+        let mut unheard = Unheard::default();
+        let active = self.shares.values_mut();
+        for share in active.filter(|s| s.phase == Phase::Active) {
+            share.find_unheard(now, awake_since, &timing, &mut unheard);
+        }
+        self.send_probes(unheard.probed);
+        self.send_unheard(unheard.relayed);
+    }
+
+    fn send_unheard(&mut self, unheard: Vec<MachineId>) {
+        // An empty list takes back the one before it.
+        if unheard.is_empty() && !std::mem::take(&mut self.has_unheard) {
+            return;
+        }
+        self.has_unheard = !unheard.is_empty();
+        self.unheard_lists += 1;
+        let list = self.unheard_lists;
+        let cfg = self.ctx.cfg.clone();
+        for machines in in_messages(unheard, cfg.bounds.list_bytes) {
+            for node in other_nodes(&cfg) {
+                let machines = machines.clone();
+                self.ctx.tell(node, 0, Body::Unheard { list, machines });
+            }
+        }
+    }
+
+    /// Has machines called by some of the other controllers, each time by others.
+    fn send_probes(&mut self, machines: Vec<MachineId>) {
+        if machines.is_empty() {
+            return;
+        }
+        let cfg = self.ctx.cfg.clone();
+        let others = other_nodes(&cfg).filter(|n| self.ctx.is_peer_answering(n));
+        let mut others: Vec<&NodeName> = others.collect();
+        let first = self.unheard_lists as usize % others.len().max(1);
+        others.rotate_left(first);
+        others.truncate(PROBERS);
+        for machines in in_messages(machines, cfg.bounds.list_bytes) {
+            for node in &others {
+                let machines = machines.clone();
+                self.ctx.tell(node, 0, Body::Probe { machines });
+            }
+        }
+    }
+
+    /// Another controller does not hear these machines, and asks us to call them.
+    pub(crate) fn on_probe(&mut self, from: &NodeName, machines: &[String]) {
+        let timeout = self.ctx.cfg.call_ms();
+        let most = self.ctx.cfg.bounds.worker_calls;
+        for id in machines.iter().map(|id| MachineId::new(id)) {
+            let record = self.view.machines.get(&id);
+            let addr = record.and_then(|m| m.rec.addr.clone());
+            let Some(addr) = addr.filter(|_| self.ctx.worker_calls < most) else {
+                continue;
+            };
+            let holder = from.clone();
+            self.ctx
+                .worker_status(&addr, timeout, Pending::Probe { holder });
+        }
+    }
+
+    /// A worker that we called for its holder has answered, or has not.
+    pub(crate) fn on_probe_answered(&mut self, holder: &NodeName, status: u16, body: &[u8]) {
+        if status == 200 {
+            let report = body.to_vec();
+            self.ctx.tell(holder, 0, Body::Probed { report });
+        }
+    }
+
+    /// What a worker of ours has answered to another controller.
+    pub(crate) fn on_probed(&mut self, report: &[u8]) {
+        let report: Report = match serde_json::from_slice(report) {
+            Ok(report) => report,
+            Err(e) => return log::info!("a worker's status is not understood: {e}"),
+        };
+        let Node { shares, ctx, .. } = self;
+        let active = shares.values_mut().filter(|s| s.phase == Phase::Active);
+        for share in active {
+            share.ingest(ctx, &report);
+        }
+    }
+
+    /// Another controller does not hear these machines.
+    pub(crate) fn on_unheard(&mut self, from: &NodeName, inc: u64, list: u64, machines: &[String]) {
+        let until = self.ctx.now + self.ctx.beat_ms() * LIST_LOOKS;
+        let view = &self.view;
+        let machines = machines.iter().map(|id| MachineId::new(id));
+        // What we do not know as a machine can't report to us as one.
+        let known = machines.filter(|id| view.machines.contains_key(id));
+        self.ctx.relays.on_unheard(from, inc, list, known, until);
+    }
+
+    /// Passes a worker's report on to the holder that does not hear it. Returns the body
+    /// if there is none.
+    pub(crate) fn relay_report(
+        &mut self,
+        request: RequestId,
+        body: Option<Vec<u8>>,
+    ) -> Result<(), Option<Vec<u8>>> {
+        if self.ctx.relays.is_empty() && self.ctx.redirects.is_empty() {
+            return Err(body);
+        }
+        let report = body
+            .as_deref()
+            .and_then(|b| serde_json::from_slice::<Report>(b).ok());
+        let holder = report.and_then(|r| self.deaf_holder(&r.machine));
+        // One that we can't reach either has no answer in time: what is to be done without
+        // it is done at once.
+        let holder = holder.filter(|node| self.ctx.is_peer_answering(node));
+        let Some(holder) = holder else {
+            return Err(body);
+        };
+        let forwarded = ForwardedRequest::report(body);
+        self.forward(request, &holder, forwarded, ANSWER_MS);
+        Ok(())
+    }
+
+    /// The holder of a machine, if it has said that it does not hear it, or if the worker
+    /// was sent there and came back.
+    pub(crate) fn deaf_holder(&self, machine: &MachineId) -> Option<NodeName> {
+        let share = self.view.machines.get(machine)?.rec.share;
+        let holder = &self.view.shares.get(&share)?.rec;
+        let is_other = holder.holder != self.ctx.cfg.node;
+        let Context {
+            relays,
+            redirects,
+            now,
+            ..
+        } = &self.ctx;
+        let wanted = relays.wants(machine, &holder.holder, holder.inc, *now)
+            || redirects.came_back(machine, &holder.holder, holder.inc, *now);
+        (is_other && wanted).then(|| holder.holder.clone())
+    }
+
+    /// Notes a link, and logs it if it has changed.
+    pub(crate) fn note_link(&mut self, link: Link, is_up: bool) {
+        if !self.ctx.links.set(link, is_up) {
+            return;
+        }
+        let state = if is_up { "up" } else { "lost" };
+        log::info!("link to {link}: {state}");
+        for decision in Decision::ALL {
+            if self.ctx.links.missing_for(decision) == Some(link) {
+                log::info!("without it: no {decision:?}");
+            }
+        }
+    }
+}
+
+fn other_nodes(cfg: &Config) -> impl Iterator<Item = &NodeName> {
+    cfg.nodes.iter().filter(|n| **n != cfg.node)
+}
+
+/// Spreads names over messages, at least one.
+fn in_messages(machines: Vec<MachineId>, room: usize) -> Vec<Vec<String>> {
+    let mut messages = vec![Vec::new()];
+    let mut used = 0;
+    for name in machines.iter().map(ToString::to_string) {
+        let bytes = name.len() + NAME_LENGTH_BYTES;
+        if used + bytes > room {
+            messages.push(Vec::new());
+            used = 0;
+        }
+        used += bytes;
+        if let Some(last) = messages.last_mut() {
+            last.push(name);
+        }
+    }
+    messages
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/rounds.rs
+++ b/crates/core/src/rounds.rs
@@ -367,6 +367,8 @@
         && m.taken_at.is_none()
         && m.is_confirmed()
         && !m.unanswered
+        && m.link.takes_starts()
+        && !m.is_unheard(ctx)
         && ctx.now >= m.full_until
 }
 
--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -32,6 +32,11 @@
 /// A token is an epoch above a counter of this many bits.
 pub(crate) const TOKEN_BITS: u32 = 24;
 
+/// The epoch of a share's holding under which a fencing token was minted.
+pub fn epoch_of_token(token: u64) -> u64 {
+    token >> TOKEN_BITS
+}
+
 /// How far a share is.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub(crate) enum Phase {
--- a/crates/core/src/share/machines.rs
+++ b/crates/core/src/share/machines.rs
@@ -10,6 +10,7 @@
 use crate::records::{machine_key, total_of, MachineRecord};
 use crate::store::Urgency;
 use crate::view::{Changed, View};
+use forkshift_links::{MachineLink, Route};
 use forkshift_pools::{Ended, Interval};
 use forkshift_sched::Resources;
 use forkshift_wire::state::{Cond, Txn, Write};
@@ -94,6 +95,7 @@
             token: self.first_token(rec),
             unechoed_since: None,
             heard: None,
+            link: MachineLink::default(),
             since: ctx.now,
             taken_at: None,
             calling: false,
@@ -134,6 +136,23 @@
         self.look.forget(id);
     }
 
+    /// Notes by which way a machine's report has come.
+    pub(crate) fn note_route(&mut self, ctx: &Context, id: &MachineId, route: Route) {
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        let timing = ctx.cfg.link_timing();
+        let was_relayed = machine.link.is_relayed();
+        machine.link.on_report(ctx.now, route, &timing);
+        if was_relayed != machine.link.is_relayed() {
+            log::info!("machine {id}: reports are {route:?}");
+        }
+        if machine.link.is_probe_due(ctx.now) {
+            // Any answered call will do.
+            machine.push = true;
+        }
+    }
+
     /// Nothing that was on a machine is left.
     pub(crate) fn unbind_all(&mut self, ctx: &Context, id: &MachineId) {
         let tasks = self.machines.get(id).map(|m| m.tasks.clone());
--- a/crates/testkit/src/check.rs
+++ b/crates/testkit/src/check.rs
@@ -119,6 +119,7 @@
     pub(crate) observed: Option<Observations>,
     /// Starts seen.
     pub starts: u64,
+    starts_by_job: BTreeMap<JobId, u64>,
     /// Starts of tasks whose job's cancellation had been confirmed: when, how
     /// long after it, and which.
     pub starts_after_cancel: Vec<(Ms, Ms, TaskRef)>,
@@ -155,6 +156,7 @@
     /// A task has its image and is on its machine from now on.
     pub fn started(&mut self, now: Ms, task: &TaskRef, place: Place) {
         self.starts += 1;
+        *self.starts_by_job.entry(task.job.clone()).or_default() += 1;
         let Some(spec) = self.jobs.get(&task.job).cloned() else {
             return;
         };
@@ -296,6 +298,11 @@
         self.begun.get(id).copied()
     }
 
+    /// How often tasks of a job have started.
+    pub fn starts_of(&self, id: &JobId) -> u64 {
+        self.starts_by_job.get(id).copied().unwrap_or(0)
+    }
+
     /// Tasks of a job that are on machines.
     pub fn running(&self, id: &JobId) -> usize {
         self.on.get(id).map_or(0, BTreeMap::len)
--- a/crates/testkit/src/faults.rs
+++ b/crates/testkit/src/faults.rs
@@ -37,6 +37,17 @@
     All,
 }
 
+/// A direction of the link between a controller and machines.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Direction {
+    /// Reports from machines to the controller.
+    Reports,
+    /// Calls from the controller to machines.
+    Calls,
+    /// Both.
+    Both,
+}
+
 /// What goes wrong with machines.
 #[derive(Clone, Copy, Debug)]
 pub enum MachineFault {
@@ -188,6 +199,20 @@
         /// Commands are held back and delivered afterwards.
         hold: bool,
     },
+    /// A controller and some machines are cut off from each other; each goes on to reach
+    /// all others.
+    LinkCut {
+        /// The controller.
+        node: usize,
+        /// The machines, as they are when it begins.
+        machines: Which,
+        /// Which direction is lost.
+        lost: Direction,
+        /// For how long.
+        time: Ms,
+        /// Messages are held back and delivered afterwards.
+        hold: bool,
+    },
     /// A controller stands still, and goes on.
     Pause {
         /// Which.
@@ -274,6 +299,7 @@
             | Self::Shut { time, .. }
             | Self::PeerCut { time, .. }
             | Self::DirectCut { time, .. }
+            | Self::LinkCut { time, .. }
             | Self::Pause { time, .. }
             | Self::SlowBoots { time, .. }
             | Self::CancelAtEnd { time, .. } => *time,
@@ -321,6 +347,7 @@
             | Self::Shut { node, .. }
             | Self::PeerCut { node, .. }
             | Self::DirectCut { node, .. }
+            | Self::LinkCut { node, .. }
             | Self::Pause { node, .. } => *node = n,
             _ => {}
         }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -18,7 +18,7 @@
 pub use cloud::{Boot, SlowBoots};
 pub use day::{Day, Draw};
 pub use draws::{random_faults, random_faults_once, random_pairs, random_upgrade};
-pub use faults::{Fault, FaultKind, MachineFault, Which, Who};
+pub use faults::{Direction, Fault, FaultKind, MachineFault, Which, Who};
 pub use fleet::{BootModel, Fleet, Kind};
 pub use world::{
     job_id, settings, Answer, Asker, Deployment, JobCounts, MachineChange, Mistake, NextLimits,
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -19,7 +19,7 @@
 
 use crate::check::{Calm, Checker};
 use crate::cloud::Cloud;
-use crate::faults::{Fault, FaultKind};
+use crate::faults::{Direction, Fault, FaultKind};
 use crate::fleet::Fleet;
 use crate::state::{ServiceModel, SizeLimits, State};
 use crate::worker::{Truth, Worker};
@@ -72,7 +72,17 @@
     },
 }
 
-#[derive(Default, Clone, Copy)]
+/// A cut between a controller and some machines.
+#[derive(Clone, Debug)]
+struct LinkCut {
+    machines: BTreeSet<MachineId>,
+    lost: Direction,
+    until: Ms,
+    /// Messages are held back.
+    hold: bool,
+}
+
+#[derive(Default, Clone)]
 struct Cuts {
     /// Refused by the state service, open watches included.
     shut: Ms,
@@ -81,6 +91,8 @@
     peers: (Ms, u64, bool),
     /// Until when direct commands do not reach workers, and whether they are held.
     direct: (Ms, bool),
+    /// Machines that it is cut off from.
+    links: Vec<LinkCut>,
     pause: Ms,
     state: Ms,
     workers: Ms,
--- a/crates/testkit/src/world/inject.rs
+++ b/crates/testkit/src/world/inject.rs
@@ -1,6 +1,6 @@
 //! Faults as they come, and whom they hit.
 
-use super::{Event, World, STEP};
+use super::{Event, LinkCut, World, STEP};
 use crate::faults::{FaultKind, MachineFault, Which, Who};
 use crate::state::SizeLimits;
 use crate::worker::Worker;
@@ -229,6 +229,24 @@
             FaultKind::DirectCut { node, time, hold } => {
                 self.hosts[node].cuts.direct = (now + time, hold);
             }
+            FaultKind::LinkCut {
+                node,
+                machines,
+                lost,
+                time,
+                hold,
+            } => {
+                let machines = self.machines_of(&machines).into_iter().collect();
+                let until = now + time;
+                let cut = LinkCut {
+                    machines,
+                    lost,
+                    until,
+                    hold,
+                };
+                self.hosts[node].cuts.links.retain(|cut| cut.until > now);
+                self.hosts[node].cuts.links.push(cut);
+            }
             FaultKind::LostWrites {
                 share,
                 of,
--- a/crates/testkit/src/world/network.rs
+++ b/crates/testkit/src/world/network.rs
@@ -2,6 +2,7 @@
 
 use super::size::zone_of;
 use super::{Event, World};
+use crate::faults::Direction;
 use crate::worker::Around;
 use crate::Ms;
 use forkshift_core::{Input, RequestId};
@@ -24,8 +25,12 @@
         op: u64,
     },
     Aside(u64),
-    /// A controller that is reached over real sockets, by the number of its call.
-    Remote(u64),
+    /// A controller that is reached over real sockets, by the number of its call, and
+    /// which one it is, if that is known.
+    Remote {
+        call: u64,
+        node: Option<usize>,
+    },
     Nobody,
 }
 
@@ -61,7 +66,9 @@
         let from_inside = match origin {
             Origin::Node { node, .. } => zone_of(*node) == zone,
             Origin::Worker { id, .. } => of_worker(id),
-            Origin::User { .. } | Origin::Aside(_) | Origin::Remote(_) | Origin::Nobody => false,
+            Origin::User { .. } | Origin::Aside(_) | Origin::Remote { .. } | Origin::Nobody => {
+                false
+            }
         };
         let to_inside = match dest {
             Dest::Node(n) => zone_of(*n) == zone,
@@ -71,14 +78,20 @@
         if until > self.now && from_inside != to_inside {
             return (until, hold);
         }
-        let node = |n: usize| self.hosts[n].cuts;
+        let node = |n: usize| &self.hosts[n].cuts;
         let worker = |id: &MachineId| {
             self.workers
                 .get(id)
                 .map_or(0, |w| w.cut_until.max(w.hung_until))
         };
         match (origin, dest) {
-            (Origin::Remote(_), Dest::Worker(id)) => {
+            (Origin::Remote { node: Some(n), .. }, Dest::State) => (node(*n).state, false),
+            (Origin::Remote { node: Some(n), .. }, Dest::Cloud) => (node(*n).cloud, false),
+            (Origin::Remote { node: n, .. }, Dest::Worker(id)) => {
+                let cut = n.and_then(|n| self.link_cut(n, id, Direction::Calls));
+                if let Some((until, _)) = cut {
+                    return (until, false);
+                }
                 let link = self.workers.get(id);
                 let silent = link.map_or(0, |w| w.lost_until.max(w.deaf_until));
                 (worker(id).max(silent), false)
@@ -90,6 +103,9 @@
                 if direct > self.now {
                     return (direct, direct_hold);
                 }
+                if let Some(cut) = self.link_cut(*n, id, Direction::Calls) {
+                    return cut;
+                }
                 let lost = self.workers.get(id).map_or(0, |w| w.lost_until);
                 if lost > self.now {
                     return (lost, false);
@@ -102,12 +118,26 @@
                 if mute > self.now {
                     return (mute, false);
                 }
+                if let Some(cut) = self.link_cut(*n, id, Direction::Reports) {
+                    return cut;
+                }
                 (node(*n).workers.max(worker(id)), node(*n).hold)
             }
             _ => (0, false),
         }
     }
 
+    /// Until when a controller and a machine are cut off from each other in a direction,
+    /// and whether messages are held.
+    fn link_cut(&self, node: usize, id: &MachineId, direction: Direction) -> Option<(Ms, bool)> {
+        let cuts = self.hosts[node].cuts.links.iter();
+        let mut meant = cuts.filter(|cut| {
+            let lost = cut.lost == Direction::Both || cut.lost == direction;
+            lost && cut.until > self.now && cut.machines.contains(id)
+        });
+        meant.next().map(|cut| (cut.until, cut.hold))
+    }
+
     /// How much longer a message takes from or to a machine on a slow link.
     pub(super) fn dawdle(&mut self, origin: &Origin, dest: &Dest) -> Ms {
         let ((Origin::Worker { id, .. }, _) | (_, Dest::Worker(id))) = (origin, dest) else {
@@ -270,7 +300,7 @@
     pub(super) fn answered(&mut self, to: Origin, status: u16, body: Vec<u8>) {
         match to {
             Origin::Nobody => {}
-            Origin::Remote(call) => self.answer_remote(call, status, body),
+            Origin::Remote { call, .. } => self.answer_remote(call, status, body),
             Origin::Node { node, start, call } => {
                 let host = &mut self.hosts[node];
                 if host.start == start && host.open.remove(&call) {
--- a/crates/testkit/src/world/observe.rs
+++ b/crates/testkit/src/world/observe.rs
@@ -93,6 +93,14 @@
         counts
     }
 
+    /// Replicas of services that were started again.
+    pub fn replicas_restarted(&self) -> u64 {
+        let specs = self.users.iter().map(|u| &u.plan.spec);
+        let services = specs.filter(|s| s.kind == JobKind::Service);
+        let again = services.map(|s| self.check.starts_of(&s.id).saturating_sub(s.tasks.into()));
+        again.sum()
+    }
+
     /// What a quiet end must show: everything accepted is done, or runs.
     pub fn unserved(&self) -> Vec<String> {
         let mut left = Vec::new();
--- a/crates/testkit/src/world/remote.rs
+++ b/crates/testkit/src/world/remote.rs
@@ -7,8 +7,12 @@
 use super::network::{Dest, Message, Origin};
 use super::{World, STEP};
 use crate::Ms;
+use forkshift_core::epoch_of_token;
+use forkshift_core::records::{self, ShareId};
+use forkshift_wire::workers::CommandRequest;
 use forkshift_wire::MachineId;
 use rand::Rng;
+use serde_json::Value;
 
 /// Who asks a controller, and is to be told its answer.
 #[derive(Debug)]
@@ -53,10 +57,10 @@
 /// A service or worker that controllers call.
 #[derive(Clone, Debug)]
 pub enum Service {
-    /// The state service.
-    State,
-    /// The cloud.
-    Cloud,
+    /// The state service, as the controller of that index reaches it.
+    State(usize),
+    /// The cloud, likewise.
+    Cloud(usize),
     /// A machine's worker.
     Worker(MachineId),
 }
@@ -91,13 +95,13 @@
 
     /// Hands in a controller's call. The answer, if there is one, bears its number.
     pub fn call(&mut self, call: u64, to: Service, method: &str, path: &str, body: Vec<u8>) {
-        let dest = match to {
-            Service::State => Dest::State,
-            Service::Cloud => Dest::Cloud,
-            Service::Worker(id) => Dest::Worker(id),
+        let (dest, node) = match to {
+            Service::State(node) => (Dest::State, Some(node)),
+            Service::Cloud(node) => (Dest::Cloud, Some(node)),
+            Service::Worker(id) => (Dest::Worker(id), self.sender_of(&body)),
         };
         self.send(Message {
-            origin: Origin::Remote(call),
+            origin: Origin::Remote { call, node },
             dest,
             method: method.to_owned(),
             path: path.to_owned(),
@@ -105,6 +109,16 @@
         });
     }
 
+    /// The controller that has sent commands: the holder whose token they bear.
+    fn sender_of(&self, body: &[u8]) -> Option<usize> {
+        let request: CommandRequest = serde_json::from_slice(body).ok()?;
+        let epoch = epoch_of_token(request.token);
+        let shares = (0..self.size.nodes as u32).map(|k| records::share_key(ShareId(k)));
+        let mut records = shares.filter_map(|key| self.state.value(&key));
+        let record = records.find(|r| r.get("epoch").and_then(Value::as_u64) == Some(epoch))?;
+        self.named(record.get("holder"))
+    }
+
     /// Tells who asked a controller its answer; status 0 stands for none.
     pub fn deliver(&mut self, asker: Asker, status: u16, body: Vec<u8>) {
         self.answered(asker.0, status, body);
--- a/crates/testkit/tests/hollow_workers.rs
+++ b/crates/testkit/tests/hollow_workers.rs
@@ -58,7 +58,7 @@
             calls: 0,
         };
         let rent = json!({"charter": "r-1", "rig": "g8", "yard": "a", "loaner": false, "count": 1});
-        assert_eq!(scene.call(Service::Cloud, "/machines", &rent).0, 200);
+        assert_eq!(scene.call(Service::Cloud(0), "/machines", &rent).0, 200);
         let mut up = None;
         while up.is_none() {
             scene.world.advance_to(scene.world.now() + STEP_MS, STEP_MS);
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -7,9 +7,11 @@
 
 /// Version of the format that the first release speaks, and no other.
 pub const FIRST_VERSION: u16 = 5;
+/// Version since which dependencies are spoken of.
+const DEPENDENCIES_VERSION: u16 = 6;
 /// Newest version of the format. A message is sent under the oldest version
 /// that has its body.
-pub const VERSION: u16 = 6;
+pub const VERSION: u16 = 7;
 /// Largest message, in bytes.
 pub const MESSAGE_MOST: usize = 96 * 1024;
 
@@ -112,13 +114,34 @@
         /// The highest priority among those that need it, the lowest being 0.
         priority: u8,
     },
+    /// The sender holds these machines and does not hear their workers: their reports
+    /// are to be passed on to it. Since version 7.
+    Unheard {
+        /// Grows with each list of a start. Messages with the same number add up; a
+        /// list replaces those before it.
+        list: u64,
+        /// The machines.
+        machines: Vec<String>,
+    },
+    /// The receiver is to call these machines' workers and pass on what they answer: the
+    /// sender holds them and does not hear them. Since version 7.
+    Probe {
+        /// The machines.
+        machines: Vec<String>,
+    },
+    /// What a worker has answered to a probe. Since version 7.
+    Probed {
+        /// Its report, in JSON.
+        report: Vec<u8>,
+    },
 }
 
 impl Body {
     /// The oldest version of the format that has this body.
     pub fn version(&self) -> u16 {
         match self {
-            Self::JobOver { .. } | Self::Needed { .. } => VERSION,
+            Self::JobOver { .. } | Self::Needed { .. } => DEPENDENCIES_VERSION,
+            Self::Unheard { .. } | Self::Probe { .. } | Self::Probed { .. } => VERSION,
             _ => FIRST_VERSION,
         }
     }
