--- a/crates/emulator/src/addresses.rs
+++ b/crates/emulator/src/addresses.rs
@@ -23,14 +23,15 @@
         Self { base_port }
     }
 
-    /// The state service.
-    pub fn state(self) -> SocketAddr {
-        at([127, 0, 2, 1], self.base_port)
+    /// The state service, as a controller reaches it: each has an address of its own, so
+    /// that its link alone can be cut.
+    pub fn state(self, controller: usize) -> SocketAddr {
+        at([127, 0, 2, controller as u8 + 1], self.base_port)
     }
 
-    /// The cloud.
-    pub fn cloud(self) -> SocketAddr {
-        at([127, 0, 2, 2], self.base_port)
+    /// The cloud, likewise.
+    pub fn cloud(self, controller: usize) -> SocketAddr {
+        at([127, 0, 3, controller as u8 + 1], self.base_port)
     }
 
     /// Where a controller takes requests of users and workers.
--- a/crates/emulator/src/bridge.rs
+++ b/crates/emulator/src/bridge.rs
@@ -113,12 +113,15 @@
             model_servers: ModelServers::start(started),
             replicas: RefCell::default(),
         });
-        bridge
-            .serve(addresses.state(), Service::State, SERVICE_CONNECTIONS)?
-            .detach();
-        bridge
-            .serve(addresses.cloud(), Service::Cloud, SERVICE_CONNECTIONS)?
-            .detach();
+        for index in 0..controllers {
+            let (state, cloud) = (addresses.state(index), addresses.cloud(index));
+            bridge
+                .serve(state, Service::State(index), SERVICE_CONNECTIONS)?
+                .detach();
+            bridge
+                .serve(cloud, Service::Cloud(index), SERVICE_CONNECTIONS)?
+                .detach();
+        }
         for index in 0..controllers {
             ex.spawn(bridge.clone().probe(index)).detach();
         }
@@ -331,7 +334,7 @@
         let (sender, receiver) = async_channel::bounded(1);
         self.calls.borrow_mut().insert(number, sender);
         let guard = ForgetCall(self.clone(), number);
-        let state = matches!(service, Service::State)
+        let state = matches!(service, Service::State(_))
             .then(|| purpose::of_request(&request.method, &request.path, &body));
         let is_worker = matches!(service, Service::Worker(_));
         let received = body.len() as u64;
--- a/crates/emulator/src/emulation.rs
+++ b/crates/emulator/src/emulation.rs
@@ -10,12 +10,12 @@
 use crate::progress::Progress;
 use crate::report::{process_use, Report};
 use crate::settings::controller_name;
-use crate::site::{Kill, Site};
+use crate::site::{Cut, CutLink, Kill, Site};
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use forkshift_net::Executor;
 use forkshift_testkit::{
-    BootModel, Deployment, FaultKind, Fleet, MachineFault, Plan, Size, Which, World,
+    BootModel, Deployment, Direction, FaultKind, Fleet, MachineFault, Plan, Size, Which, World,
 };
 use forkshift_wire::cloud::MachineType;
 use std::fs;
@@ -59,6 +59,7 @@
     bridge: Rc<Bridge>,
     controllers: Controllers,
     kills: Vec<Kill>,
+    cuts: Vec<Cut>,
     /// Controllers to be started again, with when, in seconds.
     restarts: Vec<(f64, usize)>,
     ended: u64,
@@ -81,11 +82,14 @@
     }
     let mut kills = site.kills.clone();
     kills.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
+    let mut cuts = site.cuts.clone();
+    cuts.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
     let run = Run {
         site,
         bridge,
         controllers,
         kills,
+        cuts,
         restarts: Vec::new(),
         ended: 0,
         warm: None,
@@ -94,6 +98,35 @@
     async_io::block_on(ex.run(run.play(stop)))
 }
 
+/// A cut as a fault of the world.
+fn fault_of(cut: &Cut, node: usize, world: &World) -> FaultKind {
+    let time = ms(cut.for_s);
+    let lost = match cut.link {
+        CutLink::State | CutLink::Cloud => {
+            return FaultKind::Cut {
+                node,
+                state: cut.link == CutLink::State,
+                workers: false,
+                cloud: cut.link == CutLink::Cloud,
+                time,
+                hold: false,
+            }
+        }
+        CutLink::Reports => Direction::Reports,
+        CutLink::Calls => Direction::Calls,
+        CutLink::Workers => Direction::Both,
+    };
+    let machines = world.machines_of(&Which::All).into_iter();
+    let machines = Which::Named(machines.step_by(cut.every.max(1)).collect());
+    FaultKind::LinkCut {
+        node,
+        machines,
+        lost,
+        time,
+        hold: false,
+    }
+}
+
 impl Run<'_> {
     async fn play(mut self, stop: &Arc<AtomicBool>) -> Result<Report, Failure> {
         let site = self.site;
@@ -105,6 +138,7 @@
                 self.bridge.with_metrics(|m| m.restart());
             }
             self.kill_due(now_s);
+            self.cut_due(now_s);
             self.restart_due(now_s)?;
             self.show(now_s);
             let interrupted = stop.load(Ordering::Relaxed);
@@ -149,6 +183,21 @@
         }
     }
 
+    fn cut_due(&mut self, now_s: f64) {
+        while self.cuts.first().is_some_and(|c| c.at_s <= now_s) {
+            let cut = self.cuts.remove(0);
+            let node = cut.controller.or_else(|| self.bridge.holder_of_answers());
+            let Some(node) = node else { continue };
+            self.bridge.with_world(|w| {
+                let fault = fault_of(&cut, node, w);
+                w.fault_now(fault);
+            });
+            let (name, link, for_s) = (controller_name(node), cut.link, cut.for_s);
+            let line = format!("{now_s:>4.0} s: {name} loses {link:?} for {for_s} s");
+            self.progress.event(&line);
+        }
+    }
+
     /// Workers stop with their machines.
     fn kill_workers(&self, now_s: f64, which: Which, what: &str) {
         let fault = FaultKind::Machines(which, MachineFault::Die);
@@ -239,6 +288,7 @@
             report.jobs_cancelled = jobs.cancelled;
             report.jobs_running = jobs.running;
             report.jobs_waiting = jobs.waiting;
+            report.replicas_restarted = w.replicas_restarted();
             let figures = pool_figures(w, self.site, self.bridge.began_ms());
             report.pools = (figures.machines > 0).then_some(figures);
         });
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -91,6 +91,9 @@
     pub jobs_running: u64,
     /// Those with none at the end.
     pub jobs_waiting: u64,
+    /// Replicas that were started again.
+    #[serde(default)]
+    pub replicas_restarted: u64,
     /// First starts of tasks.
     pub task_starts: u64,
     /// The same a second.
@@ -285,6 +288,8 @@
         row(&mut out, "jobs", jobs);
         let starts = format!("{}, {:.1} a second", self.task_starts, self.starts_per_s);
         row(&mut out, "task starts", starts);
+        let again = self.replicas_restarted.to_string();
+        row(&mut out, "replicas started again", again);
         for (priority, of_priority) in &self.start_times {
             row(&mut out, &format!("start, {priority}"), times(of_priority));
         }
--- a/crates/emulator/src/settings.rs
+++ b/crates/emulator/src/settings.rs
@@ -43,8 +43,8 @@
         peer_listen: addresses.controller_peer(index),
         peers: others.map(peer).collect(),
         services: Services {
-            cloud: addresses.cloud(),
-            state: addresses.state(),
+            cloud: addresses.cloud(index),
+            state: addresses.state(index),
         },
         cluster: cluster(site),
     }
--- a/crates/emulator/src/site.rs
+++ b/crates/emulator/src/site.rs
@@ -43,6 +43,9 @@
     /// Controllers and workers that are killed.
     #[serde(default)]
     pub kills: Vec<Kill>,
+    /// Links that are cut.
+    #[serde(default)]
+    pub cuts: Vec<Cut>,
 }
 
 fn default_seed() -> u64 {
@@ -363,6 +366,44 @@
     pub holder: bool,
 }
 
+/// A link of a controller that is cut for a while.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cut {
+    /// When, in seconds.
+    pub at_s: f64,
+    /// For how long, in seconds.
+    pub for_s: f64,
+    /// Index of the controller; if left out, the one that holds the share of the replicas
+    /// that answer.
+    pub controller: Option<usize>,
+    /// Which link.
+    pub link: CutLink,
+    /// Of the links to workers every so manyth is cut.
+    #[serde(default = "default_every")]
+    pub every: usize,
+}
+
+fn default_every() -> usize {
+    1
+}
+
+/// A link that can be cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum CutLink {
+    /// To the state service.
+    State,
+    /// To the cloud.
+    Cloud,
+    /// Reports of workers.
+    Reports,
+    /// Commands to workers.
+    Calls,
+    /// Both.
+    Workers,
+}
+
 /// What the command line sets in place of the site file.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Overrides {
--- a/crates/emulator/src/site/check.rs
+++ b/crates/emulator/src/site/check.rs
@@ -110,7 +110,8 @@
             return Err(wrong(format!("classes[{i}].team"), "names no team"));
         }
     }
-    check_kills(site)
+    check_kills(site)?;
+    check_cuts(site)
 }
 
 fn check_capacity(site: &Site) -> Result<(), BadSite> {
@@ -178,3 +179,17 @@
     }
     Ok(())
 }
+
+fn check_cuts(site: &Site) -> Result<(), BadSite> {
+    for (i, cut) in site.cuts.iter().enumerate() {
+        let path = format!("cuts[{i}]");
+        positive(&format!("{path}.at_s"), cut.at_s)?;
+        positive(&format!("{path}.for_s"), cut.for_s)?;
+        within(&format!("{path}.every"), cut.every, 1_000)?;
+        if cut.controller.is_some_and(|n| n >= site.controllers.count) {
+            let field = format!("{path}.controller");
+            return Err(wrong(field, "is not the index of a controller"));
+        }
+    }
+    Ok(())
+}
