--- a/crates/core/src/share.rs
+++ b/crates/core/src/share.rs
@@ -9,6 +9,7 @@
 mod jobs;
 mod loading;
 mod machines;
+mod money;
 
 pub(crate) use arrivals::ClassStats;
 pub(crate) use handover::hand_over;
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -1,5 +1,6 @@
 //! The world around the controllers, in virtual time.
 
+mod cuts;
 mod digest;
 mod fleet;
 mod inject;
@@ -19,11 +20,12 @@
 
 use crate::check::{Calm, Checker};
 use crate::cloud::Cloud;
-use crate::faults::{Direction, Fault, FaultKind};
+use crate::faults::{Fault, FaultKind};
 use crate::fleet::Fleet;
 use crate::state::{ServiceModel, SizeLimits, State};
 use crate::worker::{Truth, Worker};
 use crate::Ms;
+use cuts::Cuts;
 use digest::Digest;
 use forkshift_core::{Config, Effect, FormatVersion, Input, Node, Operator, RequestId, Target};
 use forkshift_pools::{PoolSpec, Pools};
@@ -72,36 +74,6 @@
     },
 }
 
-/// A cut between a controller and some machines.
-#[derive(Clone, Debug)]
-struct LinkCut {
-    machines: BTreeSet<MachineId>,
-    lost: Direction,
-    until: Ms,
-    /// Messages are held back.
-    hold: bool,
-}
-
-#[derive(Default, Clone)]
-struct Cuts {
-    /// Refused by the state service, open watches included.
-    shut: Ms,
-    /// Until when it is cut off from which others, one bit each, and whether
-    /// messages are held.
-    peers: (Ms, u64, bool),
-    /// Until when direct commands do not reach workers, and whether they are held.
-    direct: (Ms, bool),
-    /// Machines that it is cut off from.
-    links: Vec<LinkCut>,
-    pause: Ms,
-    state: Ms,
-    workers: Ms,
-    cloud: Ms,
-    refuse: Ms,
-    slow: Ms,
-    hold: bool,
-}
-
 struct Host {
     node: Option<Node>,
     /// It is still of the old release.
--- a/crates/testkit/src/world/inject.rs
+++ b/crates/testkit/src/world/inject.rs
@@ -1,6 +1,7 @@
 //! Faults as they come, and whom they hit.
 
-use super::{Event, LinkCut, World, STEP};
+use super::cuts::LinkCut;
+use super::{Event, World, STEP};
 use crate::faults::{FaultKind, MachineFault, Which, Who};
 use crate::state::SizeLimits;
 use crate::worker::Worker;
--- a/crates/testkit/src/world/network.rs
+++ b/crates/testkit/src/world/network.rs
@@ -2,7 +2,6 @@
 
 use super::size::zone_of;
 use super::{Event, World};
-use crate::faults::Direction;
 use crate::worker::Around;
 use crate::Ms;
 use forkshift_core::{Input, RequestId};
@@ -59,85 +58,6 @@
         }
     }
 
-    /// Until when two ends are cut off from each other, and whether messages are held.
-    pub(super) fn cut(&self, origin: &Origin, dest: &Dest) -> (Ms, bool) {
-        let (zone, until, hold) = self.zone_cut;
-        let of_worker = |id: &MachineId| self.workers.get(id).is_some_and(|w| w.zone == zone);
-        let from_inside = match origin {
-            Origin::Node { node, .. } => zone_of(*node) == zone,
-            Origin::Worker { id, .. } => of_worker(id),
-            Origin::User { .. } | Origin::Aside(_) | Origin::Remote { .. } | Origin::Nobody => {
-                false
-            }
-        };
-        let to_inside = match dest {
-            Dest::Node(n) => zone_of(*n) == zone,
-            Dest::Worker(id) => of_worker(id),
-            Dest::State | Dest::Cloud => false,
-        };
-        if until > self.now && from_inside != to_inside {
-            return (until, hold);
-        }
-        let node = |n: usize| &self.hosts[n].cuts;
-        let worker = |id: &MachineId| {
-            self.workers
-                .get(id)
-                .map_or(0, |w| w.cut_until.max(w.hung_until))
-        };
-        match (origin, dest) {
-            (Origin::Remote { node: Some(n), .. }, Dest::State) => (node(*n).state, false),
-            (Origin::Remote { node: Some(n), .. }, Dest::Cloud) => (node(*n).cloud, false),
-            (Origin::Remote { node: n, .. }, Dest::Worker(id)) => {
-                let cut = n.and_then(|n| self.link_cut(n, id, Direction::Calls));
-                if let Some((until, _)) = cut {
-                    return (until, false);
-                }
-                let link = self.workers.get(id);
-                let silent = link.map_or(0, |w| w.lost_until.max(w.deaf_until));
-                (worker(id).max(silent), false)
-            }
-            (Origin::Node { node: n, .. }, Dest::State) => (node(*n).state, node(*n).hold),
-            (Origin::Node { node: n, .. }, Dest::Cloud) => (node(*n).cloud, node(*n).hold),
-            (Origin::Node { node: n, .. }, Dest::Worker(id)) => {
-                let (direct, direct_hold) = node(*n).direct;
-                if direct > self.now {
-                    return (direct, direct_hold);
-                }
-                if let Some(cut) = self.link_cut(*n, id, Direction::Calls) {
-                    return cut;
-                }
-                let lost = self.workers.get(id).map_or(0, |w| w.lost_until);
-                if lost > self.now {
-                    return (lost, false);
-                }
-                let deaf = self.workers.get(id).map_or(0, |w| w.deaf_until);
-                (node(*n).workers.max(worker(id)).max(deaf), true)
-            }
-            (Origin::Worker { id, .. }, Dest::Node(n)) => {
-                let mute = self.workers.get(id).map_or(0, |w| w.mute_until);
-                if mute > self.now {
-                    return (mute, false);
-                }
-                if let Some(cut) = self.link_cut(*n, id, Direction::Reports) {
-                    return cut;
-                }
-                (node(*n).workers.max(worker(id)), node(*n).hold)
-            }
-            _ => (0, false),
-        }
-    }
-
-    /// Until when a controller and a machine are cut off from each other in a direction,
-    /// and whether messages are held.
-    fn link_cut(&self, node: usize, id: &MachineId, direction: Direction) -> Option<(Ms, bool)> {
-        let cuts = self.hosts[node].cuts.links.iter();
-        let mut meant = cuts.filter(|cut| {
-            let lost = cut.lost == Direction::Both || cut.lost == direction;
-            lost && cut.until > self.now && cut.machines.contains(id)
-        });
-        meant.next().map(|cut| (cut.until, cut.hold))
-    }
-
     /// How much longer a message takes from or to a machine on a slow link.
     pub(super) fn dawdle(&mut self, origin: &Origin, dest: &Dest) -> Ms {
         let ((Origin::Worker { id, .. }, _) | (_, Dest::Worker(id))) = (origin, dest) else {
