Second reading: reports are read once, and rules that stood twice stand in one place

Found by reading the change again. Behaviour stays as it is.

- For a lease after any worker was sent on, every report was parsed twice: once to see if it is to be passed on, once to answer it.
It is parsed once now, and whether it may be passed on is said by type (Relaying) instead of by the path of the request.
- The longest pause between reports was worked out in three places (Config::longest_report_ms), the bytes of a listed name in two (bounds::listed_bytes), the other controllers in three (Config::other_nodes), that all are blind in two (View::are_all_blind), the check of a controller's index in a site file in two (check_controller).
- RelayTable::len, Redirects::len and Redirects::is_empty had no caller.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -9,6 +9,7 @@
 
 use crate::io::{Reply, RequestId};
 use crate::node::Node;
+use crate::relay::Relaying;
 use crate::Ms;
 use forkshift_wire::users::{JobStage, JobStatus};
 use forkshift_wire::JobId;
@@ -53,7 +54,7 @@
         let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
         let reply = match (method, parts.as_slice()) {
             ("GET", ["up"]) => Some(self.up()),
-            ("POST", ["v1", "report"]) => Some(self.report(request, body)),
+            ("POST", ["v1", "report"]) => self.report(request, body, Relaying::Allowed),
             ("POST", ["submissions"]) => self.submit(request, body),
             ("GET", ["submissions", id]) => self.question(request, id),
             ("POST", ["submissions", id, "abort"]) => self.abort(request, id),
--- a/crates/core/src/api/reports.rs
+++ b/crates/core/src/api/reports.rs
@@ -4,28 +4,46 @@
 use crate::io::{Reply, RequestId};
 use crate::node::Node;
 use crate::records::ShareId;
+use crate::relay::Relaying;
 use crate::share::{epoch_of_token, Phase};
 use forkshift_links::Route;
 use forkshift_wire::workers::{Redirect, Report, ReportReply};
 use forkshift_wire::MachineId;
 
 impl Node {
-    /// A worker reports, to us or to a controller that passes it on.
-    pub(crate) fn report(&mut self, request: RequestId, body: Option<Vec<u8>>) -> Reply {
-        let route = match request.is_remote() {
-            true => Route::Relayed,
-            false => Route::Direct,
-        };
+    /// A worker reports, to us or to a controller that passes it on. No reply: it is
+    /// passed on from here.
+    pub(crate) fn report(
+        &mut self,
+        request: RequestId,
+        body: Option<Vec<u8>>,
+        relaying: Relaying,
+    ) -> Option<Reply> {
         let Some(body) = body else {
-            return Reply::error(413, "too large");
+            return Some(Reply::error(413, "too large"));
         };
         let report: Report = match serde_json::from_slice(&body) {
             Ok(report) => report,
             Err(e) => {
                 log::info!("a report is not understood: {e}");
-                return Reply::error(400, "not a report");
+                return Some(Reply::error(400, "not a report"));
             }
         };
+        if request.is_remote() {
+            return Some(self.answer_report(&report, Route::Relayed));
+        }
+        let holder = match relaying {
+            Relaying::Allowed => self.relay_to(&report.machine),
+            Relaying::Tried => None,
+        };
+        if let Some(holder) = holder {
+            self.relay_report(request, &holder, body);
+            return None;
+        }
+        Some(self.answer_report(&report, Route::Direct))
+    }
+
+    fn answer_report(&mut self, report: &Report, route: Route) -> Reply {
         let Some(record) = self.view.machines.get(&report.machine) else {
             return Reply::json(421, &Redirect::default());
         };
@@ -71,7 +89,7 @@
             return Reply::json(421, &Redirect::default());
         }
         // A late copy tells nothing of the way by which reports come now.
-        if share.ingest(ctx, &report) {
+        if share.ingest(ctx, report) {
             share.note_route(ctx, &report.machine, route);
         }
         match share.report_reply(ctx, &report.machine) {
--- a/crates/core/src/attestation.rs
+++ b/crates/core/src/attestation.rs
@@ -15,6 +15,7 @@
 //! own clock. However late it comes, it proves nothing about a later time, and
 //! no two clocks are compared.
 
+use crate::bounds::listed_bytes;
 use crate::context::Context;
 use crate::node::Node;
 use crate::overflow::Overflow;
@@ -26,9 +27,6 @@
 use forkshift_wire::{MachineId, NodeName};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Bytes of a machine's name in a heartbeat, beside the name itself.
-const NAME_LENGTH_BYTES: usize = 4;
-
 /// A controller that was heard.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Peer {
@@ -94,7 +92,7 @@
     /// attests this for its earlier starts as well.
     fn unclaimed_until(&self, ctx: &Context, share: &Share) -> Ms {
         let cfg = &ctx.cfg;
-        let others = cfg.nodes.iter().filter(|n| **n != cfg.node);
+        let others = cfg.other_nodes();
         let attested = others.map(|n| {
             let seen = self.peers.get(n);
             let unclaimed = seen.filter(|s| {
@@ -160,7 +158,7 @@
 fn keep_what_fits(settled: &mut Vec<Settled>, mut room: usize) -> usize {
     let bytes = |s: &Settled| -> usize {
         let names = s.unsettled.iter();
-        names.map(|name| name.len() + NAME_LENGTH_BYTES).sum()
+        names.map(|name| listed_bytes(name)).sum()
     };
     let all = settled.len();
     settled.sort_by_key(|s| (bytes(s), s.share));
@@ -208,7 +206,7 @@
             let now = self.ctx.now;
             self.ctx.overflows.note(now, Overflow::UnsettledMachines);
         }
-        for node in cfg.nodes.iter().filter(|n| **n != cfg.node) {
+        for node in cfg.other_nodes() {
             let peer = self.ctx.peers.get(node);
             let echo = peer.and_then(|p| p.sent.map(|sent| Echo { inc: p.inc, sent }));
             let body = Body::Heartbeat(Heartbeat {
--- a/crates/core/src/attestation/tests.rs
+++ b/crates/core/src/attestation/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of `attestation`.
 
 use super::*;
+use crate::bounds::NAME_LENGTH_BYTES;
 use crate::config::{Config, Operator};
 use crate::records::ShareRecord;
 use crate::view::Stamped;
--- a/crates/core/src/bounds.rs
+++ b/crates/core/src/bounds.rs
@@ -38,6 +38,8 @@
 /// Tasks of a job that a round places where few could be recorded, so that an array is
 /// not asked for bit by bit.
 const TASKS_A_ROUND_LEAST: usize = 256;
+/// Bytes that a name in a message takes beside itself.
+pub(crate) const NAME_LENGTH_BYTES: usize = 4;
 /// The part of a message that lists in it may take.
 const LIST_PART: f64 = 0.75;
 
@@ -110,6 +112,11 @@
     count.max(1.0) as usize
 }
 
+/// Bytes of a name in a list in a message.
+pub(crate) fn listed_bytes(name: &str) -> usize {
+    name.len() + NAME_LENGTH_BYTES
+}
+
 /// One part in so many of a share's machines, at least `least`. For work that is done
 /// a few machines at a time: a larger share does more of it at once, so that it takes
 /// no longer.
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -163,7 +163,7 @@
 const LATE_PART: f64 = 0.01;
 
 /// The longest pause between two reports, as a multiple of the usual one.
-pub(crate) const REPORT_SPREAD: f64 = 1.25;
+const REPORT_SPREAD: f64 = 1.25;
 /// For delays on a report's way, and timers that are late, in milliseconds.
 pub(crate) const REPORT_LATE_MS: Ms = 500;
 
@@ -219,6 +219,11 @@
         }
     }
 
+    /// All controllers but this one, in order.
+    pub fn other_nodes(&self) -> impl Iterator<Item = &NodeName> {
+        self.nodes.iter().filter(|n| **n != self.node)
+    }
+
     /// Number of shares.
     pub fn shares(&self) -> u32 {
         self.nodes.len() as u32
@@ -242,11 +247,15 @@
         (self.report_ms * 2).clamp(1_000, 4_000)
     }
 
+    /// The longest pause between two reports.
+    pub fn longest_report_ms(&self) -> Ms {
+        (self.report_ms as f64 * REPORT_SPREAD) as Ms
+    }
+
     /// Times of the links to workers.
     pub fn link_timing(&self) -> Timing {
-        let longest = (self.report_ms as f64 * REPORT_SPREAD) as Ms;
         Timing {
-            report_ms: longest + REPORT_LATE_MS,
+            report_ms: self.longest_report_ms() + REPORT_LATE_MS,
             lease_ms: self.lease_ms,
         }
     }
--- a/crates/core/src/failure_detector.rs
+++ b/crates/core/src/failure_detector.rs
@@ -7,7 +7,7 @@
 //! runs there goes on while controllers inside answer (`Node::keeps`), and
 //! comes back sooner than other machines could boot.
 
-use crate::config::{REPORT_LATE_MS, REPORT_SPREAD};
+use crate::config::REPORT_LATE_MS;
 use crate::context::Context;
 use crate::machine::Machine;
 use crate::node::Node;
@@ -79,8 +79,7 @@
 
     /// How long a worker takes that has sent a report in vain, until it is heard again.
     fn return_ms(&self) -> Ms {
-        let longest = (self.cfg.report_ms as f64 * REPORT_SPREAD) as Ms;
-        longest + REPORT_TIMEOUT + NEXT_CONTROLLER + REDIRECT + REPORT_LATE_MS
+        self.cfg.longest_report_ms() + REPORT_TIMEOUT + NEXT_CONTROLLER + REDIRECT + REPORT_LATE_MS
     }
 
     /// How long a machine may be silent before it is given up. Nobody knows
@@ -153,8 +152,7 @@
 impl Share {
     /// Counts machines that should report, and those that do not, by zone.
     fn count_machines(&self, ctx: &Context, zones: &mut BTreeMap<u16, Count>) {
-        let longest = (ctx.cfg.report_ms as f64 * REPORT_SPREAD) as Ms;
-        let quiet = (ctx.silent_part_ms() / 2).max(longest);
+        let quiet = (ctx.silent_part_ms() / 2).max(ctx.cfg.longest_report_ms());
         // Who was never heard may still be on the way to us for a lease.
         let timing = Timing {
             report_ms: quiet,
@@ -244,7 +242,7 @@
                  we are cut off from them"
             );
         }
-        let all_blind = blind && self.view.nodes.values().all(|n| n.rec.blind);
+        let all_blind = blind && self.view.are_all_blind();
         self.ctx.failure_detector = FailureDetector {
             cut,
             was_blind_until,
--- a/crates/core/src/forward.rs
+++ b/crates/core/src/forward.rs
@@ -11,6 +11,7 @@
 use crate::io::{Reply, RequestId};
 use crate::node::Node;
 use crate::overflow::Overflow;
+use crate::relay::Relaying;
 use crate::Ms;
 use forkshift_wire::peer::Body;
 use forkshift_wire::users::JobStatus;
@@ -45,11 +46,11 @@
     }
 
     /// A worker's report.
-    pub(crate) fn report(body: Option<Vec<u8>>) -> Self {
+    pub(crate) fn report(body: Vec<u8>) -> Self {
         Self {
             method: "POST".to_owned(),
             path: REPORT_PATH.to_owned(),
-            body,
+            body: Some(body),
         }
     }
 }
@@ -77,9 +78,6 @@
         if request.is_remote() {
             return Err(body);
         }
-        if path == REPORT_PATH {
-            return self.relay_report(request, body);
-        }
         let Some(to) = self.better(method, path) else {
             return Err(body);
         };
@@ -233,6 +231,12 @@
 
     fn deal_with(&mut self, forward: Forward) {
         let Forward { request, what, .. } = forward;
+        if what.path == REPORT_PATH {
+            if let Some(reply) = self.report(request, what.body, Relaying::Tried) {
+                self.ctx.respond(request, reply);
+            }
+            return;
+        }
         self.serve_here(request, &what.method, &what.path, what.body);
     }
 }
--- a/crates/core/src/leader/assignment.rs
+++ b/crates/core/src/leader/assignment.rs
@@ -21,7 +21,7 @@
     /// controllers that have none.
     pub(super) fn assign(&mut self, ctx: &mut Context, view: &View) {
         // Who hears no worker is given nothing, as long as there are others.
-        let all_blind = view.nodes.values().all(|n| n.rec.blind);
+        let all_blind = view.are_all_blind();
         let blind = |n: &NodeName| !all_blind && view.nodes.get(n).is_some_and(|n| n.rec.blind);
         let able = view.nodes.keys().filter(|n| !blind(n));
         let able = able.filter(|n| Self::may_hold_shares(view, n));
--- a/crates/core/src/relay.rs
+++ b/crates/core/src/relay.rs
@@ -11,7 +11,7 @@
 //! lease. So a machine that somebody reaches is not given up, and that its lease has
 //! ended is known from its session.
 
-use crate::config::Config;
+use crate::bounds::listed_bytes;
 use crate::context::Context;
 use crate::forward::ForwardedRequest;
 use crate::io::RequestId;
@@ -30,8 +30,15 @@
 const LIST_LOOKS: Ms = 5;
 /// Controllers that are asked to call a machine: one may have lost it, too.
 const PROBERS: usize = 2;
-/// Bytes of a machine's name in a message, beside the name itself.
-const NAME_LENGTH_BYTES: usize = 4;
+
+/// Whether a report may be passed on to the holder.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(crate) enum Relaying {
+    /// It may.
+    Allowed,
+    /// The holder had it and has not answered.
+    Tried,
+}
 
 /// Machines that are not heard.
 #[derive(Default)]
@@ -90,7 +97,7 @@
         let list = self.unheard_lists;
         let cfg = self.ctx.cfg.clone();
         for machines in in_messages(unheard, cfg.bounds.list_bytes) {
-            for node in other_nodes(&cfg) {
+            for node in cfg.other_nodes() {
                 let machines = machines.clone();
                 self.ctx.tell(node, 0, Body::Unheard { list, machines });
             }
@@ -103,7 +110,7 @@
             return;
         }
         let cfg = self.ctx.cfg.clone();
-        let others = other_nodes(&cfg).filter(|n| self.ctx.is_peer_answering(n));
+        let others = cfg.other_nodes().filter(|n| self.ctx.is_peer_answering(n));
         let mut others: Vec<&NodeName> = others.collect();
         let first = self.unheard_lists as usize % others.len().max(1);
         others.rotate_left(first);
@@ -163,29 +170,17 @@
         self.ctx.relays.on_unheard(from, inc, list, known, until);
     }
 
-    /// Passes a worker's report on to the holder that does not hear it. Returns the body
-    /// if there is none.
-    pub(crate) fn relay_report(
-        &mut self,
-        request: RequestId,
-        body: Option<Vec<u8>>,
-    ) -> Result<(), Option<Vec<u8>>> {
-        if self.ctx.relays.is_empty() && self.ctx.redirects.is_empty() {
-            return Err(body);
-        }
-        let report = body
-            .as_deref()
-            .and_then(|b| serde_json::from_slice::<Report>(b).ok());
-        let holder = report.and_then(|r| self.deaf_holder(&r.machine));
-        // One that we can't reach either has no answer in time: what is to be done without
-        // it is done at once.
-        let holder = holder.filter(|node| self.ctx.is_peer_answering(node));
-        let Some(holder) = holder else {
-            return Err(body);
-        };
+    /// The holder that a machine's report is passed on to, if it is. One that we can't
+    /// reach either has no answer in time: what is to be done without it is done at once.
+    pub(crate) fn relay_to(&self, machine: &MachineId) -> Option<NodeName> {
+        let holder = self.deaf_holder(machine);
+        holder.filter(|node| self.ctx.is_peer_answering(node))
+    }
+
+    /// Passes a worker's report on to the holder that does not hear it.
+    pub(crate) fn relay_report(&mut self, request: RequestId, holder: &NodeName, body: Vec<u8>) {
         let forwarded = ForwardedRequest::report(body);
-        self.forward(request, &holder, forwarded, ANSWER_MS);
-        Ok(())
+        self.forward(request, holder, forwarded, ANSWER_MS);
     }
 
     /// The holder of a machine, if it has said that it does not hear it, or if the worker
@@ -220,16 +215,12 @@
     }
 }
 
-fn other_nodes(cfg: &Config) -> impl Iterator<Item = &NodeName> {
-    cfg.nodes.iter().filter(|n| **n != cfg.node)
-}
-
 /// Spreads names over messages, at least one.
 fn in_messages(machines: Vec<MachineId>, room: usize) -> Vec<Vec<String>> {
     let mut messages = vec![Vec::new()];
     let mut used = 0;
     for name in machines.iter().map(ToString::to_string) {
-        let bytes = name.len() + NAME_LENGTH_BYTES;
+        let bytes = listed_bytes(&name);
         if used + bytes > room {
             messages.push(Vec::new());
             used = 0;
--- a/crates/core/src/view.rs
+++ b/crates/core/src/view.rs
@@ -68,6 +68,11 @@
 }
 
 impl View {
+    /// Whether all controllers say that they hear hardly any worker.
+    pub(crate) fn are_all_blind(&self) -> bool {
+        self.nodes.values().all(|n| n.rec.blind)
+    }
+
     /// Replaces everything by a full listing.
     pub(crate) fn replace(&mut self, items: Vec<Item>, revision: u64) {
         *self = Self {
--- a/crates/emulator/src/site/check.rs
+++ b/crates/emulator/src/site/check.rs
@@ -172,10 +172,7 @@
         if kill.zone.as_ref().is_some_and(|z| !site.zones.contains(z)) {
             return Err(wrong(format!("{path}.zone"), "names no zone"));
         }
-        if kill.controller.is_some_and(|n| n >= site.controllers.count) {
-            let field = format!("{path}.controller");
-            return Err(wrong(field, "is not the index of a controller"));
-        }
+        check_controller(&path, kill.controller, site)?;
     }
     Ok(())
 }
@@ -186,10 +183,15 @@
         positive(&format!("{path}.at_s"), cut.at_s)?;
         positive(&format!("{path}.for_s"), cut.for_s)?;
         within(&format!("{path}.every"), cut.every, 1_000)?;
-        if cut.controller.is_some_and(|n| n >= site.controllers.count) {
-            let field = format!("{path}.controller");
-            return Err(wrong(field, "is not the index of a controller"));
-        }
+        check_controller(&path, cut.controller, site)?;
+    }
+    Ok(())
+}
+
+fn check_controller(path: &str, index: Option<usize>, site: &Site) -> Result<(), BadSite> {
+    if index.is_some_and(|n| n >= site.controllers.count) {
+        let field = format!("{path}.controller");
+        return Err(wrong(field, "is not the index of a controller"));
     }
     Ok(())
 }
--- a/crates/links/src/redirect.rs
+++ b/crates/links/src/redirect.rs
@@ -52,14 +52,4 @@
         let lease_ms = self.lease_ms;
         self.sent.retain(|_, r| now < r.at + lease_ms);
     }
-
-    /// How many are remembered.
-    pub fn len(&self) -> usize {
-        self.sent.len()
-    }
-
-    /// Whether none is.
-    pub fn is_empty(&self) -> bool {
-        self.sent.is_empty()
-    }
 }
--- a/crates/links/src/relay.rs
+++ b/crates/links/src/relay.rs
@@ -63,11 +63,6 @@
             .retain(|_, (node, _)| holders.contains_key(node));
     }
 
-    /// How many machines are known.
-    pub fn len(&self) -> usize {
-        self.machines.len()
-    }
-
     /// Whether no machine is known.
     pub fn is_empty(&self) -> bool {
         self.machines.is_empty()
