--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -426,6 +426,7 @@
         self.gone = True
         for task in list(self.tasks):
             self._end(task, "the machine is gone")
+        self.tasks.clear()
         for job in self.jobs:
             job.cancel()
         if self.up:
@@ -588,7 +589,7 @@
             await asyncio.sleep(job["image_gb"] / self.world.rigs[self.rig]["pull_gb_per_s"])
             self.images.add(job["kit"])
         await self.runs.wait()
-        if self.tasks.get(key) is not task or task["stage"] != "fetching":
+        if self.gone or self.tasks.get(key) is not task or task["stage"] != "fetching":
             return
         task["stage"] = "running"
         self.world.on_start(key, self)
