--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -243,6 +243,20 @@
         self.changed = asyncio.Condition()
         self.requests, self.writes = Bucket(limits["rps"]), Bucket(limits["write_rps"])
         self.too_many = 0
+        self.serves = asyncio.Event()
+        self.serves.set()
+
+    def begin_outage(self):
+        """Requests get 503 and open watches stay open; no lease ends."""
+        self.record("state", "is out from now on")
+        self.serves.clear()
+
+    def end_outage(self):
+        """Every lease has its full time again."""
+        self.record("state", "serves again")
+        for entry in self.holds.values():
+            entry["ends"] = time.monotonic() + entry["life"]
+        self.serves.set()
 
     async def start(self):
         self.server, self.port = await serve_http(self.handle)
@@ -251,6 +265,8 @@
     async def _end_holds(self):
         while True:
             await asyncio.sleep(0.02)
+            if not self.serves.is_set():
+                continue
             now = time.monotonic()
             ended = [hold for hold, entry in self.holds.items() if now >= entry["ends"]]
             for hold in ended:
@@ -289,6 +305,8 @@
 
     async def handle(self, method, path, body):
         await asyncio.sleep(0.002)
+        if not self.serves.is_set() and not path.startswith("/changes"):
+            return 503, {"error": "trouble"}
         if not self.requests.take(1):
             self.too_many += 1
             return 429, {"error": "too many"}
@@ -363,6 +381,9 @@
                 return 410, {"error": "too old"}
             news = [n for n in self.log
                     if n["stamp"] > since and (n.get("put") or n.get("remove")).startswith(prefix)]
+            if not self.serves.is_set():
+                await self.serves.wait()
+                continue
             left = ends - time.monotonic()
             if news or left <= 0:
                 return 200, {"ledger_rev": self.rev, "news": news}
