A job is called queued only if its whole chain is known not to be cancelled

Once the service is back from an outage, the jobs of a cancelled pipeline wait to be recorded as cancelled; until then the last ones were called queued, by their holder and by others.

Cause: nothing said what must be known before such an answer. The holder looked at the records of direct dependencies, which say pending until their own cancellation is recorded; a new holder took the moment of registration for such a reading; whoever answered from the job's record asked nothing about its dependencies. The readings came at a pace that fell with their number, and the message about an end is sent once.

Change: one check for holders, for answers from records and for admissions (shard/dependencies/check.rs): none of the jobs that this one needs, at any distance, was recorded as cancelled as of a moment less than half of cancel_s ago. Its knowledge comes from the job feed (job_feed.rs): one poll of the changes below job/ shows every end, in place of a read for each dependency. A controller cancels all that it holds behind a cancelled job at once, whoever holds the jobs in between. A cancellation of such a job goes to its holder instead of being refused.

The test blocked_job_status_is_uncertain_after_half_the_cancellation_timeout is replaced: it took the registration of a job for knowledge of its dependency, which was a part of the fault. Its cases now ask as users do and also expect 503 where nothing was read.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -6,6 +6,7 @@
 
 pub(crate) mod admission;
 mod cancellations;
+pub(crate) mod delayed_lookups;
 mod heartbeats;
 mod status_queries;
 mod submissions;
--- a/crates/core/src/api/admission.rs
+++ b/crates/core/src/api/admission.rs
@@ -2,15 +2,19 @@
 //!
 //! A job is accepted only if all of its dependencies were accepted before. The permanent
 //! records of the dependencies are read first; the transaction that accepts the job is
-//! conditional on the versions that were read.
+//! conditional on the versions that were read. If a transitive dependency is cancelled, the
+//! job is cancelled upon acceptance, so the records of those that are not known are read too.
 
 use crate::api::parse_versioned_job_record;
 use crate::io::{Reply, RequestId};
+use crate::job_feed::FeedRun;
 use crate::node::Node;
 use crate::pending_call::{JobCreation, LookupPurpose, PendingCall};
-use crate::records::job_key;
+use crate::records::{job_key, JobRecord};
+use crate::shard::dependencies::DependencyCheck;
 use crate::store::queue::Urgency;
-use forkshift_wire::users::{JobKind, JobSpec, JobStage};
+use crate::Ms;
+use forkshift_wire::users::{JobKind, JobSpec};
 use forkshift_wire::JobId;
 use std::collections::BTreeSet;
 
@@ -19,6 +23,10 @@
     creation: JobCreation,
     /// Dependencies whose records have not been read yet.
     pending_reads: BTreeSet<JobId>,
+    /// Run of the job feed in which the records are read.
+    feed_run: FeedRun,
+    /// When the reads were requested, in milliseconds of the steady clock.
+    read_at: Ms,
 }
 
 impl Node {
@@ -49,6 +57,7 @@
         if creation.spec.dependencies.is_empty() {
             return self.create_job(creation);
         }
+        self.request_job_feed();
         let request = creation.request;
         let pending_reads: BTreeSet<JobId> = creation.spec.dependencies.iter().cloned().collect();
         for id in &pending_reads {
@@ -64,6 +73,8 @@
             Admission {
                 creation,
                 pending_reads,
+                feed_run: self.job_feed.run(),
+                read_at: self.ctx.now,
             },
         );
     }
@@ -95,7 +106,7 @@
                 self.refuse_admission(request, &format!("{id} is a service"));
             }
             (200, Some((record, version))) => {
-                self.on_dependency_found(request, id, record.stage, version);
+                self.on_dependency_found(request, id, &record, version);
             }
             (404, _) => self.refuse_admission(request, &format!("{id} was never accepted")),
             (0, _) if self.ctx.now < deadline => self.read_for_admission(request, id.clone()),
@@ -106,28 +117,70 @@
         }
     }
 
-    /// Records that a dependency exists. Accepts the job once this is known of all.
+    /// Records that a dependency exists, with the state that its record shows.
     fn on_dependency_found(
         &mut self,
         request: RequestId,
         id: &JobId,
-        stage: JobStage,
+        record: &JobRecord,
         version: u64,
     ) {
-        if stage.is_final() {
-            self.final_stages.insert(id.clone(), stage);
-        }
         let Some(admission) = self.admissions.get_mut(&request) else {
             return;
         };
         admission.pending_reads.remove(id);
         admission.creation.dependencies.push((id.clone(), version));
-        admission.creation.is_cancelled |= stage == JobStage::Cancelled;
+        if record.stage.is_final() {
+            self.final_stages.insert(id.clone(), record.stage);
+        } else {
+            let (run, read_at) = (admission.feed_run, admission.read_at);
+            self.job_feed.insert_read(run, record, read_at);
+        }
+        self.complete_admission(request);
+    }
+
+    /// Accepts the job once all of its dependencies are known to exist and it is known whether
+    /// one of its transitive dependencies is cancelled.
+    fn complete_admission(&mut self, request: RequestId) {
+        let Some(admission) = self.admissions.get(&request) else {
+            return;
+        };
         if !admission.pending_reads.is_empty() {
             return;
         }
+        let check = self.check_dependencies(&admission.creation.spec.dependencies);
+        if let DependencyCheck::Uncertain(unknown) = check {
+            self.request_job_feed();
+            return self.job_feed.read(unknown);
+        }
         if let Some(admission) = self.admissions.remove(&request) {
-            self.create_job(admission.creation);
+            self.create_job(JobCreation {
+                is_cancelled: check == DependencyCheck::Cancelled,
+                ..admission.creation
+            });
+        }
+    }
+
+    /// Continues the admissions that wait until more is known of transitive dependencies.
+    pub(crate) fn resume_admissions(&mut self) {
+        let requests: Vec<RequestId> = self.admissions.keys().copied().collect();
+        for request in requests {
+            self.complete_admission(request);
+        }
+    }
+
+    /// Refuses for now the jobs whose dependencies were not known in time.
+    pub(crate) fn expire_admissions(&mut self) {
+        let now = self.ctx.now;
+        let is_expired = |admission: &Admission| now >= admission.creation.deadline;
+        let admissions = self.admissions.iter();
+        let expired: Vec<RequestId> = admissions
+            .filter(|(_, admission)| is_expired(admission))
+            .map(|(request, _)| *request)
+            .collect();
+        for request in expired {
+            self.admissions.remove(&request);
+            self.ctx.respond(request, Reply::unavailable("not now"));
         }
     }
 
--- a/crates/core/src/api/admission/tests.rs
+++ b/crates/core/src/api/admission/tests.rs
@@ -5,7 +5,7 @@
 use crate::io::Effect;
 use crate::records::JobRecord;
 use forkshift_wire::state::{Transaction, Write};
-use forkshift_wire::users::JobStatus;
+use forkshift_wire::users::{JobStage, JobStatus};
 use serde_json::{json, Value};
 
 fn id(n: u32) -> JobId {
--- /dev/null
+++ b/crates/core/src/api/delayed_lookups.rs
@@ -0,0 +1,66 @@
+//! Lookups of jobs that wait until the states of the jobs' dependencies are known.
+//!
+//! The job's record is read again after that, as it may have changed in the meantime.
+
+use crate::io::{Reply, RequestId};
+use crate::node::Node;
+use crate::pending_call::LookupPurpose;
+use crate::shard::dependencies::DependencyCheck;
+use crate::Ms;
+use forkshift_wire::JobId;
+use std::collections::BTreeSet;
+
+/// A request for an unfinished job, whose dependencies may be cancelled.
+pub(crate) struct DelayedLookup {
+    pub(crate) request: RequestId,
+    pub(crate) id: JobId,
+    pub(crate) purpose: LookupPurpose,
+    /// Time at which the request is refused, in milliseconds of the steady clock.
+    pub(crate) deadline: Ms,
+    /// The job's direct dependencies.
+    pub(crate) dependencies: Vec<JobId>,
+}
+
+impl Node {
+    /// Delays a lookup until more is known of the job's dependencies, and requests the records
+    /// of those that are unknown.
+    pub(crate) fn delay_lookup(&mut self, lookup: DelayedLookup, unknown: BTreeSet<JobId>) {
+        self.request_job_feed();
+        self.job_feed.read(unknown);
+        self.delayed_lookups.push(lookup);
+    }
+
+    /// Repeats the lookups of jobs whose dependencies have become known, and requests more
+    /// records for the others.
+    pub(crate) fn resume_lookups(&mut self) {
+        for lookup in std::mem::take(&mut self.delayed_lookups) {
+            match self.check_dependencies(&lookup.dependencies) {
+                DependencyCheck::Uncertain(unknown) => self.delay_lookup(lookup, unknown),
+                DependencyCheck::NotCancelled | DependencyCheck::Cancelled => {
+                    let DelayedLookup {
+                        request,
+                        id,
+                        purpose,
+                        deadline,
+                        ..
+                    } = lookup;
+                    self.read_job(request, id, purpose, deadline);
+                }
+            }
+        }
+    }
+
+    /// Refuses the requests whose lookups have been delayed for too long.
+    pub(crate) fn expire_delayed_lookups(&mut self) {
+        let now = self.ctx.now;
+        for lookup in std::mem::take(&mut self.delayed_lookups) {
+            if now < lookup.deadline {
+                self.delayed_lookups.push(lookup);
+                continue;
+            }
+            log::debug!("job {}: its dependencies may be cancelled", lookup.id);
+            let reply = Reply::unavailable("not known at the moment");
+            self.ctx.respond(lookup.request, reply);
+        }
+    }
+}
--- a/crates/core/src/api/status_queries.rs
+++ b/crates/core/src/api/status_queries.rs
@@ -1,15 +1,16 @@
 //! Status queries: answered from memory under a valid lease, otherwise from the job's record in
 //! the key-value store.
 
+use crate::api::delayed_lookups::DelayedLookup;
 use crate::api::status_of_stage;
 use crate::io::{Reply, RequestId};
 use crate::node::{active_shard_of, Node};
 use crate::pending_call::{LookupPurpose, PendingCall};
 use crate::records::{job_key, JobRecord};
+use crate::shard::dependencies::DependencyCheck;
 use crate::store::queue::Urgency;
 use crate::Ms;
 use forkshift_wire::state::Item;
-use forkshift_wire::users::JobStage;
 use forkshift_wire::JobId;
 use serde_json::from_value;
 
@@ -46,12 +47,9 @@
         if !job.is_status_certain() {
             return None;
         }
-        // A dependency may have been cancelled without this controller's knowledge, and the job
-        // with it.
-        if !self.are_dependencies_known_unfinished(job) {
-            return Some(Reply::unavailable("not known at the moment"));
-        }
-        Some(Reply::json(200, &job.status()))
+        // Otherwise the job's record is read, which may already show that it is cancelled.
+        let check = self.check_dependencies(&job.unresolved_dependencies);
+        (check == DependencyCheck::NotCancelled).then(|| Reply::json(200, &job.status()))
     }
 
     /// Reads a job's record to answer a request. The answer must not be older than any status
@@ -68,7 +66,14 @@
         None
     }
 
-    fn read_job(&mut self, request: RequestId, id: JobId, purpose: LookupPurpose, deadline: Ms) {
+    /// Reads a job's record to answer a request, within a deadline for retries.
+    pub(super) fn read_job(
+        &mut self,
+        request: RequestId,
+        id: JobId,
+        purpose: LookupPurpose,
+        deadline: Ms,
+    ) {
         let path = format!("/kv/{}", job_key(&id));
         let pending = PendingCall::JobLookup {
             request,
@@ -118,10 +123,27 @@
             0 if self.ctx.now < deadline => return self.read_job(request, id, purpose, deadline),
             _ => None,
         };
-        let Some(record) = record.filter(|r| !self.is_cancelled_by_dependency(r)) else {
+        let Some(record) = record else {
             return self.ctx.respond(request, Reply::unavailable("not now"));
         };
-        self.on_record_found(request, id, &purpose, &record);
+        // A cancellation is answered by the holder, once the final stage is recorded.
+        if record.stage.is_final() || purpose.is_cancellation() {
+            return self.on_record_found(request, id, &purpose, &record);
+        }
+        match self.check_unfinished_record(&record) {
+            DependencyCheck::NotCancelled => self.on_record_found(request, id, &purpose, &record),
+            DependencyCheck::Cancelled => self.ctx.respond(request, Reply::unavailable("not now")),
+            DependencyCheck::Uncertain(unknown) => {
+                let lookup = DelayedLookup {
+                    request,
+                    id,
+                    purpose,
+                    deadline,
+                    dependencies: record.spec.dependencies,
+                };
+                self.delay_lookup(lookup, unknown);
+            }
+        }
     }
 
     /// Responds to a request by the record of its job.
@@ -137,7 +159,7 @@
         } else {
             self.job_shards.insert(id.clone(), record.shard);
         }
-        if !record.stage.is_final() && matches!(purpose, LookupPurpose::Cancellation) {
+        if !record.stage.is_final() && purpose.is_cancellation() {
             return self.forward_cancellation(request, id, record.shard);
         }
         self.ctx.respond(
@@ -146,21 +168,18 @@
         );
     }
 
-    /// Whether a job is known to be cancelled because of a dependency although its record does
-    /// not show the cancellation yet. Such a job must not be reported as queued.
-    fn is_cancelled_by_dependency(&self, record: &JobRecord) -> bool {
-        let dependencies = &record.spec.dependencies;
-        if record.stage.is_final() || dependencies.is_empty() {
-            return false;
-        }
-        let final_stages = &self.final_stages;
-        let is_cancelled = |id: &JobId| final_stages.get(id) == Some(JobStage::Cancelled);
-        if dependencies.iter().any(is_cancelled) {
-            return true;
+    /// Checks the dependencies of a job whose record shows it unfinished. The record of a job
+    /// that is bound to be cancelled may not show the cancellation yet.
+    fn check_unfinished_record(&self, record: &JobRecord) -> DependencyCheck {
+        if record.spec.dependencies.is_empty() {
+            return DependencyCheck::NotCancelled;
         }
         let shard = active_shard_of(&self.shards, &record.spec.id);
         let job = shard.and_then(|s| s.jobs.get(&record.spec.id));
-        job.is_some_and(|job| job.is_cancelled)
+        if job.is_some_and(|job| job.is_cancelled) {
+            return DependencyCheck::Cancelled;
+        }
+        self.check_dependencies(&record.spec.dependencies)
     }
 }
 
--- /dev/null
+++ b/crates/core/src/job_feed.rs
@@ -0,0 +1,310 @@
+//! The change feed of the jobs' permanent records: which jobs have ended, and which were
+//! unfinished as of a known time.
+//!
+//! A user is told that a job is cancelled only after its permanent record says so. All these
+//! records share a key prefix, so one poll of the changes below it shows every end of a job
+//! since the previous poll. The cost does not depend on the number of jobs, and a lost message
+//! of another controller delays an end by at most one interval.
+//!
+//! The feed runs only while this controller needs it: it holds blocked jobs, or has recently
+//! answered requests for jobs with dependencies. Jobs that were accepted before the feed
+//! started are read once, from their records.
+
+mod unfinished_jobs;
+
+use crate::api::parse_job_record;
+use crate::context::is_watch_lost;
+use crate::node::Node;
+use crate::pending_call::PendingCall;
+use crate::records::{job_key, JobRecord, JOB_PREFIX};
+use crate::store::queue::Urgency;
+use crate::Ms;
+use forkshift_wire::state::{Change, Changes};
+use forkshift_wire::users::JobKind;
+use forkshift_wire::JobId;
+use std::collections::BTreeSet;
+pub(crate) use unfinished_jobs::UnfinishedJob;
+use unfinished_jobs::UnfinishedJobs;
+
+/// Least interval between two polls, as a fraction of the cancellation timeout: the time in
+/// which a cancelled job must have stopped running.
+const POLL_INTERVAL_FRACTION: f64 = 0.1;
+/// Upper bound on the interval between two polls, as a fraction of the cancellation timeout.
+const MAX_POLL_INTERVAL_FRACTION: f64 = 0.2;
+/// Fraction of the key-value store's request rate limit that the polls of all controllers
+/// together use, within the bounds on the interval.
+const POLL_RATE_FRACTION: f64 = 0.05;
+/// Pause after a failed poll or read, in milliseconds.
+const RETRY_PAUSE_MS: Ms = 500;
+/// Maximum number of reads of jobs' records in flight. More would delay the calls that are
+/// queued behind them.
+const MAX_READS_IN_FLIGHT: usize = 4;
+
+/// Identifies a run of the feed. Each start of the feed begins a new run.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub(crate) struct FeedRun(u64);
+
+/// State of the change feed of the jobs' permanent records.
+///
+/// Times are in milliseconds of the steady clock.
+pub(crate) struct JobFeed {
+    run: FeedRun,
+    /// Store revision up to which all changes have been processed; none while the feed is
+    /// stopped.
+    revision: Option<u64>,
+    /// All changes that the store had made by this time have been processed.
+    current_as_of: Ms,
+    is_poll_in_flight: bool,
+    next_poll_at: Ms,
+    /// Until when a request needs the feed.
+    requested_until: Ms,
+    /// Unfinished jobs that were accepted or read in this run.
+    unfinished: UnfinishedJobs,
+    /// Jobs whose records are to be read, as the feed does not show their state.
+    to_read: BTreeSet<JobId>,
+    reads_in_flight: BTreeSet<JobId>,
+    /// No read is sent before this time.
+    next_read_at: Ms,
+    /// Whether a poll or a read has returned since the last [`Self::take_progress`].
+    has_progress: bool,
+}
+
+impl JobFeed {
+    /// A stopped feed that keeps up to `capacity` unfinished jobs.
+    pub(crate) fn new(capacity: usize) -> Self {
+        Self {
+            run: FeedRun::default(),
+            revision: None,
+            current_as_of: 0,
+            is_poll_in_flight: false,
+            next_poll_at: 0,
+            requested_until: 0,
+            unfinished: UnfinishedJobs::new(capacity),
+            to_read: BTreeSet::new(),
+            reads_in_flight: BTreeSet::new(),
+            next_read_at: 0,
+            has_progress: false,
+        }
+    }
+
+    /// The current run of the feed.
+    pub(crate) fn run(&self) -> FeedRun {
+        self.run
+    }
+
+    /// A job that was unfinished as of a known time; none if its state is not known.
+    pub(crate) fn unfinished(&self, id: &JobId) -> Option<&UnfinishedJob> {
+        self.unfinished.get(id)
+    }
+
+    /// The latest time as of which a job of [`Self::unfinished`] is known to have been
+    /// unfinished.
+    pub(crate) fn unfinished_as_of(&self, job: &UnfinishedJob) -> Ms {
+        job.read_at.max(self.current_as_of)
+    }
+
+    /// The unfinished jobs that name a job as their dependency.
+    pub(crate) fn dependents_of(&self, id: &JobId) -> impl Iterator<Item = &JobId> {
+        self.unfinished.dependents_of(id)
+    }
+
+    /// Records that a job has ended.
+    pub(crate) fn remove(&mut self, id: &JobId) {
+        self.unfinished.remove(id);
+        self.to_read.remove(id);
+    }
+
+    /// Records that a job was unfinished when its record was read. `read_at` is when the read
+    /// was requested, in the given run of the feed.
+    pub(crate) fn insert_read(&mut self, run: FeedRun, record: &JobRecord, read_at: Ms) {
+        let is_current = run == self.run && self.revision.is_some();
+        if !is_current || record.spec.kind == JobKind::Service {
+            return;
+        }
+        let job = UnfinishedJob {
+            dependencies: record.spec.dependencies.clone(),
+            shard: record.shard,
+            read_at,
+        };
+        self.unfinished.insert(record.spec.id.clone(), job);
+    }
+
+    /// Requests reads of jobs' records.
+    pub(crate) fn read(&mut self, ids: impl IntoIterator<Item = JobId>) {
+        self.to_read.extend(ids);
+    }
+
+    /// Whether a poll or a read has returned since the last call.
+    pub(crate) fn take_progress(&mut self) -> bool {
+        std::mem::take(&mut self.has_progress)
+    }
+
+    /// Starts the feed at a revision of the store that is not newer than the current one.
+    fn start(&mut self, revision: u64, now: Ms) {
+        log::info!("job feed: started at revision {revision}");
+        self.run.0 += 1;
+        self.revision = Some(revision);
+        self.current_as_of = 0;
+        self.is_poll_in_flight = false;
+        self.next_poll_at = now;
+    }
+
+    /// Stops the feed. What is known of unfinished jobs becomes outdated.
+    fn stop(&mut self, reason: &str) {
+        log::info!("job feed: stopped, {reason}");
+        self.revision = None;
+        self.unfinished.clear();
+        self.to_read.clear();
+        self.reads_in_flight.clear();
+    }
+}
+
+impl Node {
+    /// Keeps the job feed running for a while, as a request needs it.
+    pub(crate) fn request_job_feed(&mut self) {
+        let until = self.ctx.now + self.ctx.config.cancellation_timeout_ms;
+        self.job_feed.requested_until = until;
+        self.run_job_feed();
+    }
+
+    /// Starts or stops the job feed as needed, and sends the due poll and reads.
+    pub(crate) fn update_job_feed(&mut self) {
+        self.run_job_feed();
+        if self.job_feed.revision.is_some() {
+            self.poll_job_feed();
+            self.read_requested_jobs();
+        }
+    }
+
+    fn run_job_feed(&mut self) {
+        let now = self.ctx.now;
+        if !self.dependencies.is_empty() {
+            let until = now + self.ctx.config.cancellation_timeout_ms;
+            self.job_feed.requested_until = until;
+        }
+        let is_needed = now < self.job_feed.requested_until;
+        match self.job_feed.revision {
+            None if is_needed && self.view.is_complete => {
+                self.job_feed.start(self.view.revision, now);
+            }
+            Some(_) if !is_needed => self.job_feed.stop("not needed"),
+            _ => {}
+        }
+    }
+
+    /// Interval between two polls, in milliseconds.
+    fn job_feed_interval_ms(&self) -> Ms {
+        let timeout_ms = self.ctx.config.cancellation_timeout_ms as f64;
+        let within_rate_ms = self.ctx.watch_interval_ms(POLL_RATE_FRACTION);
+        within_rate_ms
+            .max((timeout_ms * POLL_INTERVAL_FRACTION) as Ms)
+            .min((timeout_ms * MAX_POLL_INTERVAL_FRACTION) as Ms)
+    }
+
+    fn poll_job_feed(&mut self) {
+        let (run, now) = (self.job_feed.run, self.ctx.now);
+        let Some(revision) = self.job_feed.revision else {
+            return;
+        };
+        if self.job_feed.is_poll_in_flight || now < self.job_feed.next_poll_at {
+            return;
+        }
+        self.job_feed.is_poll_in_flight = true;
+        self.job_feed.next_poll_at = now + self.job_feed_interval_ms();
+        let path = format!("/changes?starts={JOB_PREFIX}&from={revision}&wait_ms=0");
+        let pending = PendingCall::JobFeedPoll { run, sent: now };
+        self.ctx.read_store(Urgency::User, path, pending);
+    }
+
+    /// Processes the answer to a poll that was requested at `sent`.
+    pub(crate) fn on_job_feed(&mut self, run: FeedRun, sent: Ms, status: u16, body: &[u8]) {
+        if run != self.job_feed.run || self.job_feed.revision.is_none() {
+            return;
+        }
+        self.job_feed.is_poll_in_flight = false;
+        if is_watch_lost(status) {
+            return self.job_feed.stop("changes were lost");
+        }
+        let changes: Option<Changes> = serde_json::from_slice(body).ok().filter(|_| status == 200);
+        let Some(changes) = changes else {
+            self.job_feed.next_poll_at = self.ctx.now + RETRY_PAUSE_MS;
+            return;
+        };
+        for change in changes.events {
+            self.on_job_record_changed(run, change, sent);
+        }
+        self.job_feed.revision = Some(changes.revision);
+        self.job_feed.current_as_of = sent;
+        self.job_feed.has_progress = true;
+    }
+
+    fn on_job_record_changed(&mut self, run: FeedRun, change: Change, sent: Ms) {
+        let Change::Put { key, value, .. } = change else {
+            return;
+        };
+        let Ok(record) = serde_json::from_value::<JobRecord>(value) else {
+            log::error!("record {key}: unreadable, the job counts as not known");
+            let id = key.strip_prefix(JOB_PREFIX).unwrap_or_default();
+            return self.job_feed.remove(&JobId::new(id));
+        };
+        if record.stage.is_final() {
+            self.final_stages.insert(record.spec.id, record.stage);
+        } else {
+            self.job_feed.insert_read(run, &record, sent);
+        }
+    }
+
+    /// Sends as many of the requested reads as may be in flight.
+    fn read_requested_jobs(&mut self) {
+        if self.ctx.now < self.job_feed.next_read_at {
+            return;
+        }
+        while self.job_feed.reads_in_flight.len() < MAX_READS_IN_FLIGHT {
+            let Some(id) = self.job_feed.to_read.pop_first() else {
+                return;
+            };
+            if !self.job_feed.reads_in_flight.insert(id.clone()) {
+                continue;
+            }
+            let path = format!("/kv/{}", job_key(&id));
+            let pending = PendingCall::DependencyRead {
+                run: self.job_feed.run,
+                id,
+                sent: self.ctx.now,
+            };
+            self.ctx.read_store(Urgency::Tasks, path, pending);
+        }
+    }
+
+    /// Processes the read of a dependency's record, which was requested at `sent`. If the job
+    /// is unfinished, the records of its own dependencies are read next, unless their states
+    /// are known.
+    pub(crate) fn on_dependency_read(
+        &mut self,
+        run: FeedRun,
+        id: &JobId,
+        sent: Ms,
+        status: u16,
+        body: &[u8],
+    ) {
+        if run != self.job_feed.run || !self.job_feed.reads_in_flight.remove(id) {
+            return;
+        }
+        let record = parse_job_record(body).filter(|_| status == 200);
+        let Some(record) = record else {
+            self.job_feed.next_read_at = self.ctx.now + RETRY_PAUSE_MS;
+            self.job_feed.to_read.insert(id.clone());
+            return;
+        };
+        self.job_feed.has_progress = true;
+        if record.stage.is_final() {
+            self.final_stages.insert(id.clone(), record.stage);
+        } else if self.final_stages.get(id).is_none() {
+            self.job_feed.insert_read(run, &record, sent);
+            self.on_dependency_unfinished(id, record.shard);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `membership` | leases, leader election, failure detection, confirmations by peers |
 //! | `store` | queue, rate limits and budget of store calls, local view of the records |
 //! | `shard` | scheduling and state of a shard's jobs and machines |
+//! | `job_feed` | changes of the jobs' permanent records |
 //! | `leader` | shard assignment, scale-out and scale-in, rebalancing, format finalization |
 //! | `api` | HTTP requests of users, heartbeats of workers |
 //! | `protocol` | messages between controllers, request forwarding, heartbeat relays |
@@ -29,6 +30,7 @@
 #[cfg(test)]
 mod golden;
 mod io;
+mod job_feed;
 mod leader;
 mod membership;
 mod names;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -16,9 +16,11 @@
 pub(crate) use shard_lookup::{active_shard_of, active_shard_of_mut};
 
 use crate::api::admission::Admission;
+use crate::api::delayed_lookups::DelayedLookup;
 use crate::config::Config;
 use crate::context::Context;
 use crate::io::{Effect, Input, RequestId};
+use crate::job_feed::JobFeed;
 use crate::leader::Leader;
 use crate::membership::lease::Membership;
 use crate::pending_call::{CancellationPoll, PendingCall, Service};
@@ -52,6 +54,9 @@
     /// Shards of recently seen jobs that other controllers hold.
     pub(crate) job_shards: RecentJobs<ShardId>,
     pub(crate) dependencies: DependencyTracker,
+    pub(crate) job_feed: JobFeed,
+    /// Lookups that wait until the states of the jobs' dependencies are known.
+    pub(crate) delayed_lookups: Vec<DelayedLookup>,
     /// Submissions whose dependencies are being read from the store.
     pub(crate) admissions: BTreeMap<RequestId, Admission>,
     /// Requests forwarded to other controllers that have no answer yet, by number.
@@ -99,6 +104,8 @@
             final_stages: FinalStages::new(cached_jobs),
             job_shards: RecentJobs::new(cached_jobs),
             dependencies: DependencyTracker::default(),
+            job_feed: JobFeed::new(cached_jobs),
+            delayed_lookups: Vec::new(),
             admissions: BTreeMap::new(),
             pending_forwards: BTreeMap::new(),
             last_forward_number: incarnation,
--- a/crates/core/src/node/responses.rs
+++ b/crates/core/src/node/responses.rs
@@ -49,8 +49,11 @@
             PendingCall::AdmissionRead { request, id } => {
                 self.on_admission_read(request, &id, status, body);
             }
-            PendingCall::DependencyRead { id, sent } => {
-                self.on_dependency_read(&id, sent, status, body);
+            PendingCall::DependencyRead { run, id, sent } => {
+                self.on_dependency_read(run, &id, sent, status, body);
+            }
+            PendingCall::JobFeedPoll { run, sent } => {
+                self.on_job_feed(run, sent, status, body);
             }
             PendingCall::CancellationWrite(poll) => {
                 self.on_cancellation_written(poll, status, body);
--- a/crates/core/src/pending_call.rs
+++ b/crates/core/src/pending_call.rs
@@ -3,6 +3,7 @@
 //! This module is data only: `node::responses` dispatches the responses.
 
 use crate::io::{Reply, RequestId};
+use crate::job_feed::FeedRun;
 use crate::records::ShardId;
 use crate::Ms;
 use forkshift_pools::account::{PoolRequest, Price};
@@ -66,8 +67,10 @@
     },
     /// Reads the record of a dependency of a submitted job.
     AdmissionRead { request: RequestId, id: JobId },
-    /// Reads the record of a dependency of an accepted job.
-    DependencyRead { id: JobId, sent: Ms },
+    /// Reads the record of a dependency of an accepted job, in a run of the job feed.
+    DependencyRead { run: FeedRun, id: JobId, sent: Ms },
+    /// Reads the changes of the jobs' permanent records, in a run of the job feed.
+    JobFeedPoll { run: FeedRun, sent: Ms },
     /// Writes the key that requests a cancellation from the holder of the job.
     CancellationWrite(CancellationPoll),
     /// Reads a job's record to find out whether the holder has cancelled the job.
@@ -212,6 +215,13 @@
     Cancellation,
 }
 
+impl LookupPurpose {
+    /// Whether the job is to be cancelled.
+    pub(crate) fn is_cancellation(&self) -> bool {
+        matches!(self, Self::Cancellation)
+    }
+}
+
 /// The changes of one job in a transaction.
 #[derive(Debug, Clone)]
 pub(crate) struct JobWrite {
--- a/crates/core/src/records/keys.rs
+++ b/crates/core/src/records/keys.rs
@@ -12,6 +12,8 @@
 pub const FINALIZED_FORMAT_KEY: &str = "c/format";
 /// Key of the leader's record.
 pub const LEADER_KEY: &str = "c/leader";
+/// Prefix of the keys of the jobs' permanent records.
+pub const JOB_PREFIX: &str = "job/";
 
 /// Key of a shard's record.
 pub fn shard_key(shard_id: ShardId) -> String {
@@ -50,7 +52,7 @@
 
 /// Key of a job's permanent record.
 pub fn job_key(id: &JobId) -> String {
-    format!("job/{id}")
+    format!("{JOB_PREFIX}{id}")
 }
 
 /// Prefix of the keys of a shard's unfinished jobs.
--- a/crates/core/src/shard/dependencies/tests.rs
+++ b/crates/core/src/shard/dependencies/tests.rs
@@ -1,9 +1,10 @@
 //! Tests of `dependencies`.
 
 use super::*;
-use crate::fixture::{spec, team_of, Fixture};
+use crate::fixture::{answer_to, spec, team_of, Fixture};
 use crate::io::Effect;
-use crate::records::JobRecord;
+use crate::pending_call::PendingCall;
+use crate::records::{job_key, JobRecord};
 use crate::shard::job::StartState;
 use forkshift_wire::peer::Envelope;
 use forkshift_wire::users::{JobKind, JobSpec};
@@ -31,6 +32,10 @@
     matches!(pending, PendingCall::DependencyRead { .. })
 }
 
+fn is_lookup(pending: &PendingCall) -> bool {
+    matches!(pending, PendingCall::JobLookup { .. })
+}
+
 fn record(f: &mut Fixture, n: u32, stage: JobStage) -> serde_json::Value {
     let team = team_of(f);
     let record = JobRecord {
@@ -202,15 +207,48 @@
     }
 }
 
+/// The status of job 1 as a user gets it, if the record of the job says that it is queued and
+/// needs job 2: status code of the answer, within the time in which lookups are delayed.
+fn ask(f: &mut Fixture, request: u64) -> u16 {
+    if let Some((status, _)) = f.request(request, "GET", "/submissions/j-1") {
+        return status;
+    }
+    let mut body = record(f, 1, JobStage::Queued);
+    body["data"]["spec"]["awaits"] = json!(["j-2"]);
+    for _ in 0..20 {
+        let calls = f.node.ctx.pending_calls.values();
+        let effects = if calls.filter(|call| is_lookup(call)).count() > 0 {
+            f.answer(is_lookup, 200, &body)
+        } else {
+            f.step(100)
+        };
+        if let Some((status, _)) = answer_to(&effects, request) {
+            return status;
+        }
+    }
+    panic!("no answer");
+}
+
+/// Lets time pass without an answer of the store, while the controller's lease stays valid.
+fn wait(f: &mut Fixture, ms: Ms) {
+    f.node.ctx.now += ms;
+    let now = f.node.ctx.now;
+    f.node.membership.on_lease_renewed(&f.node.ctx, now, 200);
+}
+
 /// Guards against an outdated `queued` status of a job that was cancelled through a
-/// dependency held elsewhere: without recent evidence of the dependency, the status
-/// request is refused.
+/// dependency held elsewhere: without recent knowledge of the dependency, the question is
+/// refused, also by a holder that has just begun to hold the job.
 #[test]
-fn blocked_job_status_is_uncertain_after_half_the_cancellation_timeout() {
+fn blocked_job_status_is_uncertain_without_recent_knowledge_of_its_dependencies() {
     let half = |f: &Fixture| f.node.ctx.config.cancellation_timeout_ms / 2;
-    for (is_held_here, after_half, answers) in
-        [(false, false, 200), (false, true, 503), (true, true, 200)]
-    {
+    for (is_held_here, is_read_first, after_half, answers) in [
+        (false, false, false, 503),
+        (false, true, false, 200),
+        (false, true, true, 503),
+        (true, false, true, 200),
+    ] {
+        let name = format!("here {is_held_here}, read {is_read_first}, late {after_half}");
         let mut f = Fixture::new();
         f.finalize_format();
         if is_held_here {
@@ -218,22 +256,67 @@
             f.bind(&id(2), 0, StartState::Unknown);
         }
         add(&mut f, 1, &[2], Priority::Normal);
-        let passes = half(&f) + u64::from(after_half) * 10 - 5;
-        // The controller's lease stays valid all the time.
-        f.node.ctx.now += passes;
-        let now = f.node.ctx.now;
-        f.node.membership.on_lease_renewed(&f.node.ctx, now, 200);
-        let reply = f
-            .node
-            .status_from_memory(&id(1))
-            .expect("the shard is held");
-        assert_eq!(
-            reply.status, answers,
-            "here {is_held_here}, late {after_half}"
-        );
+        if is_read_first {
+            let body = record(&mut f, 2, JobStage::Queued);
+            f.answer(is_read, 200, &body);
+        }
+        let passes = if after_half {
+            half(&f) + 5
+        } else {
+            half(&f) - 2_500
+        };
+        wait(&mut f, passes);
+        assert_eq!(ask(&mut f, 1), answers, "{name}");
+    }
+}
+
+/// Guards against a status that is refused although the records show it: a question waits for
+/// the reads of dependencies of which nothing is known, direct or transitive.
+#[test]
+fn status_is_answered_once_the_records_of_all_dependencies_are_read() {
+    for (stage, answers) in [(JobStage::Queued, 200), (JobStage::Cancelled, 503)] {
+        let mut f = Fixture::new();
+        f.finalize_format();
+        add(&mut f, 1, &[2], Priority::Normal);
+        assert_eq!(f.request(1, "GET", "/submissions/j-1"), None);
+        let mut job = record(&mut f, 1, JobStage::Queued);
+        job["data"]["spec"]["awaits"] = json!(["j-2"]);
+        let effects = f.answer(is_lookup, 200, &job);
+        assert_eq!(answer_to(&effects, 1), None, "nothing is known of j-2");
+        let mut dependency = record(&mut f, 2, JobStage::Queued);
+        dependency["data"]["spec"]["awaits"] = json!(["j-3"]);
+        f.answer(is_read, 200, &dependency);
+        let last = record(&mut f, 3, stage);
+        f.answer(is_read, 200, &last);
+        let effects = f.answer(is_lookup, 200, &job);
+        let status = answer_to(&effects, 1).map(|(status, _)| status);
+        assert_eq!(status, Some(answers), "{stage:?}");
+        // The holder does not wait for the record of the job in between.
+        let is_cancelled = f
+            .shard()
+            .jobs
+            .get(&id(1))
+            .is_none_or(|job| job.is_cancelled);
+        assert_eq!(is_cancelled, stage == JobStage::Cancelled);
     }
 }
 
+/// Guards against a dependent that is called queued for as long as the cancellation of the
+/// dependency, which is held here, cannot be recorded: an earlier write may have arrived.
+#[test]
+fn dependent_is_uncertain_if_a_cancellation_has_been_waiting_to_be_recorded() {
+    let mut f = Fixture::new();
+    f.finalize_format();
+    add(&mut f, 2, &[], Priority::Normal);
+    f.bind(&id(2), 0, StartState::Unknown);
+    add(&mut f, 1, &[2], Priority::Normal);
+    f.request(9, "POST", "/submissions/j-2/abort");
+    assert_eq!(ask(&mut f, 1), 200, "just requested");
+    let half_ms = f.node.ctx.config.cancellation_timeout_ms / 2;
+    wait(&mut f, half_ms);
+    assert_eq!(ask(&mut f, 2), 503, "requested long ago");
+}
+
 /// Guards against messages that controllers of the first release can't read: a final
 /// stage is announced only once a format with dependencies is finalized.
 #[test]
