The job feed is bounded by jobs and the dependencies that they name

Cause: the feed kept as many unfinished jobs as the cache of stages, whatever the length of their lists of dependencies; with 47 names each the index would have grown far beyond the estimate of 512 bytes a job. Change: its capacity counts jobs and named dependencies, in a bound of its own (5% of the memory at 256 bytes).

--- a/crates/core/src/bounds.rs
+++ b/crates/core/src/bounds.rs
@@ -29,6 +29,11 @@
 const CACHED_JOBS_MEMORY_FRACTION: f64 = 0.05;
 /// Upper estimate of the memory for the cached stage and shard of one job, in bytes.
 const CACHED_JOB_BYTES: f64 = 512.0;
+/// Fraction of the memory for the unfinished jobs in the job feed.
+const FEED_MEMORY_FRACTION: f64 = 0.05;
+/// Upper estimate of the memory for one job in the job feed, or for one dependency that such a
+/// job names, in bytes.
+const FEED_ENTRY_BYTES: f64 = 256.0;
 /// Fraction of the memory for queued messages to all other controllers.
 const PEER_QUEUE_MEMORY_FRACTION: f64 = 0.05;
 /// Fraction of the memory that the response to one call may use.
@@ -65,6 +70,9 @@
     /// Maximum number of jobs in each cache of job stages and shards. The oldest entry is
     /// evicted when the cache is full; the job's record is then read from the key-value store.
     pub cached_jobs: usize,
+    /// Maximum number of unfinished jobs in the job feed, together with the dependencies that they
+    /// name. The oldest job is evicted when the feed is full; its record is then read again.
+    pub feed_entries: usize,
     /// Number of interned image names above which the unused ones are evicted.
     pub image_names: usize,
     /// Maximum size of the message queue to one other controller, in bytes. Messages beyond it
@@ -95,6 +103,7 @@
             worker_calls: sockets(WORKER_CALLS_FRACTION),
             forwarded_requests: sockets(INCOMING_CONNECTIONS_FRACTION),
             cached_jobs: at_least_one(memory(CACHED_JOBS_MEMORY_FRACTION) / CACHED_JOB_BYTES),
+            feed_entries: at_least_one(memory(FEED_MEMORY_FRACTION) / FEED_ENTRY_BYTES),
             image_names: at_least_one(memory(IMAGE_NAMES_MEMORY_FRACTION) / IMAGE_NAME_BYTES),
             // The queue must be able to hold a message of maximum size.
             peer_queue_bytes: ((memory(PEER_QUEUE_MEMORY_FRACTION) / peers) as usize)
--- a/crates/core/src/bounds/tests.rs
+++ b/crates/core/src/bounds/tests.rs
@@ -36,6 +36,7 @@
         (small.worker_calls, large.worker_calls, 150),
         (small.forwarded_requests, large.forwarded_requests, 600),
         (small.cached_jobs, large.cached_jobs, 10_240),
+        (small.feed_entries, large.feed_entries, 20_480),
         (small.image_names, large.image_names, 20_480),
         (small.peer_queue_bytes, large.peer_queue_bytes, 1_310_720),
         (
@@ -55,6 +56,7 @@
 fn every_bound_of_the_smallest_controller_is_at_least_one() {
     let bounds = Bounds::new(&settings(0.001, 32, 64), 1.0);
     assert!(bounds.cached_jobs >= 1 && bounds.image_names >= 1);
+    assert!(bounds.feed_entries >= 1);
     assert!(bounds.worker_calls >= 1 && bounds.forwarded_requests >= 1);
     assert_eq!(
         bounds.peer_queue_bytes, MAX_MESSAGE_BYTES,
--- a/crates/core/src/job_feed.rs
+++ b/crates/core/src/job_feed.rs
@@ -70,7 +70,7 @@
 }
 
 impl JobFeed {
-    /// A stopped feed that keeps up to `capacity` unfinished jobs.
+    /// A stopped feed that keeps up to `capacity` unfinished jobs and dependencies.
     pub(crate) fn new(capacity: usize) -> Self {
         Self {
             run: FeedRun::default(),
--- a/crates/core/src/job_feed/unfinished_jobs.rs
+++ b/crates/core/src/job_feed/unfinished_jobs.rs
@@ -20,12 +20,21 @@
     sequence: u64,
 }
 
+impl UnfinishedJob {
+    /// The part of the capacity that the job takes: itself and its dependencies.
+    fn size(&self) -> usize {
+        1 + self.dependencies.len()
+    }
+}
+
 /// A bounded set of unfinished jobs. The job that was inserted first is evicted first.
 ///
-/// Invariant: `oldest_first` and `dependents` hold exactly the jobs of `entries`.
+/// Invariant: `oldest_first` and `dependents` hold exactly the jobs of `entries`, and `size` is
+/// the sum of their sizes.
 pub(super) struct UnfinishedJobs {
-    /// Maximum number of jobs.
+    /// Maximum number of jobs and of dependencies that they name.
     capacity: usize,
+    size: usize,
     entries: HashMap<JobId, Entry>,
     /// Jobs by the sequence number of their insertion.
     oldest_first: BTreeMap<u64, JobId>,
@@ -35,10 +44,11 @@
 }
 
 impl UnfinishedJobs {
-    /// An empty set of up to `capacity` jobs.
+    /// An empty set of up to `capacity` jobs and dependencies.
     pub(super) fn new(capacity: usize) -> Self {
         Self {
             capacity,
+            size: 0,
             entries: HashMap::new(),
             oldest_first: BTreeMap::new(),
             next_sequence: 0,
@@ -63,14 +73,16 @@
             let dependents = self.dependents.entry(dependency.clone()).or_default();
             dependents.insert(id.clone());
         }
+        self.size += job.size();
         let sequence = self.next_sequence;
         self.next_sequence += 1;
         self.oldest_first.insert(sequence, id.clone());
         self.entries.insert(id, Entry { job, sequence });
-        while self.entries.len() > self.capacity {
-            if let Some((_, oldest)) = self.oldest_first.pop_first() {
-                self.remove(&oldest);
-            }
+        while self.size > self.capacity {
+            let Some((_, oldest)) = self.oldest_first.pop_first() else {
+                return;
+            };
+            self.remove(&oldest);
         }
     }
 
@@ -80,6 +92,7 @@
             return;
         };
         self.oldest_first.remove(&entry.sequence);
+        self.size -= entry.job.size();
         for dependency in &entry.job.dependencies {
             let Some(dependents) = self.dependents.get_mut(dependency) else {
                 continue;
@@ -93,6 +106,7 @@
 
     /// Removes all jobs.
     pub(super) fn clear(&mut self) {
+        self.size = 0;
         self.entries.clear();
         self.oldest_first.clear();
         self.dependents.clear();
--- a/crates/core/src/job_feed/unfinished_jobs/tests.rs
+++ b/crates/core/src/job_feed/unfinished_jobs/tests.rs
@@ -22,7 +22,7 @@
 /// without bound, and cancel jobs that do not depend on a cancelled one.
 #[test]
 fn index_by_dependencies_follows_insertion_eviction_and_removal() {
-    let mut jobs = UnfinishedJobs::new(2);
+    let mut jobs = UnfinishedJobs::new(5);
     jobs.insert(id(1), job(&[0]));
     jobs.insert(id(2), job(&[0, 1]));
     assert_eq!(dependents(&jobs, 0), vec![id(1), id(2)]);
@@ -41,4 +41,20 @@
     jobs.clear();
     assert!(jobs.get(&id(3)).is_none());
     assert!(jobs.dependents.is_empty() && jobs.oldest_first.is_empty());
+    assert_eq!(jobs.size, 0);
+}
+
+/// Guards against memory that grows with the lists of dependencies: a long list takes the place
+/// of many jobs.
+#[test]
+fn dependencies_count_towards_the_capacity() {
+    let mut jobs = UnfinishedJobs::new(10);
+    for n in 0..10 {
+        jobs.insert(id(n), job(&[]));
+    }
+    assert!((0..10).all(|n| jobs.get(&id(n)).is_some()));
+    jobs.insert(id(20), job(&[1, 2, 3, 4]));
+    let kept: Vec<bool> = (0..10).map(|n| jobs.get(&id(n)).is_some()).collect();
+    assert_eq!(kept, (0..10).map(|n| n >= 5).collect::<Vec<bool>>());
+    assert!(jobs.get(&id(20)).is_some());
 }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -93,6 +93,7 @@
     pub fn new(config: Config, incarnation: u64, seed: u64) -> Self {
         let config = Rc::new(config);
         let cached_jobs = config.bounds.cached_jobs;
+        let feed_entries = config.bounds.feed_entries;
         Self {
             leader: Leader::new(config.cloud_rps),
             ctx: Context::new(config, incarnation, seed),
@@ -104,7 +105,7 @@
             final_stages: FinalStages::new(cached_jobs),
             job_shards: RecentJobs::new(cached_jobs),
             dependencies: DependencyTracker::default(),
-            job_feed: JobFeed::new(cached_jobs),
+            job_feed: JobFeed::new(feed_entries),
             delayed_lookups: Vec::new(),
             admissions: BTreeMap::new(),
             pending_forwards: BTreeMap::new(),
