A holder that resumes after a pause deletes no machine that another holds

Cause: a machine that may hold a cancelled task is deleted without a record and without a valid lease, as "that only ends things". It also ends what the machine's next holder runs there, and the first step after a pause may come before anything is read.

Change: without a valid lease no machine is deleted this way while another controller is known to hold the shard, nor for 5 s after a pause: by then a call to the state service has ended and heartbeats of the peers have come. Deletions in an outage are as before.

--- a/crates/core/src/shard/reconciliation/cancellations.rs
+++ b/crates/core/src/shard/reconciliation/cancellations.rs
@@ -25,6 +25,10 @@
 /// Fraction of the cancellation timeout after which the holder requests the deletion of these
 /// machines itself.
 const DELETE_FRACTION: f64 = 0.6;
+/// Time after a pause of the process in which another holder of the shard becomes known, in
+/// milliseconds: longer than the timeout of a call to the key-value store and the interval of
+/// heartbeats between controllers.
+const RESUME_DELAY_MS: Ms = 5_000;
 /// Heartbeat intervals that a new holder gives a machine to report that a task has been
 /// stopped.
 const STOP_GRACE_HEARTBEATS: u64 = 2;
@@ -80,11 +84,22 @@
             }
             self.cancelled_jobs.set_deadline(&id, next_check);
         }
-        self.delete_overdue_machines(ctx, overdue);
+        if self.may_delete_machines(ctx) {
+            self.delete_overdue_machines(ctx, overdue);
+        }
+    }
+
+    /// Whether this controller may have machines of the shard deleted. It needs no valid lease,
+    /// as the cancelled tasks must be gone in time even in an outage of the key-value store. But
+    /// if another controller is known to hold the shard, or may have come to hold it while this
+    /// process was paused, that holder stops the cancelled tasks, and the machines may run others.
+    fn may_delete_machines(&self, ctx: &Context) -> bool {
+        let is_resuming = ctx.resumed_at > 0 && ctx.now < ctx.resumed_at + RESUME_DELAY_MS;
+        ctx.has_valid_lease || !(self.is_superseded || is_resuming)
     }
 
-    /// Requests the deletion of machines whose records do not show their decommissioning. The
-    /// deletion is always safe, because it only ends tasks.
+    /// Requests the deletion of machines whose records do not show their decommissioning. It
+    /// only ends tasks.
     ///
     /// No deleted machine is used again: this holder keeps it decommissioned until the record
     /// shows the reason, and the next holder starts no task on a machine without heartbeats.
--- a/crates/testkit/tests/controller_pauses.rs
+++ b/crates/testkit/tests/controller_pauses.rs
@@ -10,9 +10,11 @@
 use common::Ms;
 use forkshift_testkit::job_id as id;
 use forkshift_testkit::{
-    ControllerSelector, DeploymentConfig, Fault, FaultKind, JobPlan, Simulation,
+    ControllerSelector, DeploymentConfig, Fault, FaultKind, JobPlan, MachineFault, MachineSelector,
+    Simulation,
 };
 use forkshift_wire::users::JobKind;
+use std::collections::BTreeSet;
 
 /// When controllers pause or crash: all jobs submitted in the first seconds run by then.
 const FAULT_AT: Ms = 60_000;
@@ -153,6 +155,67 @@
     }
 }
 
+/// Guards against a holder that deletes a machine when it resumes after a pause, for a
+/// cancellation of long ago, although another controller holds the machine by now, the cancelled
+/// task is gone and a replica runs there. The machine hung for a moment, so the holder has not
+/// learned that the cancelled task exited.
+#[test]
+fn a_holder_that_resumes_deletes_no_machine_that_another_holds() {
+    let pause_ms = 40_000;
+    let holder = || ControllerSelector::HolderOfJob(id(0));
+    for seed in 600..610 {
+        let mut replica = JobPlan::plain(0, 2_000, JobKind::Service, 1, 0);
+        let mut cancelled = JobPlan::plain(1, 2_000, JobKind::Array, 1, 300_000);
+        cancelled.cancel_at = Some(FAULT_AT + 300);
+        for plan in [&mut replica, &mut cancelled] {
+            plan.spec.cpus = 1.0;
+            plan.spec.gpus = 1.0;
+            plan.spec.zone = Some("a".to_owned());
+            plan.spec.machine_types = Some(vec!["g8".to_owned()]);
+            plan.target_controller = Some(holder());
+        }
+        let size = DeploymentConfig {
+            capacity: 1,
+            poll_ms: 200,
+            ..DeploymentConfig::default()
+        };
+        let plans = vec![replica, cancelled];
+        let mut simulation = Simulation::with_config(seed, plans, Vec::new(), size);
+        simulation.run_until(FAULT_AT);
+        let machines_of = |simulation: &Simulation, n| {
+            let tasks = simulation.tasks_of(&BTreeSet::from([id(n)]));
+            tasks.into_iter().map(|(_, machine, _)| machine).next()
+        };
+        let shared = machines_of(&simulation, 0);
+        assert!(shared.is_some() && shared == machines_of(&simulation, 1));
+        let hang = MachineFault::Hang(2_000);
+        let machine = MachineSelector::RunningJob(id(1));
+        simulation.inject_fault(FaultKind::Machines(machine, hang));
+        simulation.run_until(FAULT_AT + 1_000);
+        assert!(simulation.cancelled_at(&id(1)).is_some(), "seed {seed}");
+        let epoch = simulation.epoch_of(&id(0));
+        simulation.inject_fault(pause(0, pause_ms).at(holder()));
+        simulation.run_until(FAULT_AT + pause_ms);
+        assert_ne!(
+            simulation.epoch_of(&id(0)),
+            epoch,
+            "seed {seed}: no new holder"
+        );
+        assert_eq!(
+            machines_of(&simulation, 1),
+            None,
+            "seed {seed}: not stopped"
+        );
+        assert_eq!(machines_of(&simulation, 0), shared, "seed {seed}: before");
+        let terminated_before = simulation.terminated_machines();
+        simulation.run_until(FAULT_AT + pause_ms + 30_000);
+        assert_eq!(machines_of(&simulation, 0), shared, "seed {seed}: replica");
+        let terminated = simulation.terminated_machines();
+        assert_eq!(terminated, terminated_before, "seed {seed}: machines");
+        assert_eq!(simulation.checker.violations, vec![], "seed {seed}");
+    }
+}
+
 /// For each controller, how many milliseconds it is down from `FAULT_AT`; `None` for a
 /// controller that keeps running.
 type Downtimes = [Option<Ms>; 3];
