A late timer does not keep a holder from deleting machines in an outage

A controller whose steps come more than half a heartbeat apart counts as paused at each of them, and would have deleted nothing without a lease.

Change: they are put off only after a pause in which the lease expired. Where it had expired before, nothing has changed that was not known.

--- a/crates/core/src/context.rs
+++ b/crates/core/src/context.rs
@@ -80,6 +80,8 @@
     pub(crate) has_valid_lease: bool,
     /// When the process last resumed after a pause; 0 if never.
     pub(crate) resumed_at: Ms,
+    /// When the process last resumed after a pause in which its lease expired; none if never.
+    pub(crate) lease_lost_in_pause_at: Option<Ms>,
     pub(crate) failure_detector: FailureDetector,
     /// Which links of this controller are up.
     pub(crate) links: LinkStates,
@@ -134,6 +136,7 @@
             peer_requests: BTreeMap::new(),
             has_valid_lease: false,
             resumed_at: 0,
+            lease_lost_in_pause_at: None,
             failure_detector: FailureDetector::default(),
             links: LinkStates::default(),
             cloud_link: CloudLink::default(),
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -134,7 +134,11 @@
         self.ctx.wall_clock_ms = wall;
         // Inputs that were queued in the sockets during a pause of the process are processed
         // under the lease's validity as of now, not as of before the pause.
+        let had_valid_lease = self.ctx.has_valid_lease;
         self.ctx.has_valid_lease = self.membership.has_valid_lease(&self.ctx, &self.view);
+        if had_valid_lease && !self.ctx.has_valid_lease && self.ctx.resumed_at == now {
+            self.ctx.lease_lost_in_pause_at = Some(now);
+        }
         for input in inputs {
             self.on_input(input);
         }
--- a/crates/core/src/shard/reconciliation/cancellations.rs
+++ b/crates/core/src/shard/reconciliation/cancellations.rs
@@ -25,7 +25,7 @@
 /// Fraction of the cancellation timeout after which the holder requests the deletion of these
 /// machines itself.
 const DELETE_FRACTION: f64 = 0.6;
-/// Time after a pause of the process in which another holder of the shard becomes known, in
+/// Time after a pause in which the lease expired until another holder of the shard is known, in
 /// milliseconds: longer than the timeout of a call to the key-value store and the interval of
 /// heartbeats between controllers.
 const RESUME_DELAY_MS: Ms = 5_000;
@@ -91,10 +91,11 @@
 
     /// Whether this controller may have machines of the shard deleted. It needs no valid lease,
     /// as the cancelled tasks must be gone in time even in an outage of the key-value store. But
-    /// if another controller is known to hold the shard, or may have come to hold it while this
-    /// process was paused, that holder stops the cancelled tasks, and the machines may run others.
+    /// if another controller is known to hold the shard, or may have come to hold it in a pause of
+    /// this process, that holder stops the cancelled tasks, and the machines may run others.
     fn may_delete_machines(&self, ctx: &Context) -> bool {
-        let is_resuming = ctx.resumed_at > 0 && ctx.now < ctx.resumed_at + RESUME_DELAY_MS;
+        let resumed_at = ctx.lease_lost_in_pause_at;
+        let is_resuming = resumed_at.is_some_and(|at| ctx.now < at + RESUME_DELAY_MS);
         ctx.has_valid_lease || !(self.is_superseded || is_resuming)
     }
 
