The chain check says each thing once

Change: a fraction of the cancellation timeout is one method of Config, which the deadlines of cancellations and their budget use as well (six places); a held job is looked up by one method beside the other lookups; dependents are cancelled in one walk for all of them instead of one walk each, which visited shared dependents again; the job feed is prolonged and its run compared in one place; expired lookups are split off instead of put back.

--- a/crates/core/src/api/delayed_lookups.rs
+++ b/crates/core/src/api/delayed_lookups.rs
@@ -53,11 +53,11 @@
     /// Refuses the requests whose lookups have been delayed for too long.
     pub(crate) fn expire_delayed_lookups(&mut self) {
         let now = self.ctx.now;
-        for lookup in std::mem::take(&mut self.delayed_lookups) {
-            if now < lookup.deadline {
-                self.delayed_lookups.push(lookup);
-                continue;
-            }
+        let lookups = std::mem::take(&mut self.delayed_lookups).into_iter();
+        let (expired, waiting): (Vec<_>, Vec<_>) =
+            lookups.partition(|lookup| now >= lookup.deadline);
+        self.delayed_lookups = waiting;
+        for lookup in expired {
             log::debug!("job {}: its dependencies may be cancelled", lookup.id);
             let reply = Reply::unavailable("not known at the moment");
             self.ctx.respond(lookup.request, reply);
--- a/crates/core/src/api/status_queries.rs
+++ b/crates/core/src/api/status_queries.rs
@@ -174,9 +174,8 @@
         if record.spec.dependencies.is_empty() {
             return DependencyCheck::NotCancelled;
         }
-        let shard = active_shard_of(&self.shards, &record.spec.id);
-        let job = shard.and_then(|s| s.jobs.get(&record.spec.id));
-        if job.is_some_and(|job| job.is_cancelled) {
+        let held = self.held_job(&record.spec.id);
+        if held.is_some_and(|job| job.is_cancelled) {
             return DependencyCheck::Cancelled;
         }
         self.check_dependencies(&record.spec.dependencies)
--- a/crates/core/src/config.rs
+++ b/crates/core/src/config.rs
@@ -291,10 +291,15 @@
         }
     }
 
+    /// A fraction of the cancellation timeout, in milliseconds.
+    pub(crate) fn cancellation_fraction_ms(&self, fraction: f64) -> Ms {
+        (self.cancellation_timeout_ms as f64 * fraction) as Ms
+    }
+
     /// The cancellation timeout less the reserve for clock drift and late timers, in
     /// milliseconds.
     fn cancellation_budget_ms(&self) -> Ms {
-        (self.cancellation_timeout_ms as f64 * (1.0 - CLOCK_DRIFT_FRACTION)) as Ms
+        self.cancellation_fraction_ms(1.0 - CLOCK_DRIFT_FRACTION)
     }
 
     /// Expected fraction of a zone's workers that reach a controller inside the zone before
--- a/crates/core/src/job_feed.rs
+++ b/crates/core/src/job_feed.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Whether a call of a run of the feed still matters.
+    fn is_current(&self, run: FeedRun) -> bool {
+        run == self.run && self.revision.is_some()
+    }
+
     /// The current run of the feed.
     pub(crate) fn run(&self) -> FeedRun {
         self.run
@@ -117,8 +122,7 @@
     /// Records that a job was unfinished when its record was read. `read_at` is when the read
     /// was requested, in the given run of the feed.
     pub(crate) fn insert_read(&mut self, run: FeedRun, record: &JobRecord, read_at: Ms) {
-        let is_current = run == self.run && self.revision.is_some();
-        if !is_current || record.spec.kind == JobKind::Service {
+        if !self.is_current(run) || record.spec.kind == JobKind::Service {
             return;
         }
         let job = UnfinishedJob {
@@ -162,13 +166,20 @@
 impl Node {
     /// Keeps the job feed running for a while, as a request needs it.
     pub(crate) fn request_job_feed(&mut self) {
+        self.prolong_job_feed();
+        self.run_job_feed();
+    }
+
+    fn prolong_job_feed(&mut self) {
         let until = self.ctx.now + self.ctx.config.cancellation_timeout_ms;
         self.job_feed.requested_until = until;
-        self.run_job_feed();
     }
 
     /// Starts or stops the job feed as needed, and sends the due poll and reads.
     pub(crate) fn update_job_feed(&mut self) {
+        if !self.dependencies.is_empty() {
+            self.prolong_job_feed();
+        }
         self.run_job_feed();
         if self.job_feed.revision.is_some() {
             self.poll_job_feed();
@@ -178,10 +189,6 @@
 
     fn run_job_feed(&mut self) {
         let now = self.ctx.now;
-        if !self.dependencies.is_empty() {
-            let until = now + self.ctx.config.cancellation_timeout_ms;
-            self.job_feed.requested_until = until;
-        }
         let is_needed = now < self.job_feed.requested_until;
         match self.job_feed.revision {
             None if is_needed && self.view.is_complete => {
@@ -194,11 +201,11 @@
 
     /// Interval between two polls, in milliseconds.
     fn job_feed_interval_ms(&self) -> Ms {
-        let timeout_ms = self.ctx.config.cancellation_timeout_ms as f64;
+        let config = &self.ctx.config;
         let within_rate_ms = self.ctx.watch_interval_ms(POLL_RATE_FRACTION);
         within_rate_ms
-            .max((timeout_ms * POLL_INTERVAL_FRACTION) as Ms)
-            .min((timeout_ms * MAX_POLL_INTERVAL_FRACTION) as Ms)
+            .max(config.cancellation_fraction_ms(POLL_INTERVAL_FRACTION))
+            .min(config.cancellation_fraction_ms(MAX_POLL_INTERVAL_FRACTION))
     }
 
     fn poll_job_feed(&mut self) {
@@ -218,7 +225,7 @@
 
     /// Processes the answer to a poll that was requested at `sent`.
     pub(crate) fn on_job_feed(&mut self, run: FeedRun, sent: Ms, status: u16, body: &[u8]) {
-        if run != self.job_feed.run || self.job_feed.revision.is_none() {
+        if !self.job_feed.is_current(run) {
             return;
         }
         self.job_feed.is_poll_in_flight = false;
--- a/crates/core/src/node/shard_lookup.rs
+++ b/crates/core/src/node/shard_lookup.rs
@@ -2,6 +2,7 @@
 
 use super::Node;
 use crate::records::ShardId;
+use crate::shard::job::Job;
 use crate::shard::{RecoveryState, Shard};
 use forkshift_wire::JobId;
 use std::collections::BTreeMap;
@@ -11,6 +12,11 @@
     pub(crate) fn active_shard_of_mut(&mut self, id: &JobId) -> Option<&mut Shard> {
         active_shard_of_mut(&mut self.shards, id)
     }
+
+    /// An unfinished job of an active shard held here, if it is one.
+    pub(crate) fn held_job(&self, id: &JobId) -> Option<&Job> {
+        active_shard_of(&self.shards, id).and_then(|shard| shard.jobs.get(id))
+    }
 }
 
 /// The active shard that contains an unfinished job. Shards that are still loading are
--- a/crates/core/src/shard/dependencies.rs
+++ b/crates/core/src/shard/dependencies.rs
@@ -18,7 +18,6 @@
 
 pub(crate) use check::DependencyCheck;
 
-use crate::context::Context;
 use crate::node::{active_shard_of_mut, Node};
 use crate::recent_jobs::FinalStage;
 use crate::records::ShardId;
@@ -107,7 +106,8 @@
         self.register_blocked_jobs();
         self.process_final_stages();
         if !self.dependencies.is_empty() && self.ctx.now >= self.dependencies.next_review_at {
-            let interval_ms = review_interval_ms(&self.ctx);
+            let config = &self.ctx.config;
+            let interval_ms = config.cancellation_fraction_ms(REVIEW_INTERVAL_FRACTION);
             self.dependencies.next_review_at = self.ctx.now + interval_ms;
             self.review_dependencies();
         }
@@ -163,7 +163,9 @@
     fn register_dependencies(&mut self, id: &JobId, unresolved: &[JobId]) {
         for dependency in unresolved {
             match self.final_stages.get(dependency) {
-                Some(JobStage::Cancelled) => self.cancel_with_dependents(id, dependency),
+                Some(JobStage::Cancelled) => {
+                    self.cancel_with_dependents(vec![id.clone()], dependency);
+                }
                 Some(_) => self.resolve_dependency(id, dependency),
                 None => self.dependencies.add(dependency, id),
             }
@@ -178,9 +180,7 @@
             self.announce_job_ended(end);
         }
         if end.stage == JobStage::Cancelled {
-            for dependent in self.known_dependents_of(&end.id) {
-                self.cancel_with_dependents(&dependent, &end.id);
-            }
+            self.cancel_with_dependents(self.known_dependents_of(&end.id), &end.id);
         }
         self.job_feed.remove(&end.id);
         for dependent in self.dependencies.remove(&end.id) {
@@ -211,11 +211,10 @@
             .collect()
     }
 
-    /// Cancels a job whose dependency was cancelled, and its transitive dependents, as far
+    /// Cancels jobs whose dependency was cancelled, and their transitive dependents, as far
     /// as this controller holds them. Their other holders do the same.
-    fn cancel_with_dependents(&mut self, dependent: &JobId, dependency: &JobId) {
+    fn cancel_with_dependents(&mut self, mut pending: Vec<JobId>, dependency: &JobId) {
         let mut visited = BTreeSet::new();
-        let mut pending = vec![dependent.clone()];
         while let Some(id) = pending.pop() {
             if !visited.insert(id.clone()) {
                 continue;
@@ -295,17 +294,10 @@
         let walk = self.walk_dependencies(ids);
         self.job_feed.read(walk.unknown);
         for cancelled in walk.cancelled {
-            for dependent in self.known_dependents_of(&cancelled) {
-                self.cancel_with_dependents(&dependent, &cancelled);
-            }
+            self.cancel_with_dependents(self.known_dependents_of(&cancelled), &cancelled);
         }
     }
 }
 
-/// Interval between two reviews of the dependencies, in milliseconds.
-fn review_interval_ms(ctx: &Context) -> Ms {
-    (ctx.config.cancellation_timeout_ms as f64 * REVIEW_INTERVAL_FRACTION) as Ms
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/core/src/shard/dependencies/check.rs
+++ b/crates/core/src/shard/dependencies/check.rs
@@ -5,7 +5,7 @@
 //! long ago that one is. Every controller makes the same check before it gives such an
 //! answer, whether it holds the job, answers from the job's record, or accepts it.
 
-use crate::node::{active_shard_of, Node};
+use crate::node::Node;
 use crate::shard::job::Job;
 use crate::Ms;
 use forkshift_wire::users::JobStage;
@@ -47,8 +47,7 @@
         dependencies: impl IntoIterator<Item = &'a JobId>,
     ) -> DependencyCheck {
         let walk = self.walk_dependencies(dependencies);
-        let timeout_ms = self.ctx.config.cancellation_timeout_ms as f64;
-        let max_age_ms = (timeout_ms * MAX_AGE_FRACTION) as Ms;
+        let max_age_ms = self.ctx.config.cancellation_fraction_ms(MAX_AGE_FRACTION);
         let is_recent = self.ctx.now < walk.not_cancelled_as_of + max_age_ms;
         if !walk.cancelled.is_empty() {
             DependencyCheck::Cancelled
@@ -89,10 +88,6 @@
         walk
     }
 
-    fn held_job(&self, id: &JobId) -> Option<&Job> {
-        active_shard_of(&self.shards, id).and_then(|shard| shard.jobs.get(id))
-    }
-
     /// Adds a job without a known final stage to the walk, and returns its dependencies.
     /// `held` is the job in memory, if this controller is its holder.
     fn visit_unfinished<'a>(
--- a/crates/core/src/shard/dependencies/tests.rs
+++ b/crates/core/src/shard/dependencies/tests.rs
@@ -216,8 +216,7 @@
     let mut body = record(f, 1, JobStage::Queued);
     body["data"]["spec"]["awaits"] = json!(["j-2"]);
     for _ in 0..20 {
-        let calls = f.node.ctx.pending_calls.values();
-        let effects = if calls.filter(|call| is_lookup(call)).count() > 0 {
+        let effects = if f.node.ctx.pending_calls.values().any(is_lookup) {
             f.answer(is_lookup, 200, &body)
         } else {
             f.step(100)
--- a/crates/core/src/shard/reconciliation/cancellations.rs
+++ b/crates/core/src/shard/reconciliation/cancellations.rs
@@ -43,8 +43,7 @@
 
 impl CancellationDeadlines {
     fn new(ctx: &Context, job: &Job) -> Self {
-        let fraction_ms =
-            |fraction: f64| (ctx.config.cancellation_timeout_ms as f64 * fraction) as Ms;
+        let fraction_ms = |fraction| ctx.config.cancellation_fraction_ms(fraction);
         // A new holder first tries to stop the tasks, if the timeout leaves enough time.
         let stop_ms = ctx.config.heartbeat_interval_ms * STOP_GRACE_HEARTBEATS;
         let after_stop_attempt = job.cancellation_age.age_when_learned_ms + stop_ms;
