--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -60,7 +60,7 @@
 
 
 def http_answer(status, obj):
-    body = json.dumps(obj).encode()
+    body = json.dumps(obj, separators=(",", ":")).encode()
     return (f"HTTP/1.1 {status} X\r\ncontent-type: application/json\r\n"
             f"content-length: {len(body)}\r\n\r\n").encode() + body
 
@@ -102,7 +102,7 @@
         async def go():
             nonlocal w
             r, w = await asyncio.open_connection(*addr, local_addr=(src, 0) if src else None)
-            body = b"" if obj is None else json.dumps(obj).encode()
+            body = b"" if obj is None else json.dumps(obj, separators=(",", ":")).encode()
             head = (f"{method} {path} HTTP/1.1\r\nhost: {addr[0]}:{addr[1]}\r\n"
                     f"content-length: {len(body)}\r\ncontent-type: application/json\r\n"
                     "connection: close\r\n\r\n")
@@ -126,6 +126,7 @@
         self.next_lease, self.outage, self.mode, self.since = 1, False, {}, {}
         self.delay = {}           # controller -> seconds before each answer
         self.cond = asyncio.Condition()
+        self.carried_out = []     # transactions that were carried out
         self.hook = None          # async (controller, method, path, body) -> None or an answer
         self.rps, self.write_rps = rps, write_rps
         self.tokens, self.wtokens, self.t = rps, write_rps, now()
@@ -223,6 +224,7 @@
             if failed:
                 return 409, {"failed": failed, "ledger_rev": self.rev}
             if body.get("writes"):
+                self.carried_out.append(body)
                 self.rev += 1
                 for w in body["writes"]:
                     if "put" in w:
@@ -643,16 +645,18 @@
 
 
 def free_ports(n):
+    """Free ports below those that the system gives to outgoing connections."""
     import socket
-    socks = []
-    for _ in range(n):
-        s = socket.socket()
-        s.bind(("127.0.0.1", 0))
-        socks.append(s)
-    ports = [s.getsockname()[1] for s in socks]
-    for s in socks:
-        s.close()
-    return ports
+    ports = set()
+    while len(ports) < n:
+        p = random.SystemRandom().randrange(15000, 32000)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", p))
+                ports.add(p)
+            except OSError:
+                pass
+    return list(ports)
 
 
 class World:
