--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,7 +7,7 @@
 python3 - <<'PY'
 import ast, glob, sys
 import asyncio, tomllib
-for path in glob.glob("review/standins-2/*.py") + glob.glob("review/[4-8]/*.py"):
+for path in glob.glob("review/standins-2/*.py") + glob.glob("review/[4-8]/*.py") + glob.glob("review/tried-2/*/*.py"):
     ast.parse(open(path).read(), path)
 print("stand-ins: ready, Python", sys.version.split()[0])
 PY
--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -368,6 +368,7 @@
         self.target = random.randrange(len(world.ctl))
         self.wake = asyncio.Event()
         self.jobs = []
+        self.images = {}           # image -> when it is there; fetched once for all tasks, kept
         self.carried_out = []      # bodies of direct commands that were carried out
 
     def start(self, boot):
@@ -444,7 +445,7 @@
             for k, t in list(self.tasks.items()):
                 uid = k[0].split("/")[0]
                 shape = self.w.specs[uid]["shape"] if uid in self.w.specs else None
-                if t["stage"] == "fetching" and now() >= t["since"] + self.w.fetch_s:
+                if t["stage"] == "fetching" and now() >= self.images[self.w.specs[uid]["kit"]]:
                     self.on(k, t, "gathering" if shape == "group" else "running")
                 if shape == "group" and t["stage"] in ("gathering", "running"):
                     self.gang(k, t, uid)
@@ -512,6 +513,8 @@
                               if v["stage"] != "exited")
                     if use > rig[f] + 1e-6:
                         t["stage"], t["cause"] = "exited", "full"
+                if t["stage"] == "fetching" and self.images.setdefault(s["kit"], now() + self.w.fetch_s) <= now():
+                    self.on(k, t, "gathering" if s["shape"] == "group" else "running")   # the image is there
             self.wake.set()
         elif o["verb"] == "kill":
             if k in self.tasks:
