--- a/review/6/run.py
+++ b/review/6/run.py
@@ -40,7 +40,7 @@
     await w.until(lambda: not any(k.startswith("c/charter/") for k in w.st.keys), 10, "a rental is not recorded")
     # machines that were rented beside are returned
     quiet = now()
-    while now() < quiet + 3:
+    while now() < quiet + 2:
         await asyncio.sleep(0.1)
         if len(w.workers) != 2 or any(k.startswith("c/charter/") for k in w.st.keys):
             quiet = now()
