--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -354,7 +354,7 @@
 
     def __init__(self, world, name, n, rig, yard, loaner):
         self.w, self.name, self.rig, self.yard, self.loaner = world, name, rig, yard, loaner
-        self.ip = f"127.{world.net}.{n // 250 + 1}.{n % 250 + 1}"
+        self.ip = f"127.{world.net[0]}.{(world.net[1] + n // 250) % 256}.{n % 250 + 1}"
         self.addr = f"{self.ip}:9000"
         self.rented, self.up, self.gone = now(), False, False
         self.watch, self.tally, self.baton = 1, 0, 0
@@ -387,7 +387,11 @@
 
     async def life(self, boot):
         await asyncio.sleep(boot)
-        self.server = await serve((self.ip, 9000), self.on_http)
+        try:
+            self.server = await serve((self.ip, 9000), self.on_http)
+        except OSError as e:
+            self.w.failed = f"the address of {self.name} is taken: {e}"
+            raise
         self.up, self.lease_from = True, now()
         self.jobs.append(asyncio.ensure_future(self.tick()))
         while True:
@@ -694,9 +698,10 @@
         self.initial_size = initial_size or n
         self.workers, self.specs, self.runs = {}, {}, {}
         self.on_now, self.deleted, self.starts = {}, [], []
-        self.broken = []
+        self.broken, self.failed = [], None
         self.cut_off, self.hold = set(), False   # controllers without network; whether packets are held back
-        self.net = random.randrange(64, 240)
+        dice = random.SystemRandom()
+        self.net = dice.randrange(64, 240), dice.randrange(256)   # workers have loopback addresses of their own
         ports = free_ports(n * 4 + n * n)
         lo = lambda p: ("127.0.0.1", p)
         self.names = [f"berth-{i}" for i in range(n)]
@@ -886,6 +891,8 @@
                 if c.p and c.p.poll() is not None and not getattr(c, "expected_dead", False):
                     w.rec("controller", c.i, "had ended with", c.p.returncode)
             w.close(keep)
+        if w.failed:
+            raise RuntimeError(w.failed)
         return w
     def ended(signum, frame):
         raise KeyboardInterrupt(f"signal {signum}")
