The testkit repeats executed requests seconds to minutes later

Need: the review saw a start that was carried out arrive once more and run its task on two machines.

Change: FaultKind::RepeatedRequests delivers a share of the executed requests to one kind of receiver (workers, store, cloud) a second time, 2 to 120 s later.

--- a/crates/testkit/src/day.rs
+++ b/crates/testkit/src/day.rs
@@ -5,8 +5,8 @@
 //! and recorded failures stay reproducible.
 
 use crate::{
-    random_early_faults, random_faults, random_pairs, random_upgrade, DeploymentConfig, Fault,
-    JobPlan, Ms, NextLimits, Simulation,
+    random_early_faults, random_faults, random_pairs, random_repeats, random_upgrade,
+    DeploymentConfig, Fault, JobPlan, Ms, NextLimits, Simulation,
 };
 use forkshift_wire::users::JobKind;
 use forkshift_wire::JobId;
@@ -21,6 +21,11 @@
 /// Range of times at which faults begin.
 const FIRST_FAULT_AT: Ms = 15_000;
 const LAST_FAULT_AT: Ms = 110_000;
+/// Earliest start of a fault that repeats requests, so that the requests of the first jobs are
+/// among them.
+const FIRST_REPEAT_AT: Ms = 2_000;
+/// Distinguishes the seed of the faults that repeat requests from the seed of the day.
+const REPEATS_SEED_MASK: u64 = 0x5245_5045_4154_5321;
 
 /// Pipelines of dependent jobs on a day with an upgrade.
 const PIPELINES: u32 = 8;
@@ -74,9 +79,17 @@
 impl Day {
     /// The day of a seed, with `faults` faults, or half as many pairs if the schedule has pairs.
     pub fn new(seed: u64, faults: usize, schedule: FaultSchedule) -> Self {
+        Self::with_repeats(seed, faults, schedule, 0)
+    }
+
+    /// Like [`Day::new`], with `repeats` further faults that repeat executed requests.
+    pub fn with_repeats(seed: u64, faults: usize, schedule: FaultSchedule, repeats: usize) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let plans = random_plans(&mut rng, schedule);
-        let faults = random_day_faults(&mut rng, faults, schedule);
+        let mut faults = random_day_faults(&mut rng, faults, schedule);
+        let mut repeats_rng = StdRng::seed_from_u64(seed ^ REPEATS_SEED_MASK);
+        let (from, to) = (FIRST_REPEAT_AT, LAST_FAULT_AT);
+        faults.extend(random_repeats(&mut repeats_rng, from, to, repeats));
         let config = random_config(&mut rng, schedule);
         let end = match schedule.has_pairs() {
             true => LONG_DAY_END,
--- a/crates/testkit/src/fault_schedule.rs
+++ b/crates/testkit/src/fault_schedule.rs
@@ -14,7 +14,7 @@
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::Rng;
-use single::{random_fault, random_kind};
+use single::{random_fault, random_kind, random_repeat};
 use std::ops::Range;
 
 /// Number of fault kinds in early versions. Seeds that showed a failure with those versions stay
@@ -64,6 +64,16 @@
     faults
 }
 
+/// Draws `n` faults that repeat executed requests and begin between two times. They are drawn
+/// apart from the other faults, so that those of a seed stay the same.
+pub fn random_repeats(rng: &mut StdRng, from: Ms, to: Ms, n: usize) -> Vec<Fault> {
+    let faults = (0..n).map(|_| Fault {
+        at: rng.random_range(from..to),
+        kind: random_repeat(rng),
+    });
+    faults.collect()
+}
+
 fn random_schedule(rng: &mut StdRng, from: Ms, to: Ms, n: usize, kinds: u32) -> Vec<Fault> {
     let mut faults: Vec<Fault> = (0..n)
         .map(|_| Fault {
--- a/crates/testkit/src/fault_schedule/single.rs
+++ b/crates/testkit/src/fault_schedule/single.rs
@@ -1,7 +1,7 @@
 //! Random single faults.
 
 use super::{random_controller, random_job, KINDS};
-use crate::faults::{FaultKind, MachineFault, MachineSelector, ZONES};
+use crate::faults::{FaultKind, MachineFault, MachineSelector, RepeatedReceiver, ZONES};
 use crate::Ms;
 use rand::rngs::StdRng;
 use rand::Rng;
@@ -85,6 +85,20 @@
     }
 }
 
+/// Draws a fault that repeats executed requests to a random kind of receiver.
+pub(super) fn random_repeat(rng: &mut StdRng) -> FaultKind {
+    let receivers = [
+        RepeatedReceiver::Worker,
+        RepeatedReceiver::Store,
+        RepeatedReceiver::Cloud,
+    ];
+    FaultKind::RepeatedRequests {
+        receiver: receivers[rng.random_range(0..receivers.len())],
+        percent: rng.random_range(5..60),
+        time: rng.random_range(5_000..40_000),
+    }
+}
+
 /// Draws a fault of a controller, whose index is filled in when the fault begins. `kind` is the
 /// number that [`random_fault`] drew.
 fn random_controller_fault(
--- a/crates/testkit/src/faults.rs
+++ b/crates/testkit/src/faults.rs
@@ -4,10 +4,14 @@
 use crate::cloud::SlowBoots;
 use crate::Ms;
 use forkshift_wire::{JobId, MachineId};
+use std::ops::Range;
 
 /// All zones. Controllers are assigned to them round-robin, by index.
 pub(crate) const ZONES: [&str; 3] = ["a", "b", "c"];
 
+/// Time from the execution of a request to that of its repetition.
+pub(crate) const REPEAT_DELAY_MS: Range<Ms> = 2_000..120_000;
+
 /// Selects a controller by its role at the time at which a fault begins.
 #[derive(Clone, Debug)]
 pub enum ControllerSelector {
@@ -73,6 +77,17 @@
     StuckPrefetch(Ms),
 }
 
+/// The receiver of the requests that [`FaultKind::RepeatedRequests`] repeats.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum RepeatedReceiver {
+    /// Commands to workers.
+    Worker,
+    /// Transactions of the store.
+    Store,
+    /// Rental and deletion requests to the cloud.
+    Cloud,
+}
+
 /// A kind of fault. Each time is a duration.
 #[derive(Clone, Debug)]
 pub enum FaultKind {
@@ -263,6 +278,16 @@
         /// Duration.
         time: Ms,
     },
+    /// Some requests of controllers that were executed and answered arrive a second time, 2 to
+    /// 120 s later.
+    RepeatedRequests {
+        /// Receiver of the requests.
+        receiver: RepeatedReceiver,
+        /// Percentage of the requests.
+        percent: u32,
+        /// Duration.
+        time: Ms,
+    },
     /// Users cancel the running jobs with the longest run times within 0.2 s.
     CancelRunningJobs {
         /// Maximum number of jobs.
@@ -324,6 +349,7 @@
             Self::LateWrites(time)
             | Self::LostWriteResponses { time, .. }
             | Self::DelayedCommands { time, .. } => time + 12_000,
+            Self::RepeatedRequests { time, .. } => time + REPEAT_DELAY_MS.end,
             Self::LateHeartbeatCopies(time) | Self::LateHeartbeats { time, .. } => {
                 time + 4 * lease_ms
             }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -19,9 +19,12 @@
 pub use checker::{Checker, FirstStart, Quiescence, Rule};
 pub use cloud::{Boot, ProvisionedMachines, SlowBoots};
 pub use day::{Day, FaultSchedule};
-pub use fault_schedule::{random_early_faults, random_faults, random_pairs, random_upgrade};
+pub use fault_schedule::{
+    random_early_faults, random_faults, random_pairs, random_repeats, random_upgrade,
+};
 pub use faults::{
     ControllerSelector, Fault, FaultKind, LinkDirection, MachineFault, MachineSelector,
+    RepeatedReceiver,
 };
 pub use fleet::{BootModel, CapacityKey, Fleet};
 pub use simulation::{
--- a/crates/testkit/src/main.rs
+++ b/crates/testkit/src/main.rs
@@ -46,6 +46,10 @@
     /// Schedule from which the faults are drawn.
     #[arg(long, value_enum, default_value_t = DrawArg::Single)]
     draw: DrawArg,
+    /// Faults per day that repeat executed requests, beside the others. Days that were recorded
+    /// before this option existed are played with 0.
+    #[arg(long, default_value_t = 2)]
+    repeats: usize,
     /// Ids of jobs whose specification and whose team's tasks are printed when a rule is first
     /// violated and at the end of each day.
     #[arg(long)]
@@ -83,7 +87,7 @@
 /// Runs the day of a seed to its end and prints the result. Returns whether no rule was violated
 /// and no job was left unfinished.
 fn run_day(args: &Args, seed: u64) -> bool {
-    let mut day = Day::new(seed, args.faults, args.draw.into());
+    let mut day = Day::with_repeats(seed, args.faults, args.draw.into(), args.repeats);
     run_until_violation(args, &mut day);
     describe_jobs(args, &day.simulation);
     day.play();
--- a/crates/testkit/src/simulation/fault_injection.rs
+++ b/crates/testkit/src/simulation/fault_injection.rs
@@ -1,7 +1,7 @@
 //! Injection of faults into the simulated components.
 
 use super::events::Event;
-use super::network_faults::{LateHeartbeats, LostWriteResponses, SampledFault};
+use super::network_faults::{LateHeartbeats, LostWriteResponses, RepeatedRequests, SampledFault};
 use super::partitions::{LinkPartition, Partition, PeerPartition, ZonePartition};
 use super::{Simulation, STEP_MS};
 use crate::faults::{Fault, FaultKind, LinkDirection, MachineFault, MachineSelector};
@@ -255,6 +255,16 @@
                 let until = now + time;
                 self.network_faults.delayed_commands = SampledFault { until, percent };
             }
+            FaultKind::RepeatedRequests {
+                receiver,
+                percent,
+                time,
+            } => {
+                let until = now + time;
+                let sample = SampledFault { until, percent };
+                let repeated = &mut self.network_faults.repeated_requests;
+                repeated.push(RepeatedRequests { receiver, sample });
+            }
             FaultKind::CancelRunningJobs { count, hang_ms } => {
                 self.cancel_running_jobs(count, hang_ms);
             }
--- a/crates/testkit/src/simulation/network.rs
+++ b/crates/testkit/src/simulation/network.rs
@@ -187,6 +187,7 @@
             return;
         }
         if let Some((status, value)) = answer {
+            self.repeat_executed(&message, status);
             self.respond_json(message, status, &value);
         }
     }
@@ -206,6 +207,7 @@
                 .handle(self.now, &message.path, &message.body, &mut self.rng);
         // The workers of deleted machines stop before the cloud responds.
         self.sync_workers_with_cloud();
+        self.repeat_executed(&message, status);
         self.respond_json(message, status, &value);
     }
 
@@ -234,6 +236,7 @@
             "/status" => (200, worker.status(&mut context)),
             _ => worker.respond_to_commands(&mut context, &message.body),
         };
+        self.repeat_executed(&message, status);
         self.respond(&message.destination, message.origin, status, body);
     }
 
--- a/crates/testkit/src/simulation/network_faults.rs
+++ b/crates/testkit/src/simulation/network_faults.rs
@@ -4,6 +4,7 @@
 use super::network::{Destination, Message, Origin};
 use super::partitions::ZonePartition;
 use super::Simulation;
+use crate::faults::{RepeatedReceiver, REPEAT_DELAY_MS};
 use crate::Ms;
 use forkshift_wire::state::{Transaction, Write};
 use rand::Rng;
@@ -43,12 +44,19 @@
 }
 
 /// A fault that affects a percentage of the messages or jobs until a time.
-#[derive(Default)]
+#[derive(Clone, Copy, Default)]
 pub(super) struct SampledFault {
     pub(super) until: Ms,
     pub(super) percent: u32,
 }
 
+/// The fault that repeats executed requests.
+#[derive(Clone, Copy)]
+pub(super) struct RepeatedRequests {
+    pub(super) receiver: RepeatedReceiver,
+    pub(super) sample: SampledFault,
+}
+
 /// The faults of the network. Each is active until its time.
 #[derive(Default)]
 pub(super) struct NetworkFaults {
@@ -61,6 +69,9 @@
     pub(super) late_heartbeats: LateHeartbeats,
     /// Delays commands to workers and the responses to them.
     pub(super) delayed_commands: SampledFault,
+    pub(super) repeated_requests: Vec<RepeatedRequests>,
+    /// Number of requests that were or will be repeated.
+    repetitions: u64,
     /// Copies of heartbeats that are withheld until the next failover.
     withheld_heartbeats: Vec<Message>,
     /// [`crate::store::StoreModel::leadership_terms`] when the first copy was withheld. A failover
@@ -74,6 +85,11 @@
         self.network_faults.withheld_heartbeats.len()
     }
 
+    /// Number of executed requests that were repeated or will be.
+    pub fn repeated_requests(&self) -> u64 {
+        self.network_faults.repetitions
+    }
+
     /// Draws true with a probability in percent.
     pub(super) fn draw_percent(&mut self, percent: u32) -> bool {
         self.rng.random_range(0..100) < percent
@@ -198,6 +214,22 @@
         }
     }
 
+    /// Delivers some of a controller's executed requests a second time, while the fault lasts. The
+    /// repetition needs no response from its receiver and is not repeated itself.
+    pub(super) fn repeat_executed(&mut self, request: &Message, status: u16) {
+        let is_executed = status == 200 && matches!(request.origin, Origin::Controller { .. });
+        let receiver = repeated_receiver(request).filter(|_| is_executed);
+        let now = self.now;
+        let faults = self.network_faults.repeated_requests.iter();
+        let mut active = faults.filter(|f| Some(f.receiver) == receiver && f.sample.until > now);
+        let percent = active.next().map(|fault| fault.sample.percent);
+        if percent.is_some_and(|percent| self.draw_percent(percent)) {
+            self.network_faults.repetitions += 1;
+            let late = self.rng.random_range(REPEAT_DELAY_MS);
+            self.schedule(now + late, Event::RequestArrival(request.detached()));
+        }
+    }
+
     /// Draws the additional delay of a command to a worker or of the response to one; 0 for other
     /// messages.
     pub(super) fn command_delay(&mut self, origin: &Origin, destination: &Destination) -> Ms {
@@ -213,6 +245,16 @@
     }
 }
 
+/// The receiver of a request that changes the state of the receiver; none for other requests.
+fn repeated_receiver(request: &Message) -> Option<RepeatedReceiver> {
+    match (&request.destination, request.path.as_str()) {
+        (Destination::Worker(_), "/commands") => Some(RepeatedReceiver::Worker),
+        (Destination::Store, "/txn") => Some(RepeatedReceiver::Store),
+        (Destination::Cloud, "/machines" | "/machines/delete") => Some(RepeatedReceiver::Cloud),
+        _ => None,
+    }
+}
+
 /// Whether a transaction puts a key with a prefix.
 fn puts_key_with_prefix(body: &[u8], prefix: &str) -> bool {
     let transaction = serde_json::from_slice::<Transaction>(body);
--- a/crates/testkit/tests/golden.rs
+++ b/crates/testkit/tests/golden.rs
@@ -25,10 +25,10 @@
 #[test]
 fn short_simulations_print_the_golden_lines() {
     const DAYS: [&str; 4] = [
-        "--seed 2 --days 3",
-        "--seed 3 --days 2 --draw once --faults 12",
-        "--seed 1 --days 2 --draw pairs",
-        "--seed 2 --days 2 --draw upgrade",
+        "--seed 2 --days 3 --repeats 0",
+        "--seed 3 --days 2 --draw once --faults 12 --repeats 0",
+        "--seed 1 --days 2 --draw pairs --repeats 0",
+        "--seed 2 --days 2 --draw upgrade --repeats 0",
     ];
     let mut actual = String::new();
     for arguments in DAYS {
