An attempt is forgotten only under a higher token than its starts

Cause: `forget` was held back only while a call was in flight or unanswered. A call that was answered was taken to be unable to arrive again, but a copy has no age limit: only token and session stop it, and the token of a machine stayed the same from the start over the `forget` to the end of the epoch.

A debug line now tells the token of each `forget` and the highest token of the starts.

Why this works: when a worker forgets an attempt, it has now seen a higher token than that of every start of the attempt, or it is in a later session. Every `forget` is sent under such a token; the worker adopts the token of a message before it executes it, so no echo has to come first. If the current token is that of a start, it is raised for this message, in a call and in the answer to a heartbeat alike. A start may now follow under a token of this holder that the worker has not echoed yet, so that the machine takes tasks as before. Exited attempts keep the token and the job version together in one map that holds only what the newest heartbeat lists; the versions of forgotten attempts stayed in memory until now. The comment that a refused call has no other copy says why its copies do no harm.

--- a/crates/core/src/shard/commands.rs
+++ b/crates/core/src/shard/commands.rs
@@ -8,7 +8,7 @@
 use crate::pending_call::PendingCall;
 use crate::records::ShardId;
 use crate::shard::job::{Job, StartState, Stop};
-use crate::shard::machine::{Machine, TaskAttempt};
+use crate::shard::machine::{ExitedAttempt, Machine, TaskAttempt};
 use crate::shard::Shard;
 use forkshift_links::Decision;
 use forkshift_wire::workers::{Command, CommandRequest, Verb, WorkerHeartbeat};
@@ -113,10 +113,10 @@
     /// Commands that are idempotent and harmless when they arrive late: `forget` for exited
     /// attempts whose outcome is durable, and stops.
     pub(crate) fn idempotent_commands(&mut self, ctx: &Context, id: &MachineId) -> Vec<Command> {
+        let mut commands = self.forget_commands(id);
         let Some(machine) = self.machines.get(id) else {
-            return Vec::new();
+            return commands;
         };
-        let mut commands = self.forget_commands(machine);
         let resend_ms = ctx.config.heartbeat_interval_ms * STOP_RESEND_HEARTBEATS;
         for task in &machine.tasks {
             if commands.len() >= MAX_COMMANDS_PER_CALL {
@@ -148,33 +148,62 @@
     }
 
     /// `forget` commands for exited attempts whose outcome is durable.
-    fn forget_commands(&self, machine: &Machine) -> Vec<Command> {
-        // If a start is still in flight when the worker forgets the attempt, the worker would
-        // run the attempt a second time.
+    ///
+    /// Copies of a start may arrive at any time, also after the start was answered. A worker that
+    /// has forgotten the attempt runs it again, unless it refuses the copy for its token. An
+    /// attempt is therefore forgotten only by a message whose token is higher than that of every
+    /// start of the attempt: the worker has seen this token before it forgets the attempt.
+    fn forget_commands(&mut self, id: &MachineId) -> Vec<Command> {
+        let Some(machine) = self.machines.get(id) else {
+            return Vec::new();
+        };
+        // A raised token would have the worker refuse the call in flight and its starts. After an
+        // unanswered call the worker must first echo the token that was raised for it.
         if machine.has_unanswered_call || machine.has_call_in_flight {
             return Vec::new();
         }
         let exited = machine.exited_attempts.iter();
-        exited
-            .filter(|exited| self.is_forgettable(machine, exited))
+        let forgettable: Vec<(TaskAttempt, u64)> = exited
+            .filter(|(attempt, exited)| self.is_forgettable(machine, attempt, exited))
             .take(MAX_COMMANDS_PER_CALL)
-            .map(|exited| command(Verb::Forget, &exited.task, exited.attempt, None))
+            .map(|(attempt, exited)| (attempt.clone(), exited.start_token))
+            .collect();
+        let Some(start_token) = forgettable.iter().map(|(_, token)| *token).max() else {
+            return Vec::new();
+        };
+        let Some(machine) = self.machines.get_mut(id) else {
+            return Vec::new();
+        };
+        machine.raise_token_above(start_token);
+        let token = machine.token;
+        log::debug!(
+            "machine {id}: {} exited attempts to be forgotten under token {token}, started under tokens up to {start_token}",
+            forgettable.len()
+        );
+        let fenced = forgettable.iter().filter(|(_, start)| *start < token);
+        fenced
+            .map(|(exited, _)| command(Verb::Forget, &exited.task, exited.attempt, None))
             .collect()
     }
 
-    /// Whether a worker may forget an exited attempt: the attempt is no longer bound, and its
-    /// outcome is durable.
-    fn is_forgettable(&self, machine: &Machine, exited: &TaskAttempt) -> bool {
-        let Some(job) = self.jobs.get(&exited.task.job) else {
+    /// Whether the outcome of an exited attempt needs its worker no more: the attempt is no
+    /// longer bound, and its outcome is durable.
+    fn is_forgettable(
+        &self,
+        machine: &Machine,
+        attempt: &TaskAttempt,
+        exited: &ExitedAttempt,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&attempt.task.job) else {
             return true;
         };
-        let index = exited.task.index;
+        let index = attempt.task.index;
         let is_bound = job
             .bindings
             .get(&index)
-            .is_some_and(|b| b.machine == machine.id && b.attempt == exited.attempt);
-        let version = machine.exit_job_versions.get(exited);
-        !is_bound && version.is_none_or(|version| job.is_durable(index, *version))
+            .is_some_and(|b| b.machine == machine.id && b.attempt == attempt.attempt);
+        let version = exited.job_version;
+        !is_bound && version.is_none_or(|version| job.is_durable(index, version))
     }
 
     /// Start commands that are durable and were never sent. They are marked as sent.
@@ -182,10 +211,13 @@
         let Some(machine) = self.machines.get(id) else {
             return Vec::new();
         };
-        let can_start_tasks = machine.link.can_start_tasks() && machine.has_acknowledged_token();
+        let can_start_tasks = machine.link.can_start_tasks()
+            && machine.has_acknowledged_holder()
+            && !machine.has_unanswered_call;
         if machine.decommission_reason.is_some() || !can_start_tasks {
             return Vec::new();
         }
+        let (token, incarnation) = (machine.token, machine.incarnation);
         let mut commands = Vec::new();
         for task in &machine.tasks {
             if commands.len() >= MAX_COMMANDS_PER_CALL {
@@ -197,12 +229,12 @@
             };
             if let Some(binding) = job.bindings.get_mut(&task.index) {
                 commands.push(command(Verb::Start, task, binding.attempt, None));
-                binding.start = StartState::SentByThisHolder {
-                    token: machine.token,
-                    incarnation: machine.incarnation,
-                };
+                binding.start = StartState::SentByThisHolder { token, incarnation };
             }
         }
+        if let Some(machine) = self.machines.get_mut(id).filter(|_| !commands.is_empty()) {
+            machine.last_start_token = token;
+        }
         commands
     }
 
@@ -233,8 +265,9 @@
             return;
         };
         if status == 409 {
-            // The worker has executed no command of a refused call, and no other copy of the
-            // call exists, so its starts can be sent again.
+            // The worker has executed no command of a refused call. It refuses every copy of the
+            // call as well, because neither its highest token nor its incarnation ever decreases.
+            // Its starts can therefore be sent again.
             machine.must_send_token = heartbeat.token < machine.token;
             if heartbeat.token > machine.token {
                 // The machine has a newer holder, as the view will show. Without a backoff
--- a/crates/core/src/shard/commands/tests.rs
+++ b/crates/core/src/shard/commands/tests.rs
@@ -186,3 +186,55 @@
         );
     }
 }
+
+/// Calls with commands among the effects.
+fn command_calls(effects: &[Effect]) -> Vec<CommandRequest> {
+    let bodies = effects.iter().filter_map(|e| match e {
+        Effect::Call { path, body, .. } if path == "/commands" => body.as_deref(),
+        _ => None,
+    });
+    let calls = bodies.map(|body| serde_json::from_slice(body).expect("commands"));
+    calls.collect()
+}
+
+/// A copy of an answered start arrived after the worker had forgotten the attempt, under a token
+/// that was still valid, and ran the task again. The call that makes the worker forget an attempt
+/// must carry a higher token than its start, but none may be raised while a transfer is in flight.
+#[test]
+fn an_attempt_is_forgotten_under_a_higher_token_than_its_start() {
+    for is_transfer_in_flight in [false, true] {
+        let mut f = Fixture::new();
+        let (id, machine) = (f.job("j-1", JobKind::Service, 1), f.machine.clone());
+        f.bind(&id, 0, StartState::NotSent);
+        let start_token = command_calls(&f.step(1)).first().expect("a call").token;
+        let answer_call = |f: &mut Fixture, stage| {
+            let heartbeat = f.heartbeat_message(1, start_token, &[(&id, 0, stage)]);
+            let heartbeat = to_value(heartbeat).expect("a heartbeat");
+            f.answer(is_command_call, 200, &heartbeat)
+        };
+        answer_call(&mut f, TaskStage::Running);
+        f.request(1, "POST", "/submissions/j-1/abort");
+        if is_transfer_in_flight {
+            let m = f.shard().machines.get_mut(&machine).expect("a machine");
+            m.transfer_version = Some(m.record_version);
+        }
+        let mut effects = answer_call(&mut f, TaskStage::Exited);
+        for revision in [8, 9] {
+            let is_write = |call: &PendingCall| matches!(call, PendingCall::JobTransaction { .. });
+            let written = serde_json::json!({"ledger_rev": revision});
+            effects.extend(f.answer(is_write, 200, &written));
+        }
+        let heartbeat_interval_ms = f.node.ctx.config.heartbeat_interval_ms;
+        effects.extend(f.step(heartbeat_interval_ms / 2));
+        let calls = command_calls(&effects);
+        let is_forget = |command: &Command| command.verb == Verb::Forget;
+        let forgets = calls.iter().filter(|c| c.commands.iter().any(is_forget));
+        let is_fenced: Vec<bool> = forgets.map(|call| call.token > start_token).collect();
+        let expected = if is_transfer_in_flight {
+            vec![]
+        } else {
+            vec![true]
+        };
+        assert_eq!(is_fenced, expected, "transfer: {is_transfer_in_flight}");
+    }
+}
--- a/crates/core/src/shard/heartbeats.rs
+++ b/crates/core/src/shard/heartbeats.rs
@@ -13,7 +13,7 @@
 
 use crate::context::Context;
 use crate::shard::job::{Binding, StartState, Stop};
-use crate::shard::machine::{Machine, OrphanTask, TaskAttempt};
+use crate::shard::machine::{ExitedAttempt, Machine, OrphanTask, TaskAttempt};
 use crate::shard::Shard;
 use forkshift_sched::Resources;
 use forkshift_wire::workers::{TaskStage, TaskStatus, WorkerHeartbeat};
@@ -51,10 +51,18 @@
         } else {
             self.token_unacknowledged_since.get_or_insert(ctx.now);
         }
-        self.exited_attempts.clear();
         self.orphans.clear();
         self.update_held_images(ctx, heartbeat.images.as_ref());
     }
+
+    /// Drops the exited attempts that a heartbeat no longer lists as exited: its worker has
+    /// forgotten them.
+    fn retain_exited_attempts(&mut self, listed: &ListedTasks) {
+        self.exited_attempts.retain(|exited, _| {
+            let report = listed.get(&(&exited.task, exited.attempt));
+            report.is_some_and(|report| report.stage == TaskStage::Exited)
+        });
+    }
 }
 
 impl Shard {
@@ -89,9 +97,11 @@
         let listed: ListedTasks = reports
             .map(|report| ((&report.task, report.attempt), report))
             .collect();
-        let machine = self.machines.get(&heartbeat.machine);
-        let bound = machine.map(|machine| machine.tasks.clone());
-        for task in bound.unwrap_or_default() {
+        let Some(machine) = self.machines.get_mut(&heartbeat.machine) else {
+            return;
+        };
+        machine.retain_exited_attempts(&listed);
+        for task in machine.tasks.clone() {
             self.reconcile_bound_task(ctx, heartbeat, &task, &listed);
         }
         for report in &heartbeat.tasks {
@@ -148,7 +158,7 @@
         if binding.start == StartState::NotSent {
             // A delayed copy of an earlier call with this start has reached the worker.
             binding.start = StartState::SentByThisHolder {
-                token: machine.token,
+                token: machine.last_start_token,
                 incarnation: heartbeat.incarnation,
             };
         }
@@ -174,7 +184,7 @@
                 heartbeat.incarnation > incarnation || heartbeat.token > token
             }
             // The tokens of this holder are higher than those of all earlier holders.
-            StartState::Unknown => heartbeat.token >= machine.token,
+            StartState::Unknown => heartbeat.token >= machine.first_token,
         };
         if has_ended {
             log::debug!("task {task}: unbound, not on {}", heartbeat.machine);
@@ -212,9 +222,11 @@
             attempt: report.attempt,
         };
         if report.stage == TaskStage::Exited {
-            if !machine.exited_attempts.contains(&attempt) {
-                machine.exited_attempts.push(attempt);
-            }
+            let exited = ExitedAttempt {
+                start_token: machine.last_start_token,
+                job_version: None,
+            };
+            machine.exited_attempts.entry(attempt).or_insert(exited);
             return;
         }
         log::info!("task {task}: unexpected on {id}, to be stopped");
@@ -239,7 +251,7 @@
             attempt: report.attempt,
             recorded_in_version: job.mark_block_changed(block),
             start: StartState::SentByThisHolder {
-                token: machine.token,
+                token: machine.last_start_token,
                 incarnation: machine.incarnation,
             },
             stage: Some(report.stage),
--- a/crates/core/src/shard/heartbeats/task_outcomes.rs
+++ b/crates/core/src/shard/heartbeats/task_outcomes.rs
@@ -4,7 +4,7 @@
 use crate::context::Context;
 use crate::shard::failure_attribution::min_healthy_run_ms;
 use crate::shard::job::Binding;
-use crate::shard::machine::TaskAttempt;
+use crate::shard::machine::{ExitedAttempt, TaskAttempt};
 use crate::shard::Shard;
 use crate::Ms;
 use forkshift_wire::workers::{ExitCause, TaskStatus};
@@ -44,8 +44,11 @@
                 task: task.clone(),
                 attempt: report.attempt,
             };
-            machine.exit_job_versions.insert(attempt.clone(), version);
-            machine.exited_attempts.push(attempt);
+            let exited = ExitedAttempt {
+                start_token: binding.start.max_token(machine.last_start_token),
+                job_version: Some(version),
+            };
+            machine.exited_attempts.insert(attempt, exited);
         }
         if cause != ExitCause::Done {
             log::debug!(
--- a/crates/core/src/shard/job/binding.rs
+++ b/crates/core/src/shard/job/binding.rs
@@ -18,6 +18,17 @@
     Unknown,
 }
 
+impl StartState {
+    /// Highest fencing token under which the start may have been sent. `last_start_token` is the
+    /// highest one of any start that was sent to the machine.
+    pub(crate) fn max_token(&self, last_start_token: u64) -> u64 {
+        match self {
+            Self::SentByThisHolder { token, .. } => *token,
+            Self::NotSent | Self::Unknown => last_start_token,
+        }
+    }
+}
+
 /// The stop of a task, which is requested by repeated stop commands.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Stop {
--- a/crates/core/src/shard/machine.rs
+++ b/crates/core/src/shard/machine.rs
@@ -25,6 +25,18 @@
     pub(crate) attempt: u64,
 }
 
+/// An exited attempt that the newest heartbeat lists. The worker lists it until a `forget`
+/// command names it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ExitedAttempt {
+    /// Highest fencing token under which a start of the attempt may have been sent, by this
+    /// holder or an earlier one.
+    pub(crate) start_token: u64,
+    /// Version of its job that contains the outcome; none if the attempt was not bound when
+    /// its exit was reported.
+    pub(crate) job_version: Option<u64>,
+}
+
 /// An attempt that its worker reports and that must not run there, as it is not bound to the
 /// machine. It is stopped.
 #[derive(Clone, Debug)]
@@ -97,8 +109,13 @@
     pub(crate) heartbeat_sequence: u64,
     /// Highest fencing token that the worker has seen, as echoed by the newest heartbeat.
     pub(crate) acknowledged_token: u64,
+    /// First fencing token of this holder, higher than those of all earlier holders.
+    pub(crate) first_token: u64,
     /// Fencing token that this holder sends with commands.
     pub(crate) token: u64,
+    /// Highest fencing token under which a start may have been sent to the machine, by this
+    /// holder or an earlier one.
+    pub(crate) last_start_token: u64,
     /// Time since which the echoed token has been lower than `token`; none while they agree.
     pub(crate) token_unacknowledged_since: Option<Ms>,
     /// Time of the newest heartbeat; none until one has reached this holder.
@@ -127,12 +144,8 @@
     /// Attempts in the newest heartbeat that must be stopped because they are not bound to
     /// the machine. Their resources are not free.
     pub(crate) orphans: Vec<OrphanTask>,
-    /// Exited attempts that the newest heartbeat lists. The worker lists an attempt until a
-    /// `forget` command names it.
-    pub(crate) exited_attempts: Vec<TaskAttempt>,
-    /// For each exited attempt, the version of its job that contains the outcome. The worker
-    /// may forget the attempt once this version is durable.
-    pub(crate) exit_job_versions: BTreeMap<TaskAttempt, u64>,
+    /// Exited attempts that the newest heartbeat lists.
+    pub(crate) exited_attempts: BTreeMap<TaskAttempt, ExitedAttempt>,
     /// Index in [`Context::images`] and size in GB of each image in the cache, the most
     /// recently used last.
     pub(crate) cached_images: Vec<(u32, f64)>,
@@ -184,7 +197,9 @@
             incarnation: 0,
             heartbeat_sequence: 0,
             acknowledged_token: 0,
+            first_token: recorded.first_token,
             token: recorded.first_token,
+            last_start_token: recorded.first_token.saturating_sub(1),
             token_unacknowledged_since: None,
             last_heartbeat_at: None,
             link: MachineLink::default(),
@@ -197,8 +212,7 @@
             tasks: BTreeSet::new(),
             used: Resources::default(),
             orphans: Vec::new(),
-            exited_attempts: Vec::new(),
-            exit_job_versions: BTreeMap::new(),
+            exited_attempts: BTreeMap::new(),
             cached_images: recorded_images(ctx, record),
             failures: MachineFailures::default(),
             placement_blocked_until: 0,
@@ -220,8 +234,13 @@
         })
     }
 
-    /// Whether a heartbeat has echoed this holder's current fencing token. Such a heartbeat
-    /// lists every task that earlier holders may have started on the machine.
+    /// Whether a heartbeat has echoed a fencing token of this holder. Such a heartbeat lists
+    /// every task that earlier holders may have started on the machine.
+    pub(crate) fn has_acknowledged_holder(&self) -> bool {
+        self.last_heartbeat_at.is_some() && self.acknowledged_token >= self.first_token
+    }
+
+    /// Whether the newest heartbeat has echoed this holder's current fencing token.
     pub(crate) fn has_acknowledged_token(&self) -> bool {
         self.last_heartbeat_at.is_some() && self.acknowledged_token >= self.token
     }
@@ -257,14 +276,26 @@
             .max(resumed_at)
     }
 
-    /// Raises the fencing token. Once the worker has seen the new token it refuses all
-    /// commands that are still in flight.
+    /// Raises the fencing token and has it sent to the worker. Once the worker has seen the new
+    /// token it refuses all commands that are still in flight.
     pub(crate) fn raise_token(&mut self, now: Ms) {
         self.token += 1;
         self.must_send_token = true;
         self.token_unacknowledged_since.get_or_insert(now);
     }
 
+    /// Raises the fencing token for the message that is being built, unless it is already higher
+    /// than `start_token`. If that message is lost, the next one carries the token; whether the
+    /// worker echoes it is watched from the next heartbeat on.
+    ///
+    /// The token stays as it is while a transfer to another shard is in flight, because the
+    /// tokens of the next holder follow the recorded one.
+    pub(crate) fn raise_token_above(&mut self, start_token: u64) {
+        if self.transfer_version.is_none() {
+            self.token = self.token.max(start_token + 1);
+        }
+    }
+
     /// Marks an image as the most recently used one. The least recently used images are
     /// evicted while the cache exceeds its size; the last image is kept even if it exceeds
     /// the size by itself.
--- a/crates/core/src/shard/scheduling.rs
+++ b/crates/core/src/shard/scheduling.rs
@@ -133,8 +133,8 @@
     }
 }
 
-/// Whether tasks may be placed on a machine: its worker reports and has confirmed this
-/// holder's fencing token, no earlier call may still be executed late, and the machine is
+/// Whether tasks may be placed on a machine: its worker reports and has confirmed a fencing
+/// token of this holder, no earlier call may still be executed late, and the machine is
 /// not about to leave the shard.
 pub(crate) fn is_usable(machine: &Machine, ctx: &Context) -> bool {
     machine.has_recent_heartbeat(ctx)
@@ -143,7 +143,7 @@
         && machine.transfer_version.is_none()
         && !machine.is_vacating
         && machine.spot_reclaim_at.is_none()
-        && machine.has_acknowledged_token()
+        && machine.has_acknowledged_holder()
         && !machine.has_unanswered_call
         && machine.link.can_start_tasks()
         && !machine.has_missed_heartbeats(ctx)
--- a/crates/testkit/src/checker.rs
+++ b/crates/testkit/src/checker.rs
@@ -131,6 +131,9 @@
     /// Starts of tasks after the confirmed cancellation of their job: time, time since the
     /// confirmation, and task. They violate a rule only after the cancellation time.
     pub starts_after_cancel: Vec<(Ms, Ms, TaskRef)>,
+    /// Starts of attempts that their worker had forgotten: time, task and machine. They violate a
+    /// rule only if the task is on another machine, completed, or not allowed there any more.
+    pub restarted_attempts: Vec<(Ms, TaskRef, MachineId)>,
     /// Failures of tasks: time, task and machine.
     pub failures: Vec<(Ms, TaskRef, MachineId)>,
     /// Violations so far: rule, time and details.
--- a/crates/testkit/src/checker/tasks.rs
+++ b/crates/testkit/src/checker/tasks.rs
@@ -36,6 +36,12 @@
         self.check_quota(now, &spec.team);
     }
 
+    /// Records that a worker starts an attempt that it has forgotten.
+    pub(crate) fn on_attempt_restarted(&mut self, now: Ms, task: &TaskRef, machine: &MachineId) {
+        let restart = (now, task.clone(), machine.clone());
+        self.restarted_attempts.push(restart);
+    }
+
     fn check_single_place(&mut self, now: Ms, task: &TaskRef, place: &Place) {
         if let Some(places) = self.places_of(task) {
             let details = format!("{task} on {} and {places:?}", place.machine);
--- a/crates/testkit/src/simulation/controllers.rs
+++ b/crates/testkit/src/simulation/controllers.rs
@@ -235,6 +235,7 @@
         }
         for message in outbox.calls {
             self.traffic.digest.call(now, &message);
+            self.traffic.command_calls += u64::from(message.path == "/commands");
             self.send(message);
         }
         for (to, reply) in outbox.replies {
--- a/crates/testkit/src/simulation/digest.rs
+++ b/crates/testkit/src/simulation/digest.rs
@@ -12,6 +12,8 @@
 #[derive(Default)]
 pub(super) struct ControllerTraffic {
     pub(super) digest: TrafficDigest,
+    /// Number of calls with commands to workers.
+    pub(super) command_calls: u64,
     /// Messages between controllers since recording began; absent if they are not recorded.
     pub(super) recorded_messages: Option<Vec<Vec<u8>>>,
 }
--- a/crates/testkit/src/simulation/observe.rs
+++ b/crates/testkit/src/simulation/observe.rs
@@ -172,6 +172,11 @@
         (self.workers.heartbeats_sent, nodes.map(Node::visits).sum())
     }
 
+    /// Number of calls with commands that controllers have sent to workers.
+    pub fn command_calls(&self) -> u64 {
+        self.traffic.command_calls
+    }
+
     /// Number of machines that were ever provisioned.
     pub fn provisioned_machines(&self) -> usize {
         self.cloud.terminated_count + self.cloud.machines.len()
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -17,7 +17,7 @@
 use forkshift_wire::users::{JobKind, JobSpec};
 use forkshift_wire::workers::CommandRequest;
 use forkshift_wire::{JobId, MachineId};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Maximum delay of a heartbeat after a change of the tasks or images of a worker.
 const CHANGE_HEARTBEAT_DELAY_MS: Ms = 500;
@@ -101,6 +101,8 @@
     /// Highest fencing token received. Commands with a lower token are refused.
     pub(crate) token: u64,
     pub(crate) tasks: BTreeMap<TaskAttempt, LocalTask>,
+    /// Attempts that were on this worker and were forgotten.
+    forgotten: BTreeSet<TaskAttempt>,
     /// Earliest time at which the stage of a task may end by itself.
     next_stage_end: Ms,
     /// Whether a task of a gang was ever started on this worker. It saves the search for gangs on
@@ -161,6 +163,7 @@
             last_sequence: 0,
             token: 0,
             tasks: BTreeMap::new(),
+            forgotten: BTreeSet::new(),
             next_stage_end: 0,
             has_gang_tasks: false,
             images: Vec::new(),
--- a/crates/testkit/src/worker/tasks.rs
+++ b/crates/testkit/src/worker/tasks.rs
@@ -101,6 +101,7 @@
     fn forget_task(&mut self, attempt: &TaskAttempt) {
         if self.tasks.get(attempt).is_some_and(LocalTask::has_exited) {
             self.tasks.remove(attempt);
+            self.forgotten.insert(attempt.clone());
         }
     }
 
@@ -109,6 +110,9 @@
             return;
         }
         let (task, now) = (&attempt.0, context.now);
+        if self.forgotten.contains(&attempt) {
+            context.checker.on_attempt_restarted(now, task, &self.id);
+        }
         let ground_truth = context.ground_truths.get(&task.job);
         let Some(ground_truth) =
             ground_truth.filter(|ground_truth| task.index < ground_truth.spec.tasks)
@@ -186,10 +190,11 @@
 
     /// Kills all tasks and removes them, so that no heartbeat reports them.
     pub(crate) fn kill_all_tasks(&mut self, checker: &mut Checker) {
-        for ((task, _), local) in std::mem::take(&mut self.tasks) {
+        for (attempt, local) in std::mem::take(&mut self.tasks) {
             if local.is_started() {
-                checker.on_task_ended(&task, &self.id);
+                checker.on_task_ended(&attempt.0, &self.id);
             }
+            self.forgotten.insert(attempt);
         }
     }
 
