A machine is replaced before its tokens reach those of the next epoch

Cause: the token of a machine is now raised whenever attempts are forgotten that were started under it, and only 24 bits count the tokens of an epoch. Two raises a second use them up in 97 days under one holder; the next token is the first of a newer epoch, which other controllers take for a newer holder's. Until now the token was raised for calls without an answer only, without a bound either.

Result: the new test fails without the check and passes with it.

--- a/crates/core/src/shard/machine.rs
+++ b/crates/core/src/shard/machine.rs
@@ -3,6 +3,7 @@
 use crate::context::Context;
 use crate::pools::MachinePool;
 use crate::records::{capacity_of, MachineRecord};
+use crate::shard::epoch_of_token;
 use crate::shard::failure_attribution::MachineFailures;
 use crate::store::view::Versioned;
 use crate::Ms;
@@ -16,6 +17,9 @@
 /// heard.
 const MAX_MISSED_HEARTBEATS: Ms = 3;
 const SECONDS_PER_HOUR: f64 = 3600.0;
+/// Tokens of an epoch that are kept for the time from the decommissioning of a machine until its
+/// deletion.
+const MIN_TOKENS_LEFT: u64 = 1 << 16;
 
 /// One attempt at running a task. A task that is started again gets a higher attempt number.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug)]
@@ -296,6 +300,12 @@
         }
     }
 
+    /// Whether the token may be raised for the remaining life of the machine without reaching the
+    /// tokens of the next epoch.
+    pub(crate) fn has_tokens_left(&self) -> bool {
+        epoch_of_token(self.token + MIN_TOKENS_LEFT) == epoch_of_token(self.token)
+    }
+
     /// Marks an image as the most recently used one. The least recently used images are
     /// evicted while the cache exceeds its size; the last image is kept even if it exceeds
     /// the size by itself.
--- a/crates/core/src/shard/reconciliation.rs
+++ b/crates/core/src/shard/reconciliation.rs
@@ -168,6 +168,9 @@
     if machine.failures.is_faulty() {
         return Err("it fails what it starts");
     }
+    if !machine.has_tokens_left() {
+        return Err("its fencing tokens are used up");
+    }
     let mut earliest = Ms::MAX;
     for deadline in decommission_deadlines(ctx, machine) {
         match deadline.at {
--- a/crates/core/src/shard/reconciliation/tests.rs
+++ b/crates/core/src/shard/reconciliation/tests.rs
@@ -134,3 +134,22 @@
         assert_eq!(deadline.is_err(), tasks, "with tasks: {tasks}");
     }
 }
+
+/// The token is raised whenever attempts are forgotten that were started under it. Tokens beyond
+/// those of the holder's epoch would be taken for a newer holder's, so a machine is replaced
+/// before it needs them.
+#[test]
+fn a_machine_is_decommissioned_before_its_tokens_reach_the_next_epoch() {
+    for (tokens_left, is_decommissioned) in [(1 << 20, false), (1 << 10, true)] {
+        let mut f = Fixture::new();
+        let machine = f.machine.clone();
+        let next_epoch = (f.shard().epoch + 1) << crate::shard::TOKEN_COUNTER_BITS;
+        let token = next_epoch - tokens_left;
+        let m = f.shard().machines.get_mut(&machine).expect("a machine");
+        m.token = token;
+        f.heartbeat(1, token, &[]);
+        f.step(1);
+        let reason = &f.shard().machines[&machine].decommission_reason;
+        assert_eq!(reason.is_some(), is_decommissioned, "{tokens_left} left");
+    }
+}
