A provisioning intent that comes back is removed

Cause: the same belief as for starts, that what was answered cannot arrive again. The intent does not exist once it is over, so the condition of its first write holds again. The machine has a record, the write of the result requires that it has none, and the intent is never removed; its shard counts on its machine and tells no demand.

Why this works: the result leaves out machines that have a record, so that an intent that comes back is removed after one answer of the cloud, under this leader and any later one. If its machine is gone, a record of it lasts until a few lists lack it.

Each kind of repeated request is also played alone (rules_hold_under_each_later_kind_of_fault_alone).

--- a/crates/core/src/leader/scale_out/results.rs
+++ b/crates/core/src/leader/scale_out/results.rs
@@ -36,6 +36,10 @@
 
     /// The transaction that records the machines up to index `end`, and updates the
     /// count in the intent. The last batch removes the intent.
+    ///
+    /// Machines that have a record already are left out. The intent was executed before
+    /// and has come back: its key is absent again once its machines are recorded, so that
+    /// a copy of the transaction that wrote it takes effect a second time.
     fn transaction(&self, view: &ClusterView, request: &str, end: usize) -> Transaction {
         let intent_key = provisioning_intent_key(request);
         let mut transaction = Transaction {
@@ -44,7 +48,8 @@
         };
         let shards = self.intent.shards_in_turn();
         let machines = self.machines.iter().zip(shards).take(end);
-        for (id, shard) in machines.skip(self.intent.recorded_count as usize) {
+        let remaining = machines.skip(self.intent.recorded_count as usize);
+        for (id, shard) in remaining.filter(|(id, _)| !view.machines.contains_key(*id)) {
             let machine = MachineRecord::new(
                 shard,
                 &self.intent.machine_type,
--- a/crates/testkit/tests/pairs.rs
+++ b/crates/testkit/tests/pairs.rs
@@ -6,7 +6,7 @@
 use common::{assert_ran_and_rules_kept, random_plans_of_seed};
 use forkshift_testkit::{
     ControllerSelector, Day, DeploymentConfig, Fault, FaultKind, FaultSchedule, JobPlan,
-    MachineFault, MachineSelector, Simulation,
+    MachineFault, MachineSelector, RepeatedReceiver, Simulation,
 };
 use forkshift_wire::users::{JobKind, JobStage};
 use forkshift_wire::JobId;
@@ -54,6 +54,11 @@
         time,
     };
     let machines = |fault| FaultKind::Machines(MachineSelector::Random(4), fault);
+    let repeated_requests = |receiver| FaultKind::RepeatedRequests {
+        receiver,
+        percent,
+        time,
+    };
     let fault_kinds = [
         lost_responses(None, true),
         lost_responses(None, false),
@@ -98,6 +103,9 @@
         machines(MachineFault::SlowLink(time)),
         machines(MachineFault::FailTasks(time)),
         machines(MachineFault::Crash),
+        repeated_requests(RepeatedReceiver::Worker),
+        repeated_requests(RepeatedReceiver::Store),
+        repeated_requests(RepeatedReceiver::Cloud),
     ];
     for (i, kind) in fault_kinds.into_iter().enumerate() {
         let seed = 300 + i as u64;
--- a/crates/testkit/tests/repeated_requests.rs
+++ b/crates/testkit/tests/repeated_requests.rs
@@ -176,6 +176,50 @@
     }
 }
 
+/// The transaction that wrote a provisioning intent took effect again after the intent's machine
+/// was recorded, and the intent stayed: no job of its shard got a machine any more. A job that is
+/// submitted after all copies has to be served in 90 s, also if the leader ends in between.
+#[test]
+fn a_job_gets_a_machine_after_provisioning_intents_were_repeated() {
+    const LAST_COPY_AT: Ms = 190_000;
+    const MAX_WAIT_MS: Ms = 90_000;
+    let node = 0;
+    let repeated = FaultKind::RepeatedRequests {
+        receiver: RepeatedReceiver::Store,
+        percent: 100,
+        time: 60_000,
+    };
+    let crash = FaultKind::Crash {
+        node,
+        count: 1,
+        restart_after: 5_000,
+    };
+    let crash = fault(150_000, crash.at(ControllerSelector::Leader));
+    // When the service that took the first machine is cancelled, if it is: its machine is deleted
+    // then, and a repeated intent names a machine that is gone.
+    let cases = [
+        ("the leader stays", 540, None, vec![]),
+        ("the leader ends", 541, None, vec![crash.clone()]),
+        ("the machine is deleted", 542, Some(30_000), vec![]),
+        ("both", 543, Some(30_000), vec![crash]),
+    ];
+    for (name, seed, cancel_at, further) in cases {
+        let mut service = small_job(0, 2_000, JobKind::Service, 1, 0);
+        service.spec.gpus = 8.0;
+        service.cancel_at = cancel_at;
+        let mut later = small_job(1, LAST_COPY_AT, JobKind::Array, 1, 3_000);
+        later.spec.gpus = 4.0;
+        let mut faults = vec![fault(0, repeated.clone())];
+        faults.extend(further);
+        let config = DeploymentConfig::default();
+        let mut simulation = Simulation::with_config(seed, vec![service, later], faults, config);
+        simulation.run_until(LAST_COPY_AT);
+        assert!(simulation.repeated_requests() > 20, "{name}");
+        simulation.run_until(LAST_COPY_AT + MAX_WAIT_MS);
+        assert_ran_and_rules_kept(name, &simulation);
+    }
+}
+
 /// Forgetting an attempt only under a higher token must not cost calls or waits where tasks are
 /// short: with an end a second on one machine, a task needs at most one call for its start and
 /// one to be forgotten, and it starts within two heartbeat intervals.
