--- a/crates/core/src/shard/commands.rs
+++ b/crates/core/src/shard/commands.rs
@@ -4,11 +4,13 @@
 //! are never part of a response to a heartbeat, because the holder would not learn that the
 //! response was lost. Idempotent commands may also be sent in those responses.
 
+mod forget;
+
 use crate::context::Context;
 use crate::pending_call::PendingCall;
 use crate::records::ShardId;
 use crate::shard::job::{Job, StartState, Stop};
-use crate::shard::machine::{ExitedAttempt, Machine, TaskAttempt};
+use crate::shard::machine::{Machine, TaskAttempt};
 use crate::shard::Shard;
 use forkshift_links::Decision;
 use forkshift_wire::workers::{Command, CommandRequest, Verb, WorkerHeartbeat};
@@ -147,65 +149,6 @@
         commands
     }
 
-    /// `forget` commands for exited attempts whose outcome is durable.
-    ///
-    /// Copies of a start may arrive at any time, also after the start was answered. A worker that
-    /// has forgotten the attempt runs it again, unless it refuses the copy for its token. An
-    /// attempt is therefore forgotten only by a message whose token is higher than that of every
-    /// start of the attempt: the worker has seen this token before it forgets the attempt.
-    fn forget_commands(&mut self, id: &MachineId) -> Vec<Command> {
-        let Some(machine) = self.machines.get(id) else {
-            return Vec::new();
-        };
-        // A raised token would have the worker refuse the call in flight and its starts. After an
-        // unanswered call the worker must first echo the token that was raised for it.
-        if machine.has_unanswered_call || machine.has_call_in_flight {
-            return Vec::new();
-        }
-        let exited = machine.exited_attempts.iter();
-        let forgettable: Vec<(TaskAttempt, u64)> = exited
-            .filter(|(attempt, exited)| self.is_forgettable(machine, attempt, exited))
-            .take(MAX_COMMANDS_PER_CALL)
-            .map(|(attempt, exited)| (attempt.clone(), exited.start_token))
-            .collect();
-        let Some(start_token) = forgettable.iter().map(|(_, token)| *token).max() else {
-            return Vec::new();
-        };
-        let Some(machine) = self.machines.get_mut(id) else {
-            return Vec::new();
-        };
-        machine.raise_token_above(start_token);
-        let token = machine.token;
-        log::debug!(
-            "machine {id}: {} exited attempts to be forgotten under token {token}, started under tokens up to {start_token}",
-            forgettable.len()
-        );
-        let fenced = forgettable.iter().filter(|(_, start)| *start < token);
-        fenced
-            .map(|(exited, _)| command(Verb::Forget, &exited.task, exited.attempt, None))
-            .collect()
-    }
-
-    /// Whether the outcome of an exited attempt needs its worker no more: the attempt is no
-    /// longer bound, and its outcome is durable.
-    fn is_forgettable(
-        &self,
-        machine: &Machine,
-        attempt: &TaskAttempt,
-        exited: &ExitedAttempt,
-    ) -> bool {
-        let Some(job) = self.jobs.get(&attempt.task.job) else {
-            return true;
-        };
-        let index = attempt.task.index;
-        let is_bound = job
-            .bindings
-            .get(&index)
-            .is_some_and(|b| b.machine == machine.id && b.attempt == attempt.attempt);
-        let version = exited.job_version;
-        !is_bound && version.is_none_or(|version| job.is_durable(index, version))
-    }
-
     /// Start commands that are durable and were never sent. They are marked as sent.
     fn due_starts(&mut self, id: &MachineId) -> Vec<Command> {
         let Some(machine) = self.machines.get(id) else {
