--- a/crates/core/src/shard/commands/forget.rs
+++ b/crates/core/src/shard/commands/forget.rs
@@ -25,12 +25,15 @@
             return Vec::new();
         }
         let exited = machine.exited_attempts.iter();
-        let forgettable: Vec<(TaskAttempt, u64)> = exited
+        let forgets: Vec<(u64, Command)> = exited
             .filter(|(attempt, exited)| self.is_forgettable(machine, attempt, exited))
             .take(MAX_COMMANDS_PER_CALL)
-            .map(|(attempt, exited)| (attempt.clone(), exited.start_token))
+            .map(|(attempt, exited)| {
+                let forget = command(Verb::Forget, &attempt.task, attempt.attempt, None);
+                (exited.start_token, forget)
+            })
             .collect();
-        let Some(start_token) = forgettable.iter().map(|(_, token)| *token).max() else {
+        let Some(start_token) = forgets.iter().map(|(token, _)| *token).max() else {
             return Vec::new();
         };
         let Some(machine) = self.machines.get_mut(id) else {
@@ -40,12 +43,10 @@
         let token = machine.token;
         log::debug!(
             "machine {id}: {} exited attempts to be forgotten under token {token}, started under tokens up to {start_token}",
-            forgettable.len()
+            forgets.len()
         );
-        let fenced = forgettable.iter().filter(|(_, start)| *start < token);
-        fenced
-            .map(|(exited, _)| command(Verb::Forget, &exited.task, exited.attempt, None))
-            .collect()
+        let fenced = forgets.into_iter().filter(|(start, _)| *start < token);
+        fenced.map(|(_, forget)| forget).collect()
     }
 
     /// Whether the outcome of an exited attempt needs its worker no more: the attempt is no
--- a/crates/testkit/tests/common/mod.rs
+++ b/crates/testkit/tests/common/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code)]
 
 use forkshift_testkit::{Fault, FaultKind, JobPlan, Simulation};
+use forkshift_wire::users::JobKind;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -16,6 +17,15 @@
     Fault { at, kind }
 }
 
+/// A job whose tasks need one CPU, one GPU and 1 GB of memory each.
+pub(crate) fn small_job(n: u32, at: Ms, kind: JobKind, tasks: u32, run_ms: Ms) -> JobPlan {
+    let mut plan = JobPlan::plain(n, at, kind, tasks, run_ms);
+    plan.spec.cpus = 1.0;
+    plan.spec.gpus = 1.0;
+    plan.spec.memory_gb = 1.0;
+    plan
+}
+
 /// `count` random jobs, submitted between 2 s and 90 s of virtual time.
 pub(crate) fn random_plans(rng: &mut StdRng, count: u32) -> Vec<JobPlan> {
     let plans = (0..count).map(|number| {
--- a/crates/testkit/tests/pairs.rs
+++ b/crates/testkit/tests/pairs.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{assert_ran_and_rules_kept, random_plans_of_seed};
+use common::{assert_ran_and_rules_kept, random_plans_of_seed, small_job};
 use forkshift_testkit::{
     ControllerSelector, Day, DeploymentConfig, Fault, FaultKind, FaultSchedule, JobPlan,
     MachineFault, MachineSelector, RepeatedReceiver, Simulation,
@@ -121,11 +121,7 @@
 
 /// A one-task array that needs one GPU.
 fn job(n: u32, at: u64, run_ms: u64) -> JobPlan {
-    let mut plan = JobPlan::plain(n, at, JobKind::Array, 1, run_ms);
-    plan.spec.cpus = 1.0;
-    plan.spec.gpus = 1.0;
-    plan.spec.memory_gb = 1.0;
-    plan
+    small_job(n, at, JobKind::Array, 1, run_ms)
 }
 
 /// A submission whose write response is lost is recorded at once or seconds later. In both
--- a/crates/testkit/tests/repeated_requests.rs
+++ b/crates/testkit/tests/repeated_requests.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{assert_ran_and_rules_kept, fault, random_plans_of_seed, Ms};
+use common::{assert_ran_and_rules_kept, fault, random_plans_of_seed, small_job, Ms};
 use forkshift_testkit::{
     ControllerSelector, Day, DeploymentConfig, Fault, FaultKind, FaultSchedule, JobDefect, JobPlan,
     MachineFault, MachineSelector, RepeatedReceiver, Simulation,
@@ -20,15 +20,6 @@
     fault(0, kind)
 }
 
-/// A job that needs one GPU per task.
-fn small_job(n: u32, at: Ms, kind: JobKind, tasks: u32, run_ms: Ms) -> JobPlan {
-    let mut plan = JobPlan::plain(n, at, kind, tasks, run_ms);
-    plan.spec.cpus = 1.0;
-    plan.spec.gpus = 1.0;
-    plan.spec.memory_gb = 1.0;
-    plan
-}
-
 /// Jobs whose attempts end in each way: completed, failed, cancelled, and stopped for a job of a
 /// higher priority.
 fn jobs_that_end_in_each_way() -> Vec<JobPlan> {
