Log why a request for a job is refused, and how long its dependencies have been read

Cause: the records of an incident show that every poll for one job failed for 90 s, but no log line says why a controller refused, which dependencies it did not know, for how long it had wanted their records, or how many reads were ahead.

Change: api/refusals.rs names the reason of a refused lookup (record not readable, a dependency cancelled, dependencies unknown) with the unknown ids, how long each has been wanted, the feed's age and its reads; the status log counts refusals and shows the feed. The reads keep their order; no behaviour changes.

--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -8,6 +8,7 @@
 mod cancellations;
 pub(crate) mod delayed_lookups;
 mod heartbeats;
+pub(crate) mod refusals;
 mod status_queries;
 mod submissions;
 
--- a/crates/core/src/api/admission.rs
+++ b/crates/core/src/api/admission.rs
@@ -151,7 +151,7 @@
         let check = self.check_dependencies(&admission.creation.spec.dependencies);
         if let DependencyCheck::Uncertain(unknown) = check {
             self.request_job_feed();
-            return self.job_feed.read(unknown);
+            return self.job_feed.read(unknown, self.ctx.now);
         }
         if let Some(admission) = self.admissions.remove(&request) {
             self.create_job(JobCreation {
--- a/crates/core/src/api/delayed_lookups.rs
+++ b/crates/core/src/api/delayed_lookups.rs
@@ -2,7 +2,8 @@
 //!
 //! The job's record is read again after that, as it may have changed in the meantime.
 
-use crate::io::{Reply, RequestId};
+use crate::api::refusals::Refusal;
+use crate::io::RequestId;
 use crate::node::Node;
 use crate::pending_call::LookupPurpose;
 use crate::shard::dependencies::DependencyCheck;
@@ -26,7 +27,7 @@
     /// of those that are unknown.
     pub(crate) fn delay_lookup(&mut self, lookup: DelayedLookup, unknown: BTreeSet<JobId>) {
         self.request_job_feed();
-        self.job_feed.read(unknown);
+        self.job_feed.read(unknown, self.ctx.now);
         self.delayed_lookups.push(lookup);
     }
 
@@ -58,9 +59,9 @@
             lookups.partition(|lookup| now >= lookup.deadline);
         self.delayed_lookups = waiting;
         for lookup in expired {
-            log::debug!("job {}: its dependencies may be cancelled", lookup.id);
-            let reply = Reply::unavailable("not known at the moment");
-            self.ctx.respond(lookup.request, reply);
+            let DelayedLookup { request, id, .. } = &lookup;
+            let refusal = Refusal::DependenciesUnknown;
+            self.refuse(*request, id, refusal, &lookup.dependencies);
         }
     }
 }
--- a/crates/core/src/api/status_queries.rs
+++ b/crates/core/src/api/status_queries.rs
@@ -2,6 +2,7 @@
 //! the key-value store.
 
 use crate::api::delayed_lookups::DelayedLookup;
+use crate::api::refusals::Refusal;
 use crate::api::status_of_stage;
 use crate::io::{Reply, RequestId};
 use crate::node::{active_shard_of, Node};
@@ -124,7 +125,7 @@
             _ => None,
         };
         let Some(record) = record else {
-            return self.ctx.respond(request, Reply::unavailable("not now"));
+            return self.refuse(request, &id, Refusal::Unreadable(status_code), &[]);
         };
         // A cancellation is answered by the holder, once the final stage is recorded.
         if record.stage.is_final() || purpose.is_cancellation() {
@@ -132,7 +133,10 @@
         }
         match self.check_unfinished_record(&record) {
             DependencyCheck::NotCancelled => self.on_record_found(request, id, &purpose, &record),
-            DependencyCheck::Cancelled => self.ctx.respond(request, Reply::unavailable("not now")),
+            DependencyCheck::Cancelled => {
+                let dependencies = &record.spec.dependencies;
+                self.refuse(request, &id, Refusal::DependencyCancelled, dependencies);
+            }
             DependencyCheck::Uncertain(unknown) => {
                 let lookup = DelayedLookup {
                     request,
--- a/crates/core/src/job_feed.rs
+++ b/crates/core/src/job_feed.rs
@@ -22,7 +22,8 @@
 use forkshift_wire::state::{Change, Changes};
 use forkshift_wire::users::JobKind;
 use forkshift_wire::JobId;
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
+use std::fmt;
 pub(crate) use unfinished_jobs::UnfinishedJob;
 use unfinished_jobs::UnfinishedJobs;
 
@@ -60,15 +61,48 @@
     requested_until: Ms,
     /// Unfinished jobs that were accepted or read in this run.
     unfinished: UnfinishedJobs,
-    /// Jobs whose records are to be read, as the feed does not show their state.
-    to_read: BTreeSet<JobId>,
-    reads_in_flight: BTreeSet<JobId>,
+    /// Jobs whose records are to be read, as the feed does not show their state, with the time
+    /// since which each has been wanted.
+    to_read: BTreeMap<JobId, Ms>,
+    /// Jobs whose records are being read, with the time since which each has been wanted.
+    reads_in_flight: BTreeMap<JobId, Ms>,
     /// No read is sent before this time.
     next_read_at: Ms,
     /// Whether a poll or a read has returned since the last [`Self::take_progress`].
     has_progress: bool,
 }
 
+/// State of the feed and of its reads, for the log.
+pub(crate) struct FeedStatus {
+    revision: Option<u64>,
+    age_ms: Ms,
+    queued_reads: usize,
+    reads_in_flight: usize,
+    oldest_read_ms: Option<Ms>,
+}
+
+impl fmt::Display for FeedStatus {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.revision {
+            Some(revision) => write!(
+                f,
+                "feed at revision {revision} as of {} ms ago",
+                self.age_ms
+            ),
+            None => f.write_str("feed stopped"),
+        }?;
+        write!(
+            f,
+            ", {} reads queued, {} in flight",
+            self.queued_reads, self.reads_in_flight
+        )?;
+        match self.oldest_read_ms {
+            Some(ms) => write!(f, ", the oldest wanted for {ms} ms"),
+            None => Ok(()),
+        }
+    }
+}
+
 impl JobFeed {
     /// A stopped feed that keeps up to `capacity` unfinished jobs and dependencies.
     pub(crate) fn new(capacity: usize) -> Self {
@@ -80,8 +114,8 @@
             next_poll_at: 0,
             requested_until: 0,
             unfinished: UnfinishedJobs::new(capacity),
-            to_read: BTreeSet::new(),
-            reads_in_flight: BTreeSet::new(),
+            to_read: BTreeMap::new(),
+            reads_in_flight: BTreeMap::new(),
             next_read_at: 0,
             has_progress: false,
         }
@@ -134,8 +168,28 @@
     }
 
     /// Requests reads of jobs' records.
-    pub(crate) fn read(&mut self, ids: impl IntoIterator<Item = JobId>) {
-        self.to_read.extend(ids);
+    pub(crate) fn read(&mut self, ids: impl IntoIterator<Item = JobId>, now: Ms) {
+        for id in ids {
+            self.to_read.entry(id).or_insert(now);
+        }
+    }
+
+    /// The state of the feed and of its reads, for the log.
+    pub(crate) fn status(&self, now: Ms) -> FeedStatus {
+        let requested = self.to_read.values().chain(self.reads_in_flight.values());
+        FeedStatus {
+            revision: self.revision,
+            age_ms: now.saturating_sub(self.current_as_of),
+            queued_reads: self.to_read.len(),
+            reads_in_flight: self.reads_in_flight.len(),
+            oldest_read_ms: requested.map(|at| now.saturating_sub(*at)).max(),
+        }
+    }
+
+    /// For how long a job's record has been wanted, in milliseconds; none if it is not.
+    pub(crate) fn wanted_for_ms(&self, id: &JobId, now: Ms) -> Option<Ms> {
+        let since = self.reads_in_flight.get(id).or(self.to_read.get(id))?;
+        Some(now.saturating_sub(*since))
     }
 
     /// Whether a poll or a read has returned since the last call.
@@ -267,12 +321,14 @@
             return;
         }
         while self.job_feed.reads_in_flight.len() < MAX_READS_IN_FLIGHT {
-            let Some(id) = self.job_feed.to_read.pop_first() else {
+            let Some((id, wanted_since)) = self.job_feed.to_read.pop_first() else {
                 return;
             };
-            if !self.job_feed.reads_in_flight.insert(id.clone()) {
+            if self.job_feed.reads_in_flight.contains_key(&id) {
                 continue;
             }
+            let in_flight = &mut self.job_feed.reads_in_flight;
+            in_flight.insert(id.clone(), wanted_since);
             let path = format!("/kv/{}", job_key(&id));
             let pending = PendingCall::DependencyRead {
                 run: self.job_feed.run,
@@ -294,13 +350,20 @@
         status: u16,
         body: &[u8],
     ) {
-        if run != self.job_feed.run || !self.job_feed.reads_in_flight.remove(id) {
+        if run != self.job_feed.run {
             return;
         }
+        let Some(wanted_since) = self.job_feed.reads_in_flight.remove(id) else {
+            return;
+        };
         let record = parse_job_record(body).filter(|_| status == 200);
         let Some(record) = record else {
             self.job_feed.next_read_at = self.ctx.now + RETRY_PAUSE_MS;
-            self.job_feed.to_read.insert(id.clone());
+            self.job_feed.to_read.insert(id.clone(), wanted_since);
+            let waited_ms = self.ctx.now.saturating_sub(wanted_since);
+            log::debug!(
+                "job {id}: read of its record failed with {status}, wanted for {waited_ms} ms"
+            );
             return;
         };
         self.job_feed.has_progress = true;
--- a/crates/core/src/job_feed/tests.rs
+++ b/crates/core/src/job_feed/tests.rs
@@ -116,7 +116,8 @@
 fn requested_records_are_read_a_few_at_a_time_and_again_after_failures() {
     let mut f = Fixture::new();
     f.node.request_job_feed();
-    f.node.job_feed.read((100..300).map(id));
+    let now = f.node.ctx.now;
+    f.node.job_feed.read((100..300).map(id), now);
     f.step(0);
     assert_eq!(count(&f, is_read), MAX_READS_IN_FLIGHT);
     f.answer(is_read, 503, &json!({}));
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -17,6 +17,7 @@
 
 use crate::api::admission::Admission;
 use crate::api::delayed_lookups::DelayedLookup;
+use crate::api::refusals::RefusalCounts;
 use crate::config::Config;
 use crate::context::Context;
 use crate::io::{Effect, Input, RequestId};
@@ -57,6 +58,8 @@
     pub(crate) job_feed: JobFeed,
     /// Lookups that wait until the states of the jobs' dependencies are known.
     pub(crate) delayed_lookups: Vec<DelayedLookup>,
+    /// Refused requests for jobs, for the log.
+    pub(crate) refusals: RefusalCounts,
     /// Submissions whose dependencies are being read from the store.
     pub(crate) admissions: BTreeMap<RequestId, Admission>,
     /// Requests forwarded to other controllers that have no answer yet, by number.
@@ -107,6 +110,7 @@
             dependencies: DependencyTracker::default(),
             job_feed: JobFeed::new(feed_entries),
             delayed_lookups: Vec::new(),
+            refusals: RefusalCounts::default(),
             admissions: BTreeMap::new(),
             pending_forwards: BTreeMap::new(),
             last_forward_number: incarnation,
--- a/crates/core/src/node/status_log.rs
+++ b/crates/core/src/node/status_log.rs
@@ -1,4 +1,5 @@
-//! Periodic status log lines for each shard that is held here.
+//! Periodic status log lines: for each shard that is held here, for the job feed, and for
+//! refused requests.
 
 use super::Node;
 use crate::shard::Shard;
@@ -8,7 +9,7 @@
 const STATUS_LOG_INTERVAL_MS: Ms = 10_000;
 
 impl Node {
-    /// Logs the status of each shard if the interval has passed.
+    /// Logs the status of each shard, of the job feed and of refused requests if the interval has passed.
     pub(super) fn log_status(&mut self) {
         if self.ctx.now < self.next_status_log_at {
             return;
@@ -19,6 +20,12 @@
             shard.log_details();
             log_shard_status(shard, queued_calls);
         }
+        self.refusals.log_and_reset();
+        let (feed, delayed) = (
+            self.job_feed.status(self.ctx.now),
+            self.delayed_lookups.len(),
+        );
+        log::info!("job {feed}, {delayed} requests delayed");
     }
 }
 
--- a/crates/core/src/shard/dependencies.rs
+++ b/crates/core/src/shard/dependencies.rs
@@ -292,7 +292,7 @@
     /// known, and cancels the dependents of those that are cancelled.
     fn review_dependency_records(&mut self, ids: &BTreeSet<JobId>) {
         let walk = self.walk_dependencies(ids);
-        self.job_feed.read(walk.unknown);
+        self.job_feed.read(walk.unknown, self.ctx.now);
         for cancelled in walk.cancelled {
             self.cancel_with_dependents(self.known_dependents_of(&cancelled), &cancelled);
         }
--- a/crates/core/src/shard/dependencies/check.rs
+++ b/crates/core/src/shard/dependencies/check.rs
@@ -30,14 +30,14 @@
 
 /// What a walk through the transitive dependencies of jobs has found.
 #[derive(Debug)]
-pub(super) struct DependencyWalk {
+pub(crate) struct DependencyWalk {
     /// Jobs that are recorded as cancelled. The walk doesn't go beyond them.
-    pub(super) cancelled: Vec<JobId>,
+    pub(crate) cancelled: Vec<JobId>,
     /// Jobs of which nothing is known. The walk can't go beyond them.
-    pub(super) unknown: BTreeSet<JobId>,
+    pub(crate) unknown: BTreeSet<JobId>,
     /// The time as of which none of the other jobs was recorded as cancelled, in milliseconds
     /// of the steady clock.
-    pub(super) not_cancelled_as_of: Ms,
+    pub(crate) not_cancelled_as_of: Ms,
 }
 
 impl Node {
@@ -59,7 +59,7 @@
     }
 
     /// Visits jobs and their transitive dependencies.
-    pub(super) fn walk_dependencies<'a>(
+    pub(crate) fn walk_dependencies<'a>(
         &'a self,
         ids: impl IntoIterator<Item = &'a JobId>,
     ) -> DependencyWalk {
