--- a/crates/testkit/src/checker.rs
+++ b/crates/testkit/src/checker.rs
@@ -5,6 +5,7 @@
 
 mod dependencies;
 mod observations;
+mod poll_answers;
 mod progress;
 mod responses;
 mod tasks;
@@ -12,6 +13,7 @@
 
 pub use observations::FirstStart;
 pub(crate) use observations::StartMeasurements;
+use poll_answers::PollAnswers;
 use usage::Usage;
 
 use crate::Ms;
@@ -32,7 +34,8 @@
     /// A task of a job was on a machine longer after the confirmed cancellation than the
     /// configured cancellation time.
     RanCancelled,
-    /// An accepted job was reported as unknown, or its resubmission was refused, later.
+    /// An accepted job was reported as unknown, or its resubmission was refused, later; or for 90 s
+    /// no poll of it was answered while most others were.
     Forgotten,
     /// A request about a job that nobody submitted succeeded.
     Invented,
@@ -102,6 +105,8 @@
     quiescence: Quiescence,
     /// Jobs with an unanswered request, and when the first unanswered request was sent.
     unanswered: BTreeMap<JobId, Ms>,
+    /// Polls of accepted jobs and their answers.
+    poll_answers: PollAnswers,
     /// Pending jobs for which there is free capacity, and since when.
     pending_despite_capacity: BTreeMap<JobId, Ms>,
     /// When a user first sent a request about each job.
@@ -170,6 +175,7 @@
     pub fn check_time_limits(&mut self, now: Ms, expired: &BTreeSet<MachineId>) {
         self.check_cancelled_tasks(now, expired);
         self.check_unanswered(now);
+        self.check_polls_answered(now);
     }
 }
 
--- a/crates/testkit/src/checker/responses.rs
+++ b/crates/testkit/src/checker/responses.rs
@@ -62,6 +62,7 @@
         self.last_sequence += 1;
         if is_success(status) || status == 404 {
             self.unanswered.remove(id);
+            self.poll_answers.on_answered(now, id);
         }
         let is_first_acceptance = match is_success(status) {
             true => self.on_success(now, id, status),
--- a/crates/testkit/src/checker/tests.rs
+++ b/crates/testkit/src/checker/tests.rs
@@ -42,13 +42,45 @@
     spec.id
 }
 
+/// Polls a job and two others every second for 91 s. The arguments say whether the polls are
+/// answered in a second.
+fn poll_three_jobs(
+    checker: &mut Checker,
+    id: &JobId,
+    is_answered: impl Fn(Ms) -> bool,
+    are_others_answered: impl Fn(Ms) -> bool,
+) {
+    let others = [spec("j-2", 1), spec("j-3", 1)];
+    for other in &others {
+        checker.on_submitted(other);
+    }
+    let stage = Some(JobStage::Queued);
+    let ids = [id, &others[0].id, &others[1].id];
+    for id in ids {
+        checker.on_immediate_response(1, id, true, 201, stage);
+    }
+    for second in 1..=91 {
+        let now = second * 1_000;
+        for polled in ids {
+            let is_answered = match polled == id {
+                true => is_answered(second),
+                false => are_others_answered(second),
+            };
+            let status = if is_answered { 200 } else { 503 };
+            checker.on_poll_sent(now, polled);
+            checker.on_immediate_response(now, polled, false, status, stage);
+        }
+        checker.check_time_limits(now, &BTreeSet::new());
+    }
+}
+
 /// Guards against a checker that misses violations or reports false ones: each trace violates
 /// exactly its rule if `violates` is set, and no rule otherwise.
 #[test]
 #[allow(clippy::too_many_lines, reason = "a table of cases")]
 fn every_rule_is_violated_by_its_trace_and_by_no_corrected_one() {
     type Trace = fn(&mut Checker, &JobId, bool);
-    let cases: [(Rule, Trace); 29] = [
+    let cases: [(Rule, Trace); 31] = [
         (Rule::RanTwice, |checker, _, violates| {
             checker.on_task_started(1, &task(0), place("m1", "a"));
             if !violates {
@@ -199,6 +231,16 @@
             checker.on_immediate_response(174_000, id, false, status, Some(JobStage::Queued));
             checker.check_time_limits(175_001, &BTreeSet::new());
         }),
+        (Rule::Forgotten, |checker, id, violates| {
+            // The job's polls fail, or one of them is answered.
+            let is_answered = |second| second == 45 && !violates;
+            poll_three_jobs(checker, id, is_answered, |_| true);
+        }),
+        (Rule::Forgotten, |checker, id, violates| {
+            // Most of the other jobs' polls are answered, or most of them fail.
+            let are_others_answered = |second| violates || second % 4 == 0;
+            poll_three_jobs(checker, id, |_| false, are_others_answered);
+        }),
         (Rule::LeftWaiting, |checker, id, violates| {
             checker.on_job_pending(1, id, true);
             checker.set_quiescence(Quiescence::Since(100_000));
--- a/crates/testkit/src/simulation/users.rs
+++ b/crates/testkit/src/simulation/users.rs
@@ -159,6 +159,7 @@
                 ("POST", format!("/submissions/{id}/abort"), Vec::new())
             }
             UserState::Polling | UserState::Finished => {
+                self.checker.on_poll_sent(self.now, id);
                 ("GET", format!("/submissions/{id}"), Vec::new())
             }
         };
