The job feed starts in the past; reads of dependencies go out in order, ahead of no one

Callers saw: every poll of an accepted job with dependencies refused with 503 for minutes, at whichever controller, also long after the last controller had ended.

Cause: after a restart a controller knows no other job's state, and read the records of the dependencies one by one: by the lowest id, four at a time, behind the calls of users and alike with task writes. With 80 requests a second for seven controllers, the polls, which are repeated because they are refused, used up the controller's rate, so that reads expired in the queue (records wanted for up to 122 s), and a job with a high id was overtaken by each later request. A question depended on work that was less urgent than the question's own repetitions: a priority inversion.

Change: the feed starts a quarter of its capacity in revisions before the current one, so that its first poll shows the jobs of the recent past with one request; if the answer is refused (410, 413) or does not come, it starts later. Reads are sent in the order of their requests (job_feed/requested_reads.rs); those that a user's request waits for have the urgency of users' requests and places of their own; a record that can't be read waits behind the others; a read whose result the feed has shown by now is dropped. Of several changes of a record, the last counts.

--- a/crates/core/src/api/admission.rs
+++ b/crates/core/src/api/admission.rs
@@ -7,7 +7,7 @@
 
 use crate::api::parse_versioned_job_record;
 use crate::io::{Reply, RequestId};
-use crate::job_feed::FeedRun;
+use crate::job_feed::{FeedRun, ReadPriority};
 use crate::node::Node;
 use crate::pending_call::{JobCreation, LookupPurpose, PendingCall};
 use crate::records::{job_key, JobRecord};
@@ -151,7 +151,9 @@
         let check = self.check_dependencies(&admission.creation.spec.dependencies);
         if let DependencyCheck::Uncertain(unknown) = check {
             self.request_job_feed();
-            return self.job_feed.read(unknown, self.ctx.now);
+            return self
+                .job_feed
+                .read(unknown, ReadPriority::Request, self.ctx.now);
         }
         if let Some(admission) = self.admissions.remove(&request) {
             self.create_job(JobCreation {
--- a/crates/core/src/api/delayed_lookups.rs
+++ b/crates/core/src/api/delayed_lookups.rs
@@ -4,6 +4,7 @@
 
 use crate::api::refusals::Refusal;
 use crate::io::RequestId;
+use crate::job_feed::ReadPriority;
 use crate::node::Node;
 use crate::pending_call::LookupPurpose;
 use crate::shard::dependencies::DependencyCheck;
@@ -27,7 +28,8 @@
     /// of those that are unknown.
     pub(crate) fn delay_lookup(&mut self, lookup: DelayedLookup, unknown: BTreeSet<JobId>) {
         self.request_job_feed();
-        self.job_feed.read(unknown, self.ctx.now);
+        self.job_feed
+            .read(unknown, ReadPriority::Request, self.ctx.now);
         self.delayed_lookups.push(lookup);
     }
 
--- a/crates/core/src/bounds.rs
+++ b/crates/core/src/bounds.rs
@@ -34,6 +34,10 @@
 /// Upper estimate of the memory for one job in the job feed, or for one dependency that such a
 /// job names, in bytes.
 const FEED_ENTRY_BYTES: f64 = 256.0;
+/// Fraction of the job feed's entries that equals the number of revisions at which the feed
+/// starts before the current one. The jobs that changed in these revisions leave room for
+/// others.
+const FEED_LOOK_BACK_FRACTION: f64 = 0.25;
 /// Fraction of the memory for queued messages to all other controllers.
 const PEER_QUEUE_MEMORY_FRACTION: f64 = 0.05;
 /// Fraction of the memory that the response to one call may use.
@@ -73,6 +77,8 @@
     /// Maximum number of unfinished jobs in the job feed, together with the dependencies that they
     /// name. The oldest job is evicted when the feed is full; its record is then read again.
     pub feed_entries: usize,
+    /// Number of revisions before the current one at which the job feed starts.
+    pub feed_look_back: u64,
     /// Number of interned image names above which the unused ones are evicted.
     pub image_names: usize,
     /// Maximum size of the message queue to one other controller, in bytes. Messages beyond it
@@ -104,6 +110,8 @@
             forwarded_requests: sockets(INCOMING_CONNECTIONS_FRACTION),
             cached_jobs: at_least_one(memory(CACHED_JOBS_MEMORY_FRACTION) / CACHED_JOB_BYTES),
             feed_entries: at_least_one(memory(FEED_MEMORY_FRACTION) / FEED_ENTRY_BYTES),
+            feed_look_back: (memory(FEED_MEMORY_FRACTION) / FEED_ENTRY_BYTES
+                * FEED_LOOK_BACK_FRACTION) as u64,
             image_names: at_least_one(memory(IMAGE_NAMES_MEMORY_FRACTION) / IMAGE_NAME_BYTES),
             // The queue must be able to hold a message of maximum size.
             peer_queue_bytes: ((memory(PEER_QUEUE_MEMORY_FRACTION) / peers) as usize)
--- a/crates/core/src/job_feed.rs
+++ b/crates/core/src/job_feed.rs
@@ -7,9 +7,11 @@
 //! of another controller delays an end by at most one interval.
 //!
 //! The feed runs only while this controller needs it: it holds blocked jobs, or has recently
-//! answered requests for jobs with dependencies. Jobs that were accepted before the feed
-//! started are read once, from their records.
+//! answered requests for jobs with dependencies. It starts at an earlier revision of the store,
+//! so that its first poll shows the jobs of the recent past with one request. Jobs that were
+//! accepted or ended before that are read once, from their records.
 
+mod requested_reads;
 mod unfinished_jobs;
 
 use crate::api::parse_job_record;
@@ -22,7 +24,10 @@
 use forkshift_wire::state::{Change, Changes};
 use forkshift_wire::users::JobKind;
 use forkshift_wire::JobId;
-use std::collections::BTreeMap;
+pub(crate) use requested_reads::ReadPriority;
+use requested_reads::{FinishedRead, RequestedReads};
+use serde_json::Value;
+use std::collections::HashMap;
 use std::fmt;
 pub(crate) use unfinished_jobs::UnfinishedJob;
 use unfinished_jobs::UnfinishedJobs;
@@ -37,7 +42,7 @@
 const POLL_RATE_FRACTION: f64 = 0.05;
 /// Pause after a failed poll or read, in milliseconds.
 const RETRY_PAUSE_MS: Ms = 500;
-/// Maximum number of reads of jobs' records in flight. More would delay the calls that are
+/// Maximum number of reads of jobs' records in flight, for each priority. More would delay the calls that are
 /// queued behind them.
 const MAX_READS_IN_FLIGHT: usize = 4;
 
@@ -53,6 +58,8 @@
     /// Store revision up to which all changes have been processed; none while the feed is
     /// stopped.
     revision: Option<u64>,
+    /// Number of revisions before the current one at which the feed starts.
+    look_back: u64,
     /// All changes that the store had made by this time have been processed.
     current_as_of: Ms,
     is_poll_in_flight: bool,
@@ -61,11 +68,8 @@
     requested_until: Ms,
     /// Unfinished jobs that were accepted or read in this run.
     unfinished: UnfinishedJobs,
-    /// Jobs whose records are to be read, as the feed does not show their state, with the time
-    /// since which each has been wanted.
-    to_read: BTreeMap<JobId, Ms>,
-    /// Jobs whose records are being read, with the time since which each has been wanted.
-    reads_in_flight: BTreeMap<JobId, Ms>,
+    /// Jobs whose records are to be read, as the feed does not show their state.
+    reads: RequestedReads,
     /// No read is sent before this time.
     next_read_at: Ms,
     /// Whether a poll or a read has returned since the last [`Self::take_progress`].
@@ -104,18 +108,19 @@
 }
 
 impl JobFeed {
-    /// A stopped feed that keeps up to `capacity` unfinished jobs and dependencies.
-    pub(crate) fn new(capacity: usize) -> Self {
+    /// A stopped feed that keeps up to `capacity` unfinished jobs and dependencies, and starts
+    /// `look_back` revisions before the current one.
+    pub(crate) fn new(capacity: usize, look_back: u64) -> Self {
         Self {
             run: FeedRun::default(),
             revision: None,
+            look_back,
             current_as_of: 0,
             is_poll_in_flight: false,
             next_poll_at: 0,
             requested_until: 0,
             unfinished: UnfinishedJobs::new(capacity),
-            to_read: BTreeMap::new(),
-            reads_in_flight: BTreeMap::new(),
+            reads: RequestedReads::default(),
             next_read_at: 0,
             has_progress: false,
         }
@@ -150,7 +155,7 @@
     /// Records that a job has ended.
     pub(crate) fn remove(&mut self, id: &JobId) {
         self.unfinished.remove(id);
-        self.to_read.remove(id);
+        self.reads.remove_queued(id);
     }
 
     /// Records that a job was unfinished when its record was read. `read_at` is when the read
@@ -164,32 +169,38 @@
             shard: record.shard,
             read_at,
         };
+        self.reads.remove_queued(&record.spec.id);
         self.unfinished.insert(record.spec.id.clone(), job);
     }
 
     /// Requests reads of jobs' records.
-    pub(crate) fn read(&mut self, ids: impl IntoIterator<Item = JobId>, now: Ms) {
+    pub(crate) fn read(
+        &mut self,
+        ids: impl IntoIterator<Item = JobId>,
+        priority: ReadPriority,
+        now: Ms,
+    ) {
         for id in ids {
-            self.to_read.entry(id).or_insert(now);
+            self.reads.request(id, priority, now);
         }
     }
 
     /// The state of the feed and of its reads, for the log.
     pub(crate) fn status(&self, now: Ms) -> FeedStatus {
-        let requested = self.to_read.values().chain(self.reads_in_flight.values());
+        let oldest_wanted_since = self.reads.oldest_wanted_since();
         FeedStatus {
             revision: self.revision,
             age_ms: now.saturating_sub(self.current_as_of),
-            queued_reads: self.to_read.len(),
-            reads_in_flight: self.reads_in_flight.len(),
-            oldest_read_ms: requested.map(|at| now.saturating_sub(*at)).max(),
+            queued_reads: self.reads.queued_count(),
+            reads_in_flight: self.reads.in_flight_count(),
+            oldest_read_ms: oldest_wanted_since.map(|since| now.saturating_sub(since)),
         }
     }
 
     /// For how long a job's record has been wanted, in milliseconds; none if it is not.
     pub(crate) fn wanted_for_ms(&self, id: &JobId, now: Ms) -> Option<Ms> {
-        let since = self.reads_in_flight.get(id).or(self.to_read.get(id))?;
-        Some(now.saturating_sub(*since))
+        let since = self.reads.wanted_since(id)?;
+        Some(now.saturating_sub(since))
     }
 
     /// Whether a poll or a read has returned since the last call.
@@ -197,8 +208,9 @@
         std::mem::take(&mut self.has_progress)
     }
 
-    /// Starts the feed at a revision of the store that is not newer than the current one.
+    /// Starts the feed. `revision` is one of the store that is not newer than the current one.
     fn start(&mut self, revision: u64, now: Ms) {
+        let revision = revision.saturating_sub(self.look_back);
         log::info!("job feed: started at revision {revision}");
         self.run.0 += 1;
         self.revision = Some(revision);
@@ -212,8 +224,17 @@
         log::info!("job feed: stopped, {reason}");
         self.revision = None;
         self.unfinished.clear();
-        self.to_read.clear();
-        self.reads_in_flight.clear();
+        self.reads.clear();
+    }
+
+    /// Whether no poll of this run has been answered yet, so that the next one also looks back.
+    fn is_first_poll(&self) -> bool {
+        self.current_as_of == 0
+    }
+
+    /// Makes the feed start at a later revision from now on.
+    fn shorten_look_back(&mut self) {
+        self.look_back /= 2;
     }
 }
 
@@ -283,7 +304,13 @@
             return;
         }
         self.job_feed.is_poll_in_flight = false;
-        if is_watch_lost(status) {
+        let is_too_long = is_watch_lost(status);
+        // The answer to the first poll is large, and may have taken too long.
+        if self.job_feed.is_first_poll() && (is_too_long || status == 0) {
+            self.job_feed.shorten_look_back();
+            return self.job_feed.stop("the first poll failed");
+        }
+        if is_too_long {
             return self.job_feed.stop("changes were lost");
         }
         let changes: Option<Changes> = serde_json::from_slice(body).ok().filter(|_| status == 200);
@@ -291,18 +318,15 @@
             self.job_feed.next_poll_at = self.ctx.now + RETRY_PAUSE_MS;
             return;
         };
-        for change in changes.events {
-            self.on_job_record_changed(run, change, sent);
+        for (key, value) in latest_records(changes.events) {
+            self.on_job_record_changed(run, &key, value, sent);
         }
         self.job_feed.revision = Some(changes.revision);
         self.job_feed.current_as_of = sent;
         self.job_feed.has_progress = true;
     }
 
-    fn on_job_record_changed(&mut self, run: FeedRun, change: Change, sent: Ms) {
-        let Change::Put { key, value, .. } = change else {
-            return;
-        };
+    fn on_job_record_changed(&mut self, run: FeedRun, key: &str, value: Value, sent: Ms) {
         let Ok(record) = serde_json::from_value::<JobRecord>(value) else {
             log::error!("record {key}: unreadable, the job counts as not known");
             let id = key.strip_prefix(JOB_PREFIX).unwrap_or_default();
@@ -310,7 +334,7 @@
         };
         if record.stage.is_final() {
             self.final_stages.insert(record.spec.id, record.stage);
-        } else {
+        } else if self.final_stages.get(&record.spec.id).is_none() {
             self.job_feed.insert_read(run, &record, sent);
         }
     }
@@ -320,25 +344,26 @@
         if self.ctx.now < self.job_feed.next_read_at {
             return;
         }
-        while self.job_feed.reads_in_flight.len() < MAX_READS_IN_FLIGHT {
-            let Some((id, wanted_since)) = self.job_feed.to_read.pop_first() else {
-                return;
-            };
-            if self.job_feed.reads_in_flight.contains_key(&id) {
-                continue;
+        for priority in [ReadPriority::Request, ReadPriority::Background] {
+            while self.job_feed.reads.in_flight_as(priority) < MAX_READS_IN_FLIGHT {
+                let Some(id) = self.job_feed.reads.start_next(priority) else {
+                    break;
+                };
+                self.read_dependency(id, priority.urgency());
             }
-            let in_flight = &mut self.job_feed.reads_in_flight;
-            in_flight.insert(id.clone(), wanted_since);
-            let path = format!("/kv/{}", job_key(&id));
-            let pending = PendingCall::DependencyRead {
-                run: self.job_feed.run,
-                id,
-                sent: self.ctx.now,
-            };
-            self.ctx.read_store(Urgency::Tasks, path, pending);
         }
     }
 
+    fn read_dependency(&mut self, id: JobId, urgency: Urgency) {
+        let path = format!("/kv/{}", job_key(&id));
+        let pending = PendingCall::DependencyRead {
+            run: self.job_feed.run,
+            id,
+            sent: self.ctx.now,
+        };
+        self.ctx.read_store(urgency, path, pending);
+    }
+
     /// Processes the read of a dependency's record, which was requested at `sent`. If the job
     /// is unfinished, the records of its own dependencies are read next, unless their states
     /// are known.
@@ -353,18 +378,12 @@
         if run != self.job_feed.run {
             return;
         }
-        let Some(wanted_since) = self.job_feed.reads_in_flight.remove(id) else {
+        let Some(read) = self.job_feed.reads.finish(id) else {
             return;
         };
         let record = parse_job_record(body).filter(|_| status == 200);
         let Some(record) = record else {
-            self.job_feed.next_read_at = self.ctx.now + RETRY_PAUSE_MS;
-            self.job_feed.to_read.insert(id.clone(), wanted_since);
-            let waited_ms = self.ctx.now.saturating_sub(wanted_since);
-            log::debug!(
-                "job {id}: read of its record failed with {status}, wanted for {waited_ms} ms"
-            );
-            return;
+            return self.retry_dependency_read(id, read, status);
         };
         self.job_feed.has_progress = true;
         if record.stage.is_final() {
@@ -376,5 +395,36 @@
     }
 }
 
+impl Node {
+    /// Repeats a failed read after a pause. While the store refuses calls, it also refuses those
+    /// that users wait for, so the read is repeated like one that no request waits for.
+    fn retry_dependency_read(&mut self, id: &JobId, read: FinishedRead, status: u16) {
+        let now = self.ctx.now;
+        let waited_ms = now.saturating_sub(read.wanted_since);
+        log::debug!("job {id}: read of its record failed with {status}, wanted for {waited_ms} ms");
+        self.job_feed.next_read_at = now + RETRY_PAUSE_MS;
+        let priority = match status {
+            503 => ReadPriority::Background,
+            _ => read.priority,
+        };
+        let read = FinishedRead { priority, ..read };
+        self.job_feed.reads.retry(id.clone(), read);
+    }
+}
+
+/// The latest record of each key that was put, in the order of their last changes.
+fn latest_records(changes: Vec<Change>) -> Vec<(String, Value)> {
+    let mut latest: HashMap<String, (usize, Value)> = HashMap::new();
+    for (position, change) in changes.into_iter().enumerate() {
+        if let Change::Put { key, value, .. } = change {
+            latest.insert(key, (position, value));
+        }
+    }
+    let mut records: Vec<(String, (usize, Value))> = latest.into_iter().collect();
+    records.sort_unstable_by_key(|(_, (position, _))| *position);
+    let without_position = records.into_iter().map(|(key, (_, value))| (key, value));
+    without_position.collect()
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/core/src/job_feed/tests.rs
+++ b/crates/core/src/job_feed/tests.rs
@@ -117,7 +117,8 @@
     let mut f = Fixture::new();
     f.node.request_job_feed();
     let now = f.node.ctx.now;
-    f.node.job_feed.read((100..300).map(id), now);
+    let priority = ReadPriority::Background;
+    f.node.job_feed.read((100..300).map(id), priority, now);
     f.step(0);
     assert_eq!(count(&f, is_read), MAX_READS_IN_FLIGHT);
     f.answer(is_read, 503, &json!({}));
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -96,7 +96,7 @@
     pub fn new(config: Config, incarnation: u64, seed: u64) -> Self {
         let config = Rc::new(config);
         let cached_jobs = config.bounds.cached_jobs;
-        let feed_entries = config.bounds.feed_entries;
+        let job_feed = JobFeed::new(config.bounds.feed_entries, config.bounds.feed_look_back);
         Self {
             leader: Leader::new(config.cloud_rps),
             ctx: Context::new(config, incarnation, seed),
@@ -108,7 +108,7 @@
             final_stages: FinalStages::new(cached_jobs),
             job_shards: RecentJobs::new(cached_jobs),
             dependencies: DependencyTracker::default(),
-            job_feed: JobFeed::new(feed_entries),
+            job_feed,
             delayed_lookups: Vec::new(),
             refusals: RefusalCounts::default(),
             admissions: BTreeMap::new(),
--- a/crates/core/src/shard/dependencies.rs
+++ b/crates/core/src/shard/dependencies.rs
@@ -18,6 +18,7 @@
 
 pub(crate) use check::DependencyCheck;
 
+use crate::job_feed::ReadPriority;
 use crate::node::{active_shard_of_mut, Node};
 use crate::recent_jobs::FinalStage;
 use crate::records::ShardId;
@@ -292,7 +293,8 @@
     /// known, and cancels the dependents of those that are cancelled.
     fn review_dependency_records(&mut self, ids: &BTreeSet<JobId>) {
         let walk = self.walk_dependencies(ids);
-        self.job_feed.read(walk.unknown, self.ctx.now);
+        self.job_feed
+            .read(walk.unknown, ReadPriority::Background, self.ctx.now);
         for cancelled in walk.cancelled {
             self.cancel_with_dependents(self.known_dependents_of(&cancelled), &cancelled);
         }
