A refused question costs no read; the holder is asked for what is unsettled here

Cause: each poll of an unsettled job read the job's own record first, at each of the controllers it came to, which each then read all of its dependencies. The refusal did not even keep the job's shard, so that the next poll was not forwarded to its holder, and read again.

Change: the record that a refused lookup has read is kept in the feed with its dependencies, so the next request for the job waits for these without a read of its own; the query is forwarded to the holder, which looks after the dependencies of its jobs, and is refused here if the holder refuses it (its dependencies are then read here without a request's priority, or with it if the holder does not answer). A read that waits too long for the rate limit keeps its priority and is queued again at once. Final stages that become known end a wait.

--- a/crates/core/src/api/admission/tests.rs
+++ b/crates/core/src/api/admission/tests.rs
@@ -37,7 +37,7 @@
 }
 
 fn is_lookup(pending: &PendingCall) -> bool {
-    matches!(pending, PendingCall::JobLookup { .. })
+    matches!(pending, PendingCall::JobLookup(_))
 }
 
 fn is_job_creation(pending: &PendingCall) -> bool {
--- a/crates/core/src/api/delayed_lookups.rs
+++ b/crates/core/src/api/delayed_lookups.rs
@@ -33,13 +33,32 @@
         self.delayed_lookups.push(lookup);
     }
 
+    /// Refuses a request for a job, as it is uncertain whether one of its `dependencies` is
+    /// cancelled, and requests the records of those of which nothing is known.
+    pub(crate) fn refuse_undecided(
+        &mut self,
+        request: RequestId,
+        id: &JobId,
+        dependencies: &[JobId],
+        priority: ReadPriority,
+    ) {
+        if let DependencyCheck::Uncertain(unknown) = self.check_dependencies(dependencies) {
+            self.request_job_feed();
+            self.job_feed.read(unknown, priority, self.ctx.now);
+        }
+        self.refuse(request, id, Refusal::DependenciesUnknown, dependencies);
+    }
+
     /// Repeats the lookups of jobs whose dependencies have become known, and requests more
     /// records for the others.
     pub(crate) fn resume_lookups(&mut self) {
         for lookup in std::mem::take(&mut self.delayed_lookups) {
+            let is_final = self.final_stages.get(&lookup.id).is_some();
             match self.check_dependencies(&lookup.dependencies) {
-                DependencyCheck::Uncertain(unknown) => self.delay_lookup(lookup, unknown),
-                DependencyCheck::NotCancelled | DependencyCheck::Cancelled => {
+                DependencyCheck::Uncertain(unknown) if !is_final => {
+                    self.delay_lookup(lookup, unknown);
+                }
+                _ => {
                     let DelayedLookup {
                         request,
                         id,
--- a/crates/core/src/api/status_queries.rs
+++ b/crates/core/src/api/status_queries.rs
@@ -6,7 +6,7 @@
 use crate::api::status_of_stage;
 use crate::io::{Reply, RequestId};
 use crate::node::{active_shard_of, Node};
-use crate::pending_call::{LookupPurpose, PendingCall};
+use crate::pending_call::{JobLookup, LookupPurpose, PendingCall};
 use crate::records::{job_key, JobRecord};
 use crate::shard::dependencies::DependencyCheck;
 use crate::store::queue::Urgency;
@@ -14,6 +14,7 @@
 use forkshift_wire::state::Item;
 use forkshift_wire::JobId;
 use serde_json::from_value;
+use std::collections::BTreeSet;
 
 /// Time within which the read of a job's record is retried after a broken connection, in
 /// milliseconds. Users wait 2 s for a response.
@@ -56,6 +57,9 @@
     /// Reads a job's record to answer a request. The answer must not be older than any status
     /// that a controller has reported for the job, so it is read from the key-value store.
     /// Always returns `None`, as the response follows the read.
+    ///
+    /// A request for a job whose dependencies are known not to be settled waits without a read:
+    /// users repeat it until it is answered, and their reads would hold up those that settle it.
     pub(crate) fn look_up_job(
         &mut self,
         request: RequestId,
@@ -63,10 +67,36 @@
         purpose: LookupPurpose,
     ) -> Option<Reply> {
         let deadline = self.ctx.now + LOOKUP_RETRY_TIMEOUT_MS;
-        self.read_job(request, id, purpose, deadline);
+        let unsettled = self.unsettled_dependencies(&id);
+        match unsettled.filter(|_| !purpose.is_cancellation()) {
+            Some((dependencies, unknown)) => {
+                let lookup = DelayedLookup {
+                    request,
+                    id,
+                    purpose,
+                    deadline,
+                    dependencies,
+                };
+                self.delay_lookup(lookup, unknown);
+            }
+            None => self.read_job(request, id, purpose, deadline),
+        }
         None
     }
 
+    /// The dependencies of a job that the job feed shows unfinished, and those of which nothing
+    /// is known, if it is uncertain whether one of them is cancelled.
+    pub(crate) fn unsettled_dependencies(
+        &self,
+        id: &JobId,
+    ) -> Option<(Vec<JobId>, BTreeSet<JobId>)> {
+        let dependencies = &self.job_feed.unfinished(id)?.dependencies;
+        match self.check_dependencies(dependencies) {
+            DependencyCheck::Uncertain(unknown) => Some((dependencies.clone(), unknown)),
+            DependencyCheck::NotCancelled | DependencyCheck::Cancelled => None,
+        }
+    }
+
     /// Reads a job's record to answer a request, within a deadline for retries.
     pub(super) fn read_job(
         &mut self,
@@ -76,25 +106,28 @@
         deadline: Ms,
     ) {
         let path = format!("/kv/{}", job_key(&id));
-        let pending = PendingCall::JobLookup {
+        let lookup = JobLookup {
             request,
             id,
             purpose,
             deadline,
+            feed_run: self.job_feed.run(),
+            sent: self.ctx.now,
         };
+        let pending = PendingCall::JobLookup(lookup);
         self.ctx.read_store(Urgency::User, path, pending);
     }
 
     /// Processes the response to the read of a job's record.
-    pub(crate) fn on_lookup(
-        &mut self,
-        request: RequestId,
-        id: JobId,
-        purpose: LookupPurpose,
-        deadline: Ms,
-        status_code: u16,
-        body: &[u8],
-    ) {
+    pub(crate) fn on_lookup(&mut self, lookup: JobLookup, status_code: u16, body: &[u8]) {
+        let JobLookup {
+            request,
+            id,
+            purpose,
+            deadline,
+            feed_run,
+            sent,
+        } = lookup;
         // A final stage that became known during the read is newer than the record.
         if let Some(stage) = self.final_stages.get(&id) {
             let reply = Reply::json(200, &status_of_stage(&id, stage));
@@ -138,12 +171,20 @@
                 self.refuse(request, &id, Refusal::DependencyCancelled, dependencies);
             }
             DependencyCheck::Uncertain(unknown) => {
+                self.job_feed.insert_read(feed_run, &record, sent);
+                self.job_shards.insert(id.clone(), record.shard);
+                let dependencies = record.spec.dependencies;
+                let timeout = deadline.saturating_sub(self.ctx.now);
+                let is_query = matches!(purpose, LookupPurpose::StatusQuery);
+                if is_query && self.forward_undecided_query(request, &id, &dependencies, timeout) {
+                    return;
+                }
                 let lookup = DelayedLookup {
                     request,
                     id,
                     purpose,
                     deadline,
-                    dependencies: record.spec.dependencies,
+                    dependencies,
                 };
                 self.delay_lookup(lookup, unknown);
             }
--- a/crates/core/src/api/tests.rs
+++ b/crates/core/src/api/tests.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 
 fn is_lookup(pending: &PendingCall) -> bool {
-    matches!(pending, PendingCall::JobLookup { .. })
+    matches!(pending, PendingCall::JobLookup(_))
 }
 
 fn job_record_item(f: &mut Fixture, id: &JobId, stage: JobStage) -> serde_json::Value {
--- a/crates/core/src/golden/calls.rs
+++ b/crates/core/src/golden/calls.rs
@@ -204,7 +204,7 @@
         transcript.add(name, &effects);
         let is_lookup = |e: &Effect| matches!(e, Effect::Call { method: "GET", .. });
         if effects.iter().any(is_lookup) {
-            let lookup = |p: &PendingCall| matches!(p, PendingCall::JobLookup { .. });
+            let lookup = |p: &PendingCall| matches!(p, PendingCall::JobLookup(_));
             let effects = f.answer(lookup, 404, &json!({"ledger_rev": 5}));
             transcript.add(&format!("{name}_not_recorded"), &effects);
         }
@@ -294,7 +294,7 @@
     transcript.add("abort", &abort);
     let job = json!({"spec": submission_of("readers", "j-5"), "share": 0, "stage": "pending"});
     let job = json!({"data": job, "stamp": 5});
-    let is_lookup = |p: &PendingCall| matches!(p, PendingCall::JobLookup { .. });
+    let is_lookup = |p: &PendingCall| matches!(p, PendingCall::JobLookup(_));
     transcript.add("abort_recorded", &f.answer(is_lookup, 200, &job));
     let page = json!({"items": [{"key": "live/0/j-4", "data": {}, "stamp": 5}],
         "has_next": true, "ledger_rev": 6});
--- a/crates/core/src/job_feed.rs
+++ b/crates/core/src/job_feed.rs
@@ -396,19 +396,24 @@
 }
 
 impl Node {
-    /// Repeats a failed read after a pause. While the store refuses calls, it also refuses those
-    /// that users wait for, so the read is repeated like one that no request waits for.
+    /// Repeats a failed read. While the store refuses calls, it also refuses those that users
+    /// wait for, so the read is repeated like one that no request waits for.
     fn retry_dependency_read(&mut self, id: &JobId, read: FinishedRead, status: u16) {
         let now = self.ctx.now;
         let waited_ms = now.saturating_sub(read.wanted_since);
         log::debug!("job {id}: read of its record failed with {status}, wanted for {waited_ms} ms");
-        self.job_feed.next_read_at = now + RETRY_PAUSE_MS;
-        let priority = match status {
-            503 => ReadPriority::Background,
-            _ => read.priority,
+        let is_refused = self.ctx.store.is_refusing_calls();
+        let priority = match is_refused {
+            true => ReadPriority::Background,
+            false => read.priority,
         };
         let read = FinishedRead { priority, ..read };
         self.job_feed.reads.retry(id.clone(), read);
+        // A read that has waited too long for the rate limit is queued again at once.
+        let has_expired_unsent = status == 503 && !is_refused;
+        if !has_expired_unsent {
+            self.job_feed.next_read_at = now + RETRY_PAUSE_MS;
+        }
     }
 }
 
--- a/crates/core/src/node/responses.rs
+++ b/crates/core/src/node/responses.rs
@@ -40,12 +40,7 @@
             }
 
             PendingCall::JobCreation(creation) => self.on_job_created(*creation, status, body),
-            PendingCall::JobLookup {
-                request,
-                id,
-                purpose: why,
-                deadline: until,
-            } => self.on_lookup(request, id, why, until, status, body),
+            PendingCall::JobLookup(lookup) => self.on_lookup(lookup, status, body),
             PendingCall::AdmissionRead { request, id } => {
                 self.on_admission_read(request, &id, status, body);
             }
--- a/crates/core/src/pending_call.rs
+++ b/crates/core/src/pending_call.rs
@@ -59,12 +59,7 @@
     /// Writes the records of a submitted job, which accepts the job.
     JobCreation(Box<JobCreation>),
     /// Reads the record of a job whose status is not known in memory.
-    JobLookup {
-        request: RequestId,
-        id: JobId,
-        purpose: LookupPurpose,
-        deadline: Ms,
-    },
+    JobLookup(JobLookup),
     /// Reads the record of a dependency of a submitted job.
     AdmissionRead { request: RequestId, id: JobId },
     /// Reads the record of a dependency of an accepted job, in a run of the job feed.
@@ -203,6 +198,20 @@
     pub(crate) deadline: Ms,
 }
 
+/// A read of a job's record for a request.
+#[derive(Debug)]
+pub(crate) struct JobLookup {
+    pub(crate) request: RequestId,
+    pub(crate) id: JobId,
+    pub(crate) purpose: LookupPurpose,
+    /// Time at which the request is refused, in milliseconds of the steady clock.
+    pub(crate) deadline: Ms,
+    /// Run of the job feed in which the record is read.
+    pub(crate) feed_run: FeedRun,
+    /// When the read was requested, in milliseconds of the steady clock.
+    pub(crate) sent: Ms,
+}
+
 /// The request for which a job's record is read.
 #[derive(Debug)]
 pub(crate) enum LookupPurpose {
--- a/crates/core/src/protocol/forwarding.rs
+++ b/crates/core/src/protocol/forwarding.rs
@@ -11,6 +11,7 @@
 
 use crate::api::status_of_stage;
 use crate::io::{Reply, RequestId};
+use crate::job_feed::ReadPriority;
 use crate::node::Node;
 use crate::overflow::Overflow;
 use crate::protocol::messages::MessageSender;
@@ -61,15 +62,43 @@
         }
     }
 
+    /// The request for the status of a job.
+    fn status_query(id: &JobId) -> Self {
+        Self {
+            method: "GET".to_owned(),
+            path: format!("/submissions/{id}"),
+            body: None,
+        }
+    }
+
+    /// The job whose status is requested; none if it is another request.
+    fn queried_job(&self) -> Option<JobId> {
+        let id = self.path.strip_prefix("/submissions/")?;
+        JobId::parse(id).filter(|_| self.method == "GET")
+    }
+
     fn is_heartbeat(&self) -> bool {
         self.path == WORKER_HEARTBEAT_PATH
     }
 }
 
+/// What is done with a forwarded request that the other controller refuses or doesn't answer.
+pub(crate) enum ForwardFallback {
+    /// It is processed here.
+    HandleLocally,
+    /// It is refused, as it is uncertain here whether a dependency of the job is cancelled.
+    Refuse {
+        id: JobId,
+        /// The job's direct dependencies.
+        dependencies: Vec<JobId>,
+    },
+}
+
 /// A forwarded request that has no answer yet.
 pub(crate) struct PendingForward {
     request: RequestId,
     forwarded: ForwardedRequest,
+    fallback: ForwardFallback,
     target: NodeName,
     deadline: Ms,
     /// When the message is sent again, as it may be lost with its connection; none if the
@@ -125,16 +154,44 @@
             path: path.to_owned(),
             body,
         };
-        self.forward(request, &target, forwarded, timeout);
+        let fallback = ForwardFallback::HandleLocally;
+        self.forward(request, &target, forwarded, fallback, timeout);
         Ok(())
     }
 
+    /// Forwards a status query to the holder of a job, if there is another one, as it is
+    /// uncertain here whether one of the job's `dependencies` is cancelled. The holder looks
+    /// after the dependencies of its jobs; if all controllers read the dependencies of all jobs,
+    /// the store could not serve the reads. Returns whether the query was forwarded.
+    pub(crate) fn forward_undecided_query(
+        &mut self,
+        request: RequestId,
+        id: &JobId,
+        dependencies: &[JobId],
+        timeout: Ms,
+    ) -> bool {
+        if request.is_from_peer() {
+            return false;
+        }
+        let Some(holder) = self.remote_holder(id).cloned() else {
+            return false;
+        };
+        let fallback = ForwardFallback::Refuse {
+            id: id.clone(),
+            dependencies: dependencies.to_vec(),
+        };
+        let forwarded = ForwardedRequest::status_query(id);
+        self.forward(request, &holder, forwarded, fallback, timeout);
+        true
+    }
+
     /// Sends a request to another controller, which must answer within `timeout` milliseconds.
     pub(crate) fn forward(
         &mut self,
         request: RequestId,
         target: &NodeName,
         forwarded: ForwardedRequest,
+        fallback: ForwardFallback,
         timeout: Ms,
     ) {
         self.last_forward_number += 1;
@@ -150,6 +207,7 @@
                 .is_heartbeat()
                 .then_some(now + HEARTBEAT_RESEND_MS),
             forwarded,
+            fallback,
         };
         self.pending_forwards.insert(request_number, forward);
     }
@@ -262,7 +320,7 @@
                 // The store refuses the other controller as well.
                 self.store_down_everywhere_until = self.ctx.now + STORE_DOWN_PAUSE_MS;
             }
-            return self.serve_unanswered(forward);
+            return self.serve_refused(forward);
         }
         let reply = self.with_latest_stage(reply);
         self.ctx.respond(forward.request, reply);
@@ -304,11 +362,39 @@
         self.ctx.expire_peer_requests();
     }
 
+    /// Handles a request here that another controller has refused. A query is refused here as
+    /// well while it is uncertain whether a dependency of the job is cancelled.
+    fn serve_refused(&mut self, forward: PendingForward) {
+        let unsettled = forward.forwarded.queried_job().and_then(|id| {
+            let unsettled = self.unsettled_dependencies(&id)?;
+            Some((id, unsettled))
+        });
+        let (id, dependencies) = match (&forward.fallback, unsettled) {
+            (ForwardFallback::Refuse { id, dependencies }, _) => (id.clone(), dependencies.clone()),
+            (ForwardFallback::HandleLocally, Some((id, (dependencies, _)))) => (id, dependencies),
+            (ForwardFallback::HandleLocally, None) => return self.serve_unanswered(forward),
+        };
+        // The holder reads the dependencies first.
+        self.refuse_undecided(
+            forward.request,
+            &id,
+            &dependencies,
+            ReadPriority::Background,
+        );
+    }
+
     /// Handles a request here that another controller has refused or not answered in time.
     fn serve_unanswered(&mut self, forward: PendingForward) {
         let PendingForward {
-            request, forwarded, ..
+            request,
+            forwarded,
+            fallback,
+            ..
         } = forward;
+        if let ForwardFallback::Refuse { id, dependencies } = fallback {
+            let priority = ReadPriority::Request;
+            return self.refuse_undecided(request, &id, &dependencies, priority);
+        }
         if !forwarded.is_heartbeat() {
             let ForwardedRequest { method, path, body } = forwarded;
             return self.handle_locally(request, &method, &path, body);
--- a/crates/core/src/protocol/forwarding/tests.rs
+++ b/crates/core/src/protocol/forwarding/tests.rs
@@ -62,6 +62,7 @@
             path: "/submissions/j-1".to_owned(),
             body: None,
         },
+        fallback: ForwardFallback::HandleLocally,
         target: NodeName::new("north"),
         resend_at: None,
         deadline: f.node.ctx.now + QUERY_TIMEOUT_MS,
--- a/crates/core/src/protocol/relay.rs
+++ b/crates/core/src/protocol/relay.rs
@@ -19,7 +19,7 @@
 use crate::io::RequestId;
 use crate::node::Node;
 use crate::pending_call::PendingCall;
-use crate::protocol::forwarding::ForwardedRequest;
+use crate::protocol::forwarding::{ForwardFallback, ForwardedRequest};
 use crate::shard::{RecoveryState, Shard};
 use crate::Ms;
 use forkshift_links::{Decision, Link, LinkTiming};
@@ -230,7 +230,8 @@
     /// Relays a worker's heartbeat to the holder that the worker cannot reach.
     pub(crate) fn relay_heartbeat(&mut self, request: RequestId, holder: &NodeName, body: Vec<u8>) {
         let forwarded = ForwardedRequest::heartbeat(body);
-        self.forward(request, holder, forwarded, RELAY_TIMEOUT_MS);
+        let fallback = ForwardFallback::HandleLocally;
+        self.forward(request, holder, forwarded, fallback, RELAY_TIMEOUT_MS);
     }
 
     /// The other controller that holds a machine, if the link between the two is lost: the
--- a/crates/core/src/shard/dependencies/tests.rs
+++ b/crates/core/src/shard/dependencies/tests.rs
@@ -33,7 +33,7 @@
 }
 
 fn is_lookup(pending: &PendingCall) -> bool {
-    matches!(pending, PendingCall::JobLookup { .. })
+    matches!(pending, PendingCall::JobLookup(_))
 }
 
 fn record(f: &mut Fixture, n: u32, stage: JobStage) -> serde_json::Value {
--- a/crates/testkit/tests/polls_while_controllers_end.rs
+++ b/crates/testkit/tests/polls_while_controllers_end.rs
@@ -22,6 +22,11 @@
 const PIPELINE_JOBS: u32 = 6;
 /// When the first controller ends.
 const FIRST_END_AT: Ms = 62_000;
+/// When the first controller ends if the store has changed thousands of times since the last
+/// pipeline was submitted.
+const LATE_FIRST_END_AT: Ms = 1_200_000;
+/// Interval between the submissions of jobs without dependencies until then.
+const ORDINARY_JOB_INTERVAL_MS: Ms = 800;
 /// Time between the ends of two controllers.
 const END_INTERVAL_MS: Ms = 11_000;
 /// Number of times that a controller ends.
@@ -68,22 +73,36 @@
     plans
 }
 
-fn controllers_end_one_after_another(restart_after: Ms) -> Vec<Fault> {
+/// Short jobs without dependencies between the submission of the pipelines and the first end of a
+/// controller, whose records change the store.
+fn ordinary_jobs() -> Vec<JobPlan> {
+    let begin = SUBMIT_AT + u64::from(PIPELINES) * PIPELINE_INTERVAL_MS;
+    let count = (LATE_FIRST_END_AT - begin) / ORDINARY_JOB_INTERVAL_MS;
+    let first = PIPELINES * PIPELINE_JOBS;
+    (0..count as u32)
+        .map(|n| {
+            let at = begin + u64::from(n) * ORDINARY_JOB_INTERVAL_MS;
+            job(first + n, at, 2_000, &[])
+        })
+        .collect()
+}
+
+fn controllers_end_one_after_another(first_at: Ms, restart_after: Ms) -> Vec<Fault> {
     let end = |number: u64| {
         let kind = FaultKind::Crash {
             node: (number * 3 % 7) as usize,
             count: 1,
             restart_after,
         };
-        fault(FIRST_END_AT + number * END_INTERVAL_MS, kind)
+        fault(first_at + number * END_INTERVAL_MS, kind)
     };
     (0..ENDS).map(end).collect()
 }
 
-/// Plays the pipelines with faults, and checks that all rules are kept.
-fn run(name: &str, seed: u64, faults: Vec<Fault>) {
-    let plans = (0..PIPELINES).flat_map(pipeline).collect();
-    let end = FIRST_END_AT + ENDS * END_INTERVAL_MS + REST_MS;
+/// Plays jobs while controllers end from `first_end_at` on, and checks that all rules are kept.
+fn run(name: &str, seed: u64, plans: Vec<JobPlan>, first_end_at: Ms, restart_after: Ms) {
+    let end = first_end_at + ENDS * END_INTERVAL_MS + REST_MS;
+    let faults = controllers_end_one_after_another(first_end_at, restart_after);
     let mut simulation = Simulation::with_config(seed, plans, faults, deployment());
     simulation.run_until(end);
     assert_eq!(simulation.checker.violations, vec![], "{name}, seed {seed}");
@@ -95,7 +114,17 @@
 fn jobs_with_dependencies_are_not_forgotten_while_controllers_end() {
     for (name, restart_after) in [("quick restarts", 300), ("slow restarts", 6_000)] {
         for seed in [1, 2] {
-            run(name, seed, controllers_end_one_after_another(restart_after));
+            let plans = (0..PIPELINES).flat_map(pipeline).collect();
+            run(name, seed, plans, FIRST_END_AT, restart_after);
         }
     }
 }
+
+/// The same of jobs that were accepted so long ago that the changes of their records are not
+/// read at once by a controller that starts.
+#[test]
+fn old_jobs_with_dependencies_are_not_forgotten_while_controllers_end() {
+    let mut plans: Vec<JobPlan> = (0..PIPELINES).flat_map(pipeline).collect();
+    plans.extend(ordinary_jobs());
+    run("old jobs", 1, plans, LATE_FIRST_END_AT, 300);
+}
