A test of repeated starts with the ends of controllers of an incident's records

The records show ran_twice: start and forget under one token, the start's copy 5.9 s after the start, controllers ended at 24, 31 and 39 s.

--- a/crates/testkit/tests/repeated_requests.rs
+++ b/crates/testkit/tests/repeated_requests.rs
@@ -137,6 +137,23 @@
     }
 }
 
+/// A failed attempt was started again 5.9 s after its first start, while controllers ended.
+#[test]
+fn a_repeated_start_runs_no_forgotten_attempt_while_controllers_end() {
+    for seed in [502, 503] {
+        let ends = [(24_000, 0), (31_000, 1), (39_000, 0)].map(|(at, node)| {
+            let kind = FaultKind::Crash {
+                node,
+                count: 1,
+                restart_after: 300,
+            };
+            fault(at, kind)
+        });
+        let plans = jobs_that_end_in_each_way();
+        run_with_repeated_commands("controllers end", seed, plans, ends.to_vec());
+    }
+}
+
 /// Random jobs while every command is repeated.
 #[test]
 fn repeated_starts_run_no_forgotten_attempt_of_random_jobs() {
