A lookup is one value on its way; reads of dependencies are requested in one place

Cause: the four fields of a lookup were taken apart and put together again at each step, in two structs; starting the feed and requesting reads stood in three places; the route of a status query was parsed a second time.

Change: LookupRequest is what DelayedLookup and JobLookup hold; Node::read_dependencies requests reads and keeps the feed running; queried_job uses ForwardableRequest::parse. No behaviour changes.

--- a/crates/core/src/api/admission.rs
+++ b/crates/core/src/api/admission.rs
@@ -150,10 +150,7 @@
         }
         let check = self.check_dependencies(&admission.creation.spec.dependencies);
         if let DependencyCheck::Uncertain(unknown) = check {
-            self.request_job_feed();
-            return self
-                .job_feed
-                .read(unknown, ReadPriority::Request, self.ctx.now);
+            return self.read_dependencies(unknown, ReadPriority::Request);
         }
         if let Some(admission) = self.admissions.remove(&request) {
             self.create_job(JobCreation {
--- a/crates/core/src/api/delayed_lookups.rs
+++ b/crates/core/src/api/delayed_lookups.rs
@@ -6,19 +6,14 @@
 use crate::io::RequestId;
 use crate::job_feed::ReadPriority;
 use crate::node::Node;
-use crate::pending_call::LookupPurpose;
+use crate::pending_call::LookupRequest;
 use crate::shard::dependencies::DependencyCheck;
-use crate::Ms;
 use forkshift_wire::JobId;
 use std::collections::BTreeSet;
 
 /// A request for an unfinished job, whose dependencies may be cancelled.
 pub(crate) struct DelayedLookup {
-    pub(crate) request: RequestId,
-    pub(crate) id: JobId,
-    pub(crate) purpose: LookupPurpose,
-    /// Time at which the request is refused, in milliseconds of the steady clock.
-    pub(crate) deadline: Ms,
+    pub(crate) lookup: LookupRequest,
     /// The job's direct dependencies.
     pub(crate) dependencies: Vec<JobId>,
 }
@@ -26,11 +21,9 @@
 impl Node {
     /// Delays a lookup until more is known of the job's dependencies, and requests the records
     /// of those that are unknown.
-    pub(crate) fn delay_lookup(&mut self, lookup: DelayedLookup, unknown: BTreeSet<JobId>) {
-        self.request_job_feed();
-        self.job_feed
-            .read(unknown, ReadPriority::Request, self.ctx.now);
-        self.delayed_lookups.push(lookup);
+    pub(crate) fn delay_lookup(&mut self, delayed: DelayedLookup, unknown: BTreeSet<JobId>) {
+        self.read_dependencies(unknown, ReadPriority::Request);
+        self.delayed_lookups.push(delayed);
     }
 
     /// Refuses a request for a job, as it is uncertain whether one of its `dependencies` is
@@ -43,8 +36,7 @@
         priority: ReadPriority,
     ) {
         if let DependencyCheck::Uncertain(unknown) = self.check_dependencies(dependencies) {
-            self.request_job_feed();
-            self.job_feed.read(unknown, priority, self.ctx.now);
+            self.read_dependencies(unknown, priority);
         }
         self.refuse(request, id, Refusal::DependenciesUnknown, dependencies);
     }
@@ -52,22 +44,13 @@
     /// Repeats the lookups of jobs whose dependencies have become known, and requests more
     /// records for the others.
     pub(crate) fn resume_lookups(&mut self) {
-        for lookup in std::mem::take(&mut self.delayed_lookups) {
-            let is_final = self.final_stages.get(&lookup.id).is_some();
-            match self.check_dependencies(&lookup.dependencies) {
+        for delayed in std::mem::take(&mut self.delayed_lookups) {
+            let is_final = self.final_stages.get(&delayed.lookup.id).is_some();
+            match self.check_dependencies(&delayed.dependencies) {
                 DependencyCheck::Uncertain(unknown) if !is_final => {
-                    self.delay_lookup(lookup, unknown);
-                }
-                _ => {
-                    let DelayedLookup {
-                        request,
-                        id,
-                        purpose,
-                        deadline,
-                        ..
-                    } = lookup;
-                    self.read_job(request, id, purpose, deadline);
+                    self.delay_lookup(delayed, unknown);
                 }
+                _ => self.read_job(delayed.lookup),
             }
         }
     }
@@ -77,12 +60,15 @@
         let now = self.ctx.now;
         let lookups = std::mem::take(&mut self.delayed_lookups).into_iter();
         let (expired, waiting): (Vec<_>, Vec<_>) =
-            lookups.partition(|lookup| now >= lookup.deadline);
+            lookups.partition(|delayed| now >= delayed.lookup.deadline);
         self.delayed_lookups = waiting;
-        for lookup in expired {
-            let DelayedLookup { request, id, .. } = &lookup;
+        for DelayedLookup {
+            lookup,
+            dependencies,
+        } in expired
+        {
             let refusal = Refusal::DependenciesUnknown;
-            self.refuse(*request, id, refusal, &lookup.dependencies);
+            self.refuse(lookup.request, &lookup.id, refusal, &dependencies);
         }
     }
 }
--- a/crates/core/src/api/status_queries.rs
+++ b/crates/core/src/api/status_queries.rs
@@ -6,7 +6,7 @@
 use crate::api::status_of_stage;
 use crate::io::{Reply, RequestId};
 use crate::node::{active_shard_of, Node};
-use crate::pending_call::{JobLookup, LookupPurpose, PendingCall};
+use crate::pending_call::{JobLookup, LookupPurpose, LookupRequest, PendingCall};
 use crate::records::{job_key, JobRecord};
 use crate::shard::dependencies::DependencyCheck;
 use crate::store::queue::Urgency;
@@ -66,20 +66,22 @@
         id: JobId,
         purpose: LookupPurpose,
     ) -> Option<Reply> {
-        let deadline = self.ctx.now + LOOKUP_RETRY_TIMEOUT_MS;
         let unsettled = self.unsettled_dependencies(&id);
-        match unsettled.filter(|_| !purpose.is_cancellation()) {
+        let lookup = LookupRequest {
+            request,
+            id,
+            purpose,
+            deadline: self.ctx.now + LOOKUP_RETRY_TIMEOUT_MS,
+        };
+        match unsettled.filter(|_| !lookup.purpose.is_cancellation()) {
             Some((dependencies, unknown)) => {
-                let lookup = DelayedLookup {
-                    request,
-                    id,
-                    purpose,
-                    deadline,
+                let delayed = DelayedLookup {
+                    lookup,
                     dependencies,
                 };
-                self.delay_lookup(lookup, unknown);
+                self.delay_lookup(delayed, unknown);
             }
-            None => self.read_job(request, id, purpose, deadline),
+            None => self.read_job(lookup),
         }
         None
     }
@@ -98,54 +100,43 @@
     }
 
     /// Reads a job's record to answer a request, within a deadline for retries.
-    pub(super) fn read_job(
-        &mut self,
-        request: RequestId,
-        id: JobId,
-        purpose: LookupPurpose,
-        deadline: Ms,
-    ) {
-        let path = format!("/kv/{}", job_key(&id));
-        let lookup = JobLookup {
-            request,
-            id,
-            purpose,
-            deadline,
+    pub(super) fn read_job(&mut self, lookup: LookupRequest) {
+        let path = format!("/kv/{}", job_key(&lookup.id));
+        let pending = PendingCall::JobLookup(JobLookup {
+            lookup,
             feed_run: self.job_feed.run(),
             sent: self.ctx.now,
-        };
-        let pending = PendingCall::JobLookup(lookup);
+        });
         self.ctx.read_store(Urgency::User, path, pending);
     }
 
     /// Processes the response to the read of a job's record.
-    pub(crate) fn on_lookup(&mut self, lookup: JobLookup, status_code: u16, body: &[u8]) {
+    pub(crate) fn on_lookup(&mut self, read: JobLookup, status_code: u16, body: &[u8]) {
         let JobLookup {
-            request,
-            id,
-            purpose,
-            deadline,
+            lookup,
             feed_run,
             sent,
-        } = lookup;
+        } = read;
+        let request = lookup.request;
         // A final stage that became known during the read is newer than the record.
-        if let Some(stage) = self.final_stages.get(&id) {
-            let reply = Reply::json(200, &status_of_stage(&id, stage));
+        if let Some(stage) = self.final_stages.get(&lookup.id) {
+            let reply = Reply::json(200, &status_of_stage(&lookup.id, stage));
             return self.ctx.respond(request, reply);
         }
+        let is_in_time = self.ctx.now < lookup.deadline;
         let record = match status_code {
             200 => parse_job_record(body),
             // The job was accepted after the read.
-            404 if self.job_shards.get(&id).is_some()
-                || self.active_shard_of_mut(&id).is_some() =>
+            404 if self.job_shards.get(&lookup.id).is_some()
+                || self.active_shard_of_mut(&lookup.id).is_some() =>
             {
-                if self.ctx.now < deadline {
-                    return self.read_job(request, id, purpose, deadline);
+                if is_in_time {
+                    return self.read_job(lookup);
                 }
                 None
             }
             404 => {
-                let reply = match purpose {
+                let reply = match lookup.purpose {
                     LookupPurpose::Submission(reply_if_missing) => reply_if_missing,
                     LookupPurpose::StatusQuery | LookupPurpose::Cancellation => {
                         Reply::error(404, "no such job")
@@ -154,51 +145,45 @@
                 return self.ctx.respond(request, reply);
             }
             // A broken connection does not imply an outage of the store, so the read is retried.
-            0 if self.ctx.now < deadline => return self.read_job(request, id, purpose, deadline),
+            0 if is_in_time => return self.read_job(lookup),
             _ => None,
         };
         let Some(record) = record else {
-            return self.refuse(request, &id, Refusal::Unreadable(status_code), &[]);
+            return self.refuse(request, &lookup.id, Refusal::Unreadable(status_code), &[]);
         };
         // A cancellation is answered by the holder, once the final stage is recorded.
-        if record.stage.is_final() || purpose.is_cancellation() {
-            return self.on_record_found(request, id, &purpose, &record);
+        if record.stage.is_final() || lookup.purpose.is_cancellation() {
+            return self.on_record_found(lookup, &record);
         }
         match self.check_unfinished_record(&record) {
-            DependencyCheck::NotCancelled => self.on_record_found(request, id, &purpose, &record),
+            DependencyCheck::NotCancelled => self.on_record_found(lookup, &record),
             DependencyCheck::Cancelled => {
                 let dependencies = &record.spec.dependencies;
-                self.refuse(request, &id, Refusal::DependencyCancelled, dependencies);
+                let refusal = Refusal::DependencyCancelled;
+                self.refuse(request, &lookup.id, refusal, dependencies);
             }
             DependencyCheck::Uncertain(unknown) => {
                 self.job_feed.insert_read(feed_run, &record, sent);
-                self.job_shards.insert(id.clone(), record.shard);
-                let dependencies = record.spec.dependencies;
-                let timeout = deadline.saturating_sub(self.ctx.now);
-                let is_query = matches!(purpose, LookupPurpose::StatusQuery);
-                if is_query && self.forward_undecided_query(request, &id, &dependencies, timeout) {
-                    return;
-                }
-                let lookup = DelayedLookup {
-                    request,
-                    id,
-                    purpose,
-                    deadline,
-                    dependencies,
+                self.job_shards.insert(lookup.id.clone(), record.shard);
+                let delayed = DelayedLookup {
+                    lookup,
+                    dependencies: record.spec.dependencies,
                 };
-                self.delay_lookup(lookup, unknown);
+                if !self.forward_undecided_query(&delayed) {
+                    self.delay_lookup(delayed, unknown);
+                }
             }
         }
     }
 
     /// Responds to a request by the record of its job.
-    fn on_record_found(
-        &mut self,
-        request: RequestId,
-        id: JobId,
-        purpose: &LookupPurpose,
-        record: &JobRecord,
-    ) {
+    fn on_record_found(&mut self, lookup: LookupRequest, record: &JobRecord) {
+        let LookupRequest {
+            request,
+            id,
+            purpose,
+            ..
+        } = lookup;
         if record.stage.is_final() {
             self.final_stages.insert(id.clone(), record.stage);
         } else {
--- a/crates/core/src/job_feed.rs
+++ b/crates/core/src/job_feed.rs
@@ -259,6 +259,16 @@
         self.run_job_feed();
     }
 
+    /// Requests reads of jobs' records, and keeps the job feed running for them.
+    pub(crate) fn read_dependencies(
+        &mut self,
+        ids: impl IntoIterator<Item = JobId>,
+        priority: ReadPriority,
+    ) {
+        self.request_job_feed();
+        self.job_feed.read(ids, priority, self.ctx.now);
+    }
+
     fn prolong_job_feed(&mut self) {
         let until = self.ctx.now + self.ctx.config.cancellation_timeout_ms;
         self.job_feed.requested_until = until;
--- a/crates/core/src/node/status_log.rs
+++ b/crates/core/src/node/status_log.rs
@@ -9,7 +9,8 @@
 const STATUS_LOG_INTERVAL_MS: Ms = 10_000;
 
 impl Node {
-    /// Logs the status of each shard, of the job feed and of refused requests if the interval has passed.
+    /// Logs the status of each shard, of the job feed and of refused requests if the interval
+    /// has passed.
     pub(super) fn log_status(&mut self) {
         if self.ctx.now < self.next_status_log_at {
             return;
--- a/crates/core/src/pending_call.rs
+++ b/crates/core/src/pending_call.rs
@@ -200,14 +200,20 @@
     pub(crate) deadline: Ms,
 }
 
-/// A read of a job's record for a request.
+/// A request for a job that is answered from the job's record.
 #[derive(Debug)]
-pub(crate) struct JobLookup {
+pub(crate) struct LookupRequest {
     pub(crate) request: RequestId,
     pub(crate) id: JobId,
     pub(crate) purpose: LookupPurpose,
     /// Time at which the request is refused, in milliseconds of the steady clock.
     pub(crate) deadline: Ms,
+}
+
+/// A read of a job's record for a request.
+#[derive(Debug)]
+pub(crate) struct JobLookup {
+    pub(crate) lookup: LookupRequest,
     /// Run of the job feed in which the record is read.
     pub(crate) feed_run: FeedRun,
     /// When the read was requested, in milliseconds of the steady clock.
--- a/crates/core/src/protocol/forwarding.rs
+++ b/crates/core/src/protocol/forwarding.rs
@@ -9,11 +9,13 @@
 //! time between request and answer, as if the user had sent the request to the other
 //! controller. If there is no answer in time, the request is handled here.
 
+use crate::api::delayed_lookups::DelayedLookup;
 use crate::api::status_of_stage;
 use crate::io::{Reply, RequestId};
 use crate::job_feed::ReadPriority;
 use crate::node::Node;
 use crate::overflow::Overflow;
+use crate::pending_call::{LookupPurpose, LookupRequest};
 use crate::protocol::messages::MessageSender;
 use crate::protocol::relay::RelayPermission;
 use crate::Ms;
@@ -73,8 +75,10 @@
 
     /// The job whose status is requested; none if it is another request.
     fn queried_job(&self) -> Option<JobId> {
-        let id = self.path.strip_prefix("/submissions/")?;
-        JobId::parse(id).filter(|_| self.method == "GET")
+        match ForwardableRequest::parse(&self.method, &self.path)? {
+            ForwardableRequest::ForJob(id) if self.method == "GET" => Some(id),
+            _ => None,
+        }
     }
 
     fn is_heartbeat(&self) -> bool {
@@ -159,18 +163,14 @@
         Ok(())
     }
 
-    /// Forwards a status query to the holder of a job, if there is another one, as it is
-    /// uncertain here whether one of the job's `dependencies` is cancelled. The holder looks
+    /// Forwards a status query to the holder of its job, if there is another one, as it is
+    /// uncertain here whether one of the job's dependencies is cancelled. The holder looks
     /// after the dependencies of its jobs; if all controllers read the dependencies of all jobs,
     /// the store could not serve the reads. Returns whether the query was forwarded.
-    pub(crate) fn forward_undecided_query(
-        &mut self,
-        request: RequestId,
-        id: &JobId,
-        dependencies: &[JobId],
-        timeout: Ms,
-    ) -> bool {
-        if request.is_from_peer() {
+    pub(crate) fn forward_undecided_query(&mut self, delayed: &DelayedLookup) -> bool {
+        let LookupRequest { request, id, .. } = &delayed.lookup;
+        let is_query = matches!(delayed.lookup.purpose, LookupPurpose::StatusQuery);
+        if !is_query || request.is_from_peer() {
             return false;
         }
         let Some(holder) = self.remote_holder(id).cloned() else {
@@ -178,10 +178,11 @@
         };
         let fallback = ForwardFallback::Refuse {
             id: id.clone(),
-            dependencies: dependencies.to_vec(),
+            dependencies: delayed.dependencies.clone(),
         };
         let forwarded = ForwardedRequest::status_query(id);
-        self.forward(request, &holder, forwarded, fallback, timeout);
+        let timeout = delayed.lookup.deadline.saturating_sub(self.ctx.now);
+        self.forward(*request, &holder, forwarded, fallback, timeout);
         true
     }
 
